Don't believe a look of the millisecond in which an order was answered

The start was answered and the look sent in the same millisecond, on two connections to a worker a tenth of a millisecond away; the look reached it first, and times are whole milliseconds, so that it counted as later.

Only a look sent in a later millisecond tells that a task that stood is gone.

Ruled out: tokens (the look carried the present one), looks answered out of turn (the worker's clock was ahead), a change of owner (four seconds before).

Test: /sched/look-of-the-same-ms, seen to fail before the change.

--- a/src/coordination/sched_run.c
+++ b/src/coordination/sched_run.c
@@ -317,7 +317,8 @@
 
 /*
  * Runs that the answer doesn't list: an order with a lower token than the
- * look's will never be carried out; one that stood before the look is lost.
+ * look's will never be carried out; one that stood in a millisecond before the
+ * look is lost. In the same one the look may have come first.
  */
 static void settle(struct sched *s, struct sched_worker *w,
 		   const struct sched_look *look)
@@ -327,7 +328,7 @@
 	for (GList *i = w->runs.head; i; i = next) {
 		struct sched_run *run = i->data;
 		bool stood = run->state == SCHED_RUN_ACTIVE &&
-			     run->started_ms <= look->sent_ms;
+			     run->started_ms < look->sent_ms;
 		bool void_order = run->state != SCHED_RUN_ACTIVE &&
 				  run->fence < look->fence;
 		struct sched_ref ref;
--- a/tests/unit_sched.c
+++ b/tests/unit_sched.c
@@ -370,8 +370,35 @@
 	paper_close(&p);
 }
 
+/*
+ * Pattern: a look and an order on two connections to a worker a tenth of a
+ * millisecond away. A look sent in the millisecond in which the order was
+ * answered may have come before it, and proves nothing.
+ */
+static void test_look_of_the_same_ms(void)
+{
+	struct paper p;
+
+	paper_open(&p, 1, NULL);
+	paper_add_worker(&p, "w", "r");
+	paper_look_at(&p, "w", NULL, 0, NULL, 0, 10);
+	paper_add_job(&p, paper_spec_of("a", "short", 1, 1));
+	sched_place(&p.s, 20);
+	paper_started(&p, paper_start_at(&p, 0), 30);
+	/* Sent at 30. */
+	paper_look_at(&p, "w", NULL, 0, NULL, 0, 35);
+	sched_place(&p.s, 40);
+	g_assert_cmpuint(p.starts->len, ==, 1);
+	/* Sent at 31: the task is gone. */
+	paper_look_at(&p, "w", NULL, 0, NULL, 0, 36);
+	sched_place(&p.s, 50);
+	g_assert_cmpuint(p.starts->len, ==, 2);
+	paper_close(&p);
+}
+
 void unit_add_sched(void)
 {
+	g_test_add_func("/sched/look-of-the-same-ms", test_look_of_the_same_ms);
 	g_test_add_func("/sched/steps-in-order", test_steps_in_order);
 	g_test_add_func("/sched/attempts-once", test_attempts_counted_once);
 	g_test_add_func("/sched/unanswered-start", test_unanswered_start);
