--- a/src/coordination/sched_tail.c
+++ b/src/coordination/sched_tail.c
@@ -33,17 +33,26 @@
 /* Kept of a task's least slack alone, which can't fall any further. */
 #define KEPT_FLOOR 0.15
 
-double sched_sure_slack(const struct sched *s, const struct sched_run *run)
+/* Slack alone once `kept` of it is gone, but never below the image's floor. */
+static double least_slack(const struct sched *s, const struct sched_run *run,
+			  double kept)
 {
 	double floor = interfere_floor(&s->interfere, run->task->step->image);
 
-	return fmax(run->slack - KEPT_SLACK, floor - KEPT_FLOOR);
+	return fmax(run->slack - kept, floor - KEPT_FLOOR);
+}
+
+double sched_sure_slack(const struct sched *s, const struct sched_run *run)
+{
+	return least_slack(s, run, KEPT_SLACK);
 }
 
 int64_t sched_idle_of(const struct sched *s, const struct sched_run *run)
 {
 	const struct jobspec_step *def = run->task->step->def;
-	double part = sched_sure_slack(s, run) / IDLE_SLACK;
+	/* Nothing is kept: orders and ends on their way leave some of what is
+	 * given out unused. */
+	double part = least_slack(s, run, 0) / IDLE_SLACK;
 
 	if (!def->tail_goal_ms)
 		return 0;
