--- a/src/fleet/lead.c
+++ b/src/fleet/lead.c
@@ -18,12 +18,6 @@
 #define LATE_MAX_MS 250
 #define LATE_WEIGHT_DIVISOR 16
 #define YIELD_REST_MS 15000
-/* Ended jobs are removed in groups, this often, in ms, part by part. */
-#define CLEAN_EVERY_MS 1000
-#define CLEAN_ROWS_MAX 90
-/* A commit takes no more jobs beyond this; the store allows twice as much. */
-#define COMMIT_BYTES_MAX (512 * 1024)
-
 const char *lead_jobs_table(int32_t shard, char buf[LEAD_NAME_MAX])
 {
 	snprintf(buf, LEAD_NAME_MAX, "jobs%d", shard);
@@ -234,66 +228,6 @@
 	.note = do_note,
 };
 
-static void on_cleaned(const struct rows_answer *ans, void *priv)
-{
-	(void)priv;
-	if (ans->result != ROWS_OK)
-		log_event(LOG_ROW_UNUSABLE,
-			  "table=jobs key=- why=\"ended jobs not removed; "
-			  "tried again later\"");
-}
-
-static bool kept_long_enough(const struct lead *l, const struct sched_job *job)
-{
-	return sched_job_over(job) &&
-	       lead_job_part_of(job->spec->id) == l->clean_part &&
-	       wall(l) - job->ended_wall_ms > l->f->set.keep_ended_ms &&
-	       !job->touched;
-}
-
-/* Removes the rows of jobs that ended long ago. */
-static void clean(struct lead *l)
-{
-	struct rows_change changes[CLEAN_ROWS_MAX] = { 0 };
-	char table[LEAD_NAME_MAX];
-	char part[LEAD_NAME_MAX];
-	struct rows_tx tx = { .part = lead_job_part(l->shard, l->clean_part,
-						    part),
-			      .changes = changes };
-	void *tmp = talloc_new(NULL);
-	GHashTableIter it;
-	gpointer value;
-
-	lead_jobs_table(l->shard, table);
-	g_hash_table_iter_init(&it, l->sched.jobs);
-	while (tx.n + 2 <= CLEAN_ROWS_MAX &&
-	       g_hash_table_iter_next(&it, NULL, &value)) {
-		const struct sched_job *job = value;
-
-		if (!kept_long_enough(l, job))
-			continue;
-		changes[tx.n++] = (struct rows_change){
-			.table = table,
-			.key = talloc_strdup(tmp, job->spec->id),
-			.remove = true,
-		};
-		changes[tx.n++] = (struct rows_change){
-			.table = table,
-			.key = talloc_asprintf(tmp, "%s" LEAD_CANCEL_SUFFIX,
-					       job->spec->id),
-			.remove = true,
-		};
-		g_ptr_array_add(l->dropped,
-				talloc_strdup(l->term, job->spec->id));
-	}
-	for (int32_t i = 0; i < tx.n; i += 2)
-		sched_job_drop(&l->sched, changes[i].key);
-	if (tx.n)
-		l->f->rows.ops->commit(l->f->rows.self, &tx, on_cleaned, NULL);
-	talloc_free(tmp);
-	l->clean_part = (l->clean_part + 1) % LEAD_JOB_PARTS;
-}
-
 /* Turns of the loop that come late on the average mean too little processor. */
 static bool is_overloaded(struct lead *l, int64_t now)
 {
@@ -324,10 +258,7 @@
 		lead_place_soon(l);
 	if (l->sched.touched.length)
 		owner_kick(l->owner);
-	if (now - l->cleaned_ms < CLEAN_EVERY_MS)
-		return;
-	l->cleaned_ms = now;
-	clean(l);
+	lead_clean(l, now);
 }
 
 static void on_gained(const struct owner_row *former, int64_t version,
@@ -379,125 +310,12 @@
 	g_ptr_array_free(l->dropped, TRUE);
 }
 
-static const char *keep_text(struct lead *l, char *text)
-{
-	g_ptr_array_add(l->texts, text);
-	return text;
-}
-
-/* A row that the store refuses for its length would block all later ones. */
-static char *progress_text(const struct lead *l, const struct sched_job *job)
-{
-	json_t *j = sched_job_progress(job, true);
-	char *text = json_dumps(j, JSON_COMPACT);
-
-	json_decref(j);
-	if ((int64_t)strlen(text) <= l->f->set.row_bytes_max)
-		return text;
-	free(text);
-	j = sched_job_progress(job, false);
-	text = json_dumps(j, JSON_COMPACT);
-	json_decref(j);
-	return text;
-}
-
-static int32_t on_collect(struct rows_change *out, int32_t max, void *priv)
-{
-	struct lead *l = priv;
-	size_t bytes = 0;
-	GHashTableIter it;
-	gpointer value;
-	int32_t n = 0;
-
-	g_ptr_array_set_size(l->texts, 0);
-	while (n < max && bytes < COMMIT_BYTES_MAX && l->sched.touched.length) {
-		struct sched_job *job =
-			g_queue_pop_head_link(&l->sched.touched)->data;
-		char *text = progress_text(l, job);
-
-		job->touched = false;
-		bytes += strlen(text);
-		out[n++] = (struct rows_change){
-			.table = LEAD_PROGRESS_TABLE,
-			.key = keep_text(l, strdup(job->spec->id)),
-			.value = keep_text(l, text),
-		};
-	}
-	while (n < max && l->dropped->len) {
-		char *id = g_ptr_array_remove_index_fast(l->dropped, 0);
-
-		out[n++] = (struct rows_change){
-			.table = LEAD_PROGRESS_TABLE,
-			.key = keep_text(l, strdup(id)),
-			.remove = true,
-		};
-		talloc_free(id);
-	}
-	l->all_collected = !l->sched.touched.length;
-	if (!l->all_collected) {
-		owner_kick(l->owner);
-		return n;
-	}
-	g_hash_table_iter_init(&it, l->sched.workers);
-	while (g_hash_table_iter_next(&it, NULL, &value)) {
-		struct sched_worker *w = value;
-
-		w->commit_seq = w->seen_seq;
-	}
-	return n;
-}
-
-static void on_committed(void *priv)
-{
-	struct lead *l = priv;
-	GHashTableIter it;
-	gpointer value;
-
-	if (!l->all_collected)
-		return;
-	g_hash_table_iter_init(&it, l->sched.workers);
-	while (g_hash_table_iter_next(&it, NULL, &value)) {
-		struct sched_worker *w = value;
-
-		if (w->durable_seq < w->commit_seq &&
-		    w->commit_seq <= w->seen_seq)
-			w->durable_seq = w->commit_seq;
-	}
-	links_committed(l->links);
-}
-
-static void on_fill(struct owner_row *row, void *priv)
-{
-	struct lead *l = priv;
-	const struct catalog *c = l->f->catalog;
-	json_t *pending;
-	char *text;
-
-	/* Of jobs that aren't loaded yet, only the former owner knew. */
-	if (!l->opened)
-		return;
-	pending = json_object();
-	for (int32_t i = 0; c && i < c->n_queues; i++) {
-		int32_t n = sched_pending(&l->sched, c->queues[i].name);
-
-		if (n)
-			json_object_set_new(pending, c->queues[i].name,
-					    json_integer(n));
-	}
-	text = json_dumps(pending, JSON_COMPACT);
-	talloc_free(row->pending);
-	row->pending = talloc_strdup(l, text);
-	free(text);
-	json_decref(pending);
-	row->strays = sched_has_strays(&l->sched);
-}
-
 static const struct owner_ops owner_ops = {
 	.gained = on_gained,
 	.lost = on_lost,
-	.collect = on_collect,
-	.committed = on_committed,
-	.fill = on_fill,
+	.collect = lead_collect,
+	.committed = lead_committed,
+	.fill = lead_fill,
 };
 
 struct lead *lead_start(struct fleet *f, int32_t shard)
--- /dev/null
+++ b/src/fleet/lead_commit.c
@@ -0,0 +1,191 @@
+/* What a shard's owner writes: progress, what it learned, and clearing up. */
+#include <stdlib.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "base/log.h"
+#include "fleet/lead_int.h"
+
+/* Ended jobs are removed in groups, this often, in ms, part by part. */
+#define CLEAN_EVERY_MS 1000
+#define CLEAN_ROWS_MAX 90
+/* A commit takes no more jobs beyond this; the store allows twice as much. */
+#define COMMIT_BYTES_MAX (512 * 1024)
+
+static const char *keep_text(struct lead *l, char *text)
+{
+	g_ptr_array_add(l->texts, text);
+	return text;
+}
+
+/* A row that the store refuses for its length would block all later ones. */
+static char *progress_text(const struct lead *l, const struct sched_job *job)
+{
+	json_t *j = sched_job_progress(job, true);
+	char *text = json_dumps(j, JSON_COMPACT);
+
+	json_decref(j);
+	if ((int64_t)strlen(text) <= l->f->set.row_bytes_max)
+		return text;
+	free(text);
+	j = sched_job_progress(job, false);
+	text = json_dumps(j, JSON_COMPACT);
+	json_decref(j);
+	return text;
+}
+
+int32_t lead_collect(struct rows_change *out, int32_t max, void *priv)
+{
+	struct lead *l = priv;
+	size_t bytes = 0;
+	GHashTableIter it;
+	gpointer value;
+	int32_t n = 0;
+
+	g_ptr_array_set_size(l->texts, 0);
+	while (n < max && bytes < COMMIT_BYTES_MAX && l->sched.touched.length) {
+		struct sched_job *job =
+			g_queue_pop_head_link(&l->sched.touched)->data;
+		char *text = progress_text(l, job);
+
+		job->touched = false;
+		bytes += strlen(text);
+		out[n++] = (struct rows_change){
+			.table = LEAD_PROGRESS_TABLE,
+			.key = keep_text(l, strdup(job->spec->id)),
+			.value = keep_text(l, text),
+		};
+	}
+	while (n < max && l->dropped->len) {
+		char *id = g_ptr_array_remove_index_fast(l->dropped, 0);
+
+		out[n++] = (struct rows_change){
+			.table = LEAD_PROGRESS_TABLE,
+			.key = keep_text(l, strdup(id)),
+			.remove = true,
+		};
+		talloc_free(id);
+	}
+	l->all_collected = !l->sched.touched.length;
+	if (!l->all_collected) {
+		owner_kick(l->owner);
+		return n;
+	}
+	g_hash_table_iter_init(&it, l->sched.workers);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		struct sched_worker *w = value;
+
+		w->commit_seq = w->seen_seq;
+	}
+	return n;
+}
+
+void lead_committed(void *priv)
+{
+	struct lead *l = priv;
+	GHashTableIter it;
+	gpointer value;
+
+	if (!l->all_collected)
+		return;
+	g_hash_table_iter_init(&it, l->sched.workers);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		struct sched_worker *w = value;
+
+		if (w->durable_seq < w->commit_seq &&
+		    w->commit_seq <= w->seen_seq)
+			w->durable_seq = w->commit_seq;
+	}
+	links_committed(l->links);
+}
+
+void lead_fill(struct owner_row *row, void *priv)
+{
+	struct lead *l = priv;
+	const struct catalog *c = l->f->catalog;
+	json_t *pending;
+	char *text;
+
+	/* Of jobs that aren't loaded yet, only the former owner knew. */
+	if (!l->opened)
+		return;
+	pending = json_object();
+	for (int32_t i = 0; c && i < c->n_queues; i++) {
+		int32_t n = sched_pending(&l->sched, c->queues[i].name);
+
+		if (n)
+			json_object_set_new(pending, c->queues[i].name,
+					    json_integer(n));
+	}
+	text = json_dumps(pending, JSON_COMPACT);
+	talloc_free(row->pending);
+	row->pending = talloc_strdup(l, text);
+	free(text);
+	json_decref(pending);
+	row->strays = sched_has_strays(&l->sched);
+}
+
+static void on_cleaned(const struct rows_answer *ans, void *priv)
+{
+	(void)priv;
+	if (ans->result != ROWS_OK)
+		log_event(LOG_ROW_UNUSABLE,
+			  "table=jobs key=- why=\"ended jobs not removed; "
+			  "tried again later\"");
+}
+
+static bool kept_long_enough(const struct lead *l, const struct sched_job *job)
+{
+	return sched_job_over(job) &&
+	       lead_job_part_of(job->spec->id) == l->clean_part &&
+	       clk_wall_ms(l->f->clk) - job->ended_wall_ms >
+		       l->f->set.keep_ended_ms &&
+	       !job->touched;
+}
+
+/* Removes the rows of jobs that ended long ago. */
+void lead_clean(struct lead *l, int64_t now_ms)
+{
+	struct rows_change changes[CLEAN_ROWS_MAX] = { 0 };
+	char table[LEAD_NAME_MAX];
+	char part[LEAD_NAME_MAX];
+	struct rows_tx tx = { .part = lead_job_part(l->shard, l->clean_part,
+						    part),
+			      .changes = changes };
+	GHashTableIter it;
+	gpointer value;
+	void *tmp;
+
+	if (now_ms - l->cleaned_ms < CLEAN_EVERY_MS)
+		return;
+	l->cleaned_ms = now_ms;
+	tmp = talloc_new(NULL);
+	lead_jobs_table(l->shard, table);
+	g_hash_table_iter_init(&it, l->sched.jobs);
+	while (tx.n + 2 <= CLEAN_ROWS_MAX &&
+	       g_hash_table_iter_next(&it, NULL, &value)) {
+		const struct sched_job *job = value;
+
+		if (!kept_long_enough(l, job))
+			continue;
+		changes[tx.n++] = (struct rows_change){
+			.table = table,
+			.key = talloc_strdup(tmp, job->spec->id),
+			.remove = true,
+		};
+		changes[tx.n++] = (struct rows_change){
+			.table = table,
+			.key = talloc_asprintf(tmp, "%s" LEAD_CANCEL_SUFFIX,
+					       job->spec->id),
+			.remove = true,
+		};
+		g_ptr_array_add(l->dropped,
+				talloc_strdup(l->term, job->spec->id));
+	}
+	for (int32_t i = 0; i < tx.n; i += 2)
+		sched_job_drop(&l->sched, changes[i].key);
+	if (tx.n)
+		l->f->rows.ops->commit(l->f->rows.self, &tx, on_cleaned, NULL);
+	l->clean_part = (l->clean_part + 1) % LEAD_JOB_PARTS;
+	talloc_free(tmp);
+}
--- a/src/fleet/lead_int.h
+++ b/src/fleet/lead_int.h
@@ -42,4 +42,11 @@
 void lead_maybe_open(struct lead *l);
 void lead_place_soon(struct lead *l);
 
+/* What the owner's commits hold; see struct owner_ops. */
+int32_t lead_collect(struct rows_change *out, int32_t max, void *priv);
+void lead_committed(void *priv);
+void lead_fill(struct owner_row *row, void *priv);
+/* Removes the rows of jobs that ended long ago, a part at a time. */
+void lead_clean(struct lead *l, int64_t now_ms);
+
 #endif
