Hand on what was learned about interference

The owner writes its model as one row of its part, at most every two seconds and with a commit that is made anyway; the next one reads it while it loads, and doesn't wait for it.

Test: /sched/interference-handed-on (the pack and unpack are new; it was written with them).

--- a/src/coordination/interfere.c
+++ b/src/coordination/interfere.c
@@ -145,6 +145,7 @@
 	if (!image)
 		return;
 	model = model_of(m, image);
+	m->learned++;
 	for (int32_t i = 0; i < change->n; i++) {
 		int32_t other = change->loads[i].image;
 
@@ -201,3 +202,108 @@
 
 	return slack < INTERFERE_SLACK_MAX ? slack : INTERFERE_SLACK_MAX;
 }
+
+/* [image, weight, variance], the last two in hundredths */
+static json_t *pack_weights(const struct interfere *m,
+			    const struct interfere_model *model)
+{
+	json_t *list = json_array();
+
+	for (int32_t i = 1; i <= m->n; i++) {
+		if (!model->seen[i])
+			continue;
+		json_array_append_new(
+			list,
+			json_pack("[i,i,i]", i, (int)(model->weight[i] * 100),
+				  (int)(model->variance[i][i] * 100)));
+	}
+	return list;
+}
+
+json_t *interfere_pack(const struct interfere *m)
+{
+	json_t *names = json_array();
+	json_t *models = json_array();
+	GHashTableIter it;
+	gpointer name;
+	gpointer id;
+
+	for (int32_t i = 1; i <= m->n; i++)
+		json_array_append_new(names, json_string(""));
+	g_hash_table_iter_init(&it, m->ids);
+	while (g_hash_table_iter_next(&it, &name, &id))
+		json_array_set_new(names, (size_t)GPOINTER_TO_INT(id) - 1,
+				   json_string(name));
+	for (int32_t i = 1; i <= m->n; i++) {
+		const struct interfere_model *model = m->models[i];
+
+		if (!model)
+			continue;
+		json_array_append_new(models,
+				      json_pack("[i,i,i,o]", i,
+						(int)(model->alone * 100),
+						(int)(model->floor * 100),
+						pack_weights(m, model)));
+	}
+	return json_pack("{s:o,s:o}", "images", names, "models", models);
+}
+
+/* Our number of the image that has this one in the row; 0 if there is none. */
+static int32_t image_in(struct interfere *m, const json_t *names,
+			const json_t *number)
+{
+	json_int_t i = json_integer_value(number);
+	const char *name =
+		i > 0 ? json_string_value(json_array_get(names, (size_t)i - 1))
+		      : NULL;
+
+	return name ? interfere_image(m, name) : 0;
+}
+
+static double hundredths(const json_t *row, size_t i)
+{
+	return (double)json_integer_value(json_array_get(row, i)) / 100;
+}
+
+static void unpack_weights(struct interfere *m, struct interfere_model *model,
+			   const json_t *names, const json_t *list)
+{
+	const json_t *row;
+	size_t i;
+
+	json_array_foreach(list, i, row)
+	{
+		int32_t other = image_in(m, names, json_array_get(row, 0));
+
+		if (!other || model->seen[other])
+			continue;
+		model->weight[other] = hundredths(row, 1);
+		model->variance[other][other] =
+			fmax(hundredths(row, 2), VARIANCE_LEAST);
+		model->seen[other] = true;
+	}
+}
+
+void interfere_unpack(struct interfere *m, const json_t *row)
+{
+	const json_t *names = json_object_get(row, "images");
+	const json_t *models = json_object_get(row, "models");
+	const json_t *entry;
+	size_t i;
+
+	json_array_foreach(models, i, entry)
+	{
+		int32_t image = image_in(m, names, json_array_get(entry, 0));
+		bool known = image && m->models[image];
+		struct interfere_model *model;
+
+		if (!image)
+			continue;
+		model = model_of(m, image);
+		if (!known) {
+			model->alone = hundredths(entry, 1);
+			model->floor = hundredths(entry, 2);
+		}
+		unpack_weights(m, model, names, json_array_get(entry, 3));
+	}
+}
--- a/src/coordination/interfere.h
+++ b/src/coordination/interfere.h
@@ -6,6 +6,7 @@
 #define INTERFERE_H
 
 #include <glib.h>
+#include <jansson.h>
 #include <stdint.h>
 
 /* Images told apart; later ones all count as image 0, which is unknown. */
@@ -17,6 +18,7 @@
 	GHashTable *ids; /* name to image */
 	int32_t n; /* images with a name */
 	struct interfere_model *models[INTERFERE_IMAGES_MAX + 1];
+	int64_t learned; /* rises with all that was learned */
 };
 
 /* What best-effort work of one image does at a worker. */
@@ -63,6 +65,12 @@
 /* The slack that goes with a tail. */
 double interfere_slack(int64_t tail_ms, int64_t goal_ms);
 
+/* What was learned, for a successor. The caller owns the reference. */
+json_t *interfere_pack(const struct interfere *m);
+/* Takes over what a former owner learned, but for what was learned here; rows
+ * that make no sense are left out. */
+void interfere_unpack(struct interfere *m, const json_t *row);
+
 /* Beyond this, more slack tells nothing. */
 #define INTERFERE_SLACK_MAX 6.0
 
--- a/src/fleet/lead.c
+++ b/src/fleet/lead.c
@@ -279,6 +279,8 @@
 	l->cleaned_ms = mono(l);
 	l->ticked_ms = mono(l);
 	l->late_ms = 0;
+	l->learned_ms = mono(l);
+	l->learned = 0;
 	l->texts = g_ptr_array_new_with_free_func(free);
 	l->dropped = g_ptr_array_new();
 	sched_init(&l->sched, &sched_ops, l, &f->set.sched,
--- a/src/fleet/lead_commit.c
+++ b/src/fleet/lead_commit.c
@@ -9,6 +9,9 @@
 /* Ended jobs are removed in groups, this often, in ms, part by part. */
 #define CLEAN_EVERY_MS 1000
 #define CLEAN_ROWS_MAX 90
+/* What was learned is written this often, in ms: a successor that lacks the
+ * last of it learns that anew in as long. */
+#define LEARNED_EVERY_MS 2000
 /* A commit takes no more jobs beyond this; the store allows twice as much. */
 #define COMMIT_BYTES_MAX (512 * 1024)
 
@@ -34,6 +37,37 @@
 	return text;
 }
 
+/* A row for what was learned since the last one, if it is time for it. */
+static int32_t collect_learned(struct lead *l, struct rows_change *out)
+{
+	int64_t now = clk_mono_ms(l->f->clk);
+	json_t *j;
+	char *text;
+
+	if (l->learned == l->sched.interfere.learned ||
+	    now - l->learned_ms < LEARNED_EVERY_MS)
+		return 0;
+	l->learned = l->sched.interfere.learned;
+	l->learned_ms = now;
+	j = interfere_pack(&l->sched.interfere);
+	text = json_dumps(j, JSON_COMPACT);
+	json_decref(j);
+	if ((int64_t)strlen(text) > l->f->set.row_bytes_max) {
+		log_event(LOG_ROW_UNUSABLE,
+			  "table=" LEAD_LEARNED_TABLE " key=" LEAD_LEARNED_KEY
+			  " why=\"not written: %zu bytes are too long\"",
+			  strlen(text));
+		free(text);
+		return 0;
+	}
+	out[0] = (struct rows_change){
+		.table = LEAD_LEARNED_TABLE,
+		.key = LEAD_LEARNED_KEY,
+		.value = keep_text(l, text),
+	};
+	return 1;
+}
+
 int32_t lead_collect(struct rows_change *out, int32_t max, void *priv)
 {
 	struct lead *l = priv;
@@ -66,6 +100,8 @@
 		};
 		talloc_free(id);
 	}
+	if (n < max && l->opened)
+		n += collect_learned(l, &out[n]);
 	l->all_collected = !l->sched.touched.length;
 	if (!l->all_collected) {
 		owner_kick(l->owner);
--- a/src/fleet/lead_int.h
+++ b/src/fleet/lead_int.h
@@ -32,11 +32,17 @@
 	GPtrArray *texts; /* of the commit under way */
 	GPtrArray *dropped; /* ids whose rows of progress are to go */
 	bool all_collected;
+	int64_t learned_ms; /* when what was learned was last written, ... */
+	int64_t learned; /* ... and how far that was */
 };
 
 /* Leases, rounds and stalls are looked after this often, in ms. */
 #define LEAD_TICK_MS 100
 
+/* What the owner learned about interference; one row a shard. */
+#define LEAD_LEARNED_TABLE "learned"
+#define LEAD_LEARNED_KEY "interference"
+
 /* Reads what the shard holds; lead_maybe_open follows once all is there. */
 void lead_load(struct lead *l);
 void lead_maybe_open(struct lead *l);
--- a/src/fleet/lead_load.c
+++ b/src/fleet/lead_load.c
@@ -140,6 +140,26 @@
 	int64_t epoch;
 };
 
+static struct load *new_load(const struct lead *l)
+{
+	struct load *load = calloc(1, sizeof(*load));
+
+	load->f = l->f;
+	load->shard = l->shard;
+	load->epoch = l->sched.epoch;
+	return load;
+}
+
+/* Ends the read; NULL if the shard isn't ours any more. */
+static struct lead *loaded_by(struct load *load)
+{
+	struct lead *l = load->f->leads[load->shard];
+	bool current = l->leading && l->sched.epoch == load->epoch;
+
+	free(load);
+	return current ? l : NULL;
+}
+
 static void read_progress(struct lead *l);
 
 static void read_progress_again(void *priv)
@@ -178,12 +198,9 @@
 
 static void on_progress(const struct rows_answer *ans, void *priv)
 {
-	struct load *load = priv;
-	struct lead *l = load->f->leads[load->shard];
-	bool current = l->leading && l->sched.epoch == load->epoch;
+	struct lead *l = loaded_by(priv);
 
-	free(load);
-	if (!current)
+	if (!l)
 		return;
 	/* A read that lags would miss what the former owner wrote last. */
 	if (ans->result == ROWS_OK && ans->version >= l->gained_version) {
@@ -197,7 +214,6 @@
 
 static void read_progress(struct lead *l)
 {
-	struct load *load = calloc(1, sizeof(*load));
 	char part[LEAD_NAME_MAX];
 	struct rows_range range = {
 		.table = LEAD_PROGRESS_TABLE,
@@ -205,13 +221,44 @@
 		.from = l->progress_next,
 	};
 
-	load->f = l->f;
-	load->shard = l->shard;
-	load->epoch = l->sched.epoch;
-	l->f->rows.ops->read(l->f->rows.self, &range, on_progress, load);
+	l->f->rows.ops->read(l->f->rows.self, &range, on_progress, new_load(l));
+}
+
+/* Without it the owner learns anew, so it isn't waited for or asked again. */
+static void on_learned(const struct rows_answer *ans, void *priv)
+{
+	struct lead *l = loaded_by(priv);
+	json_t *j;
+
+	if (!l)
+		return;
+	if (ans->result != ROWS_OK) {
+		log_event(LOG_ROW_UNUSABLE,
+			  "table=" LEAD_LEARNED_TABLE " key=" LEAD_LEARNED_KEY
+			  " why=\"not read; learned anew\"");
+		return;
+	}
+	if (!ans->n || !ans->rows[0].value)
+		return;
+	j = json_loads(ans->rows[0].value, 0, NULL);
+	interfere_unpack(&l->sched.interfere, j);
+	json_decref(j);
+}
+
+static void read_learned(struct lead *l)
+{
+	char part[LEAD_NAME_MAX];
+	struct rows_range range = {
+		.table = LEAD_LEARNED_TABLE,
+		.part = lead_state_part(l->shard, part),
+		.limit = 1,
+	};
+
+	l->f->rows.ops->read(l->f->rows.self, &range, on_learned, new_load(l));
 }
 
 void lead_load(struct lead *l)
 {
+	read_learned(l);
 	read_progress(l);
 }
--- a/tests/unit.h
+++ b/tests/unit.h
@@ -8,6 +8,7 @@
 void unit_add_door(void);
 void unit_add_platform(void);
 void unit_add_policy(void);
+void unit_add_pace(void);
 void unit_add_sched(void);
 void unit_add_state(void);
 
--- /dev/null
+++ b/tests/unit_pace.c
@@ -0,0 +1,258 @@
+/* Best-effort work beside serving tasks, on paper: no worker, no network. */
+#include <glib.h>
+#include <jansson.h>
+#include <math.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "tests/paper.h"
+#include "tests/unit.h"
+
+/* Work that was slowed to nothing is not taken for a task that stands still. */
+static void test_paced_is_not_stalled(void)
+{
+	struct paper p;
+	struct jobspec *serving = paper_spec_of("a", "short", 1, 1);
+	struct jobspec *filler = paper_spec_of("b", "long", 1, 1);
+	struct sched_active a[2];
+
+	paper_open(&p, 1, NULL);
+	paper_add_worker(&p, "w", "r");
+	paper_look_at(&p, "w", NULL, 0, NULL, 0, 10);
+	serving->steps[0].lasts = true;
+	serving->steps[0].tail_goal_ms = 100;
+	g_strlcpy(serving->steps[0].image, "s", JOBSPEC_NAME_MAX);
+	filler->steps[0].best_effort = true;
+	filler->steps[0].cpu_milli = 500;
+	g_strlcpy(filler->steps[0].image, "f", JOBSPEC_NAME_MAX);
+	paper_add_job(&p, serving);
+	paper_add_job(&p, filler);
+	sched_place(&p.s, 20);
+	a[0] = paper_active_of(paper_start_at(&p, 0), 100);
+	a[1] = paper_active_of(paper_start_at(&p, 1), 10);
+	for (int64_t t = 400; t <= 8000; t += 400) {
+		a[0].gauge = t < 6000 ? 200 : 20;
+		paper_look_at(&p, "w", a, 2, NULL, 0, t);
+		sched_tick(&p.s, t, 0);
+	}
+	g_assert_cmpuint(p.paces->len, >, 1);
+	g_assert_cmpuint(p.stops->len, ==, 0);
+	paper_close(&p);
+}
+
+/*
+ * Pattern: serving tasks over their target by what fills beside them. Work
+ * that the model believes harmless is silenced too, before harm is done.
+ */
+static void test_silence_before_harm(void)
+{
+	struct paper p;
+	struct jobspec *serving = paper_spec_of("a", "short", 1, 1);
+	struct jobspec *filler = paper_spec_of("b", "long", 1, 1);
+	struct sched_active a[2];
+	int32_t last = 100;
+
+	paper_open(&p, 1, NULL);
+	paper_add_worker(&p, "w", "r");
+	paper_look_at(&p, "w", NULL, 0, NULL, 0, 10);
+	serving->steps[0].lasts = true;
+	serving->steps[0].tail_goal_ms = 100;
+	g_strlcpy(serving->steps[0].image, "s", JOBSPEC_NAME_MAX);
+	filler->steps[0].best_effort = true;
+	filler->steps[0].cpu_milli = 200;
+	g_strlcpy(filler->steps[0].image, "f", JOBSPEC_NAME_MAX);
+	paper_add_job(&p, serving);
+	paper_add_job(&p, filler);
+	sched_place(&p.s, 20);
+	g_assert_cmpuint(p.starts->len, ==, 2);
+	a[0] = paper_active_of(paper_start_at(&p, 0), 100);
+	a[1] = paper_active_of(paper_start_at(&p, 1), 10);
+	for (int64_t t = 500; t <= 3000; t += 400) {
+		a[0].gauge = 130;
+		a[1].gauge = 20;
+		paper_look_at(&p, "w", a, 2, NULL, 0, t);
+	}
+	for (guint i = 0; i < p.paces->len; i++)
+		last = g_array_index(p.paces, struct noted, i).percent;
+	g_assert_cmpint(last, ==, 0);
+	paper_close(&p);
+}
+
+/*
+ * Pattern: serving tasks whose own load swings by half. The pair that disturbs
+ * is told from the pair that does not after a few starts and ends of each.
+ */
+static void test_interference_learnt(void)
+{
+	struct interfere m;
+	int32_t serving;
+	int32_t worst;
+	int32_t best;
+	double last_slack = 0;
+	double last_bad = 0;
+	double last_good = 0;
+	GRand *r = g_rand_new_with_seed(7);
+
+	interfere_init(&m);
+	serving = interfere_image(&m, "s");
+	worst = interfere_image(&m, "bad");
+	best = interfere_image(&m, "good");
+	for (int i = 0; i < 40; i++) {
+		double bad = i % 4 < 2 ? 0 : 0.1;
+		double good = i % 6 < 3 ? 0 : 0.2;
+		double slack = 3.0 + 1.4 * sin(i * 0.4 * 0.628) - 9.0 * bad -
+			       good + g_rand_double_range(r, -0.1, 0.1);
+		struct interfere_load loads[] = { { worst, bad - last_bad },
+						  { best, good - last_good } };
+		struct interfere_change change = { slack - last_slack, 0.4,
+						   loads, 2 };
+
+		if (i)
+			interfere_observe(&m, serving, &change);
+		last_slack = slack;
+		last_bad = bad;
+		last_good = good;
+	}
+	g_assert_cmpfloat(interfere_weight(&m, serving, worst), >, 7);
+	g_assert_cmpfloat(interfere_weight(&m, serving, worst), <, 12);
+	g_assert_cmpfloat(interfere_weight(&m, serving, best), <, 2.5);
+	g_assert_cmpfloat(interfere_weight(&m, interfere_image(&m, "t"), worst),
+			  >, 1);
+	interfere_finish(&m);
+	g_rand_free(r);
+}
+
+/* Pattern: owners that change all day. The next one knows what the last one
+ * learned, whatever numbers it gave to the images, and keeps its own. */
+static void test_interference_handed_on(void)
+{
+	struct interfere from;
+	struct interfere to;
+	int32_t s;
+	int32_t f;
+	json_t *row;
+
+	interfere_init(&from);
+	interfere_init(&to);
+	s = interfere_image(&from, "s");
+	f = interfere_image(&from, "f");
+	for (int i = 0; i < 30; i++) {
+		struct interfere_load load = { f, i % 2 ? -0.1 : 0.1 };
+		struct interfere_change c = { i % 2 ? 1.0 : -1.0, 0.4, &load,
+					      1 };
+
+		interfere_observe(&from, s, &c);
+		interfere_note_alone(&from, s, 4);
+	}
+	interfere_image(&to, "other");
+	row = interfere_pack(&from);
+	interfere_unpack(&to, row);
+	json_decref(row);
+	g_assert_cmpfloat(fabs(interfere_weight(&to, interfere_image(&to, "s"),
+						interfere_image(&to, "f")) -
+			       interfere_weight(&from, s, f)),
+			  <, 0.1);
+	g_assert_cmpfloat(fabs(interfere_alone(&to, interfere_image(&to, "s")) -
+			       interfere_alone(&from, s)),
+			  <, 0.1);
+	/* A row of another writer changes nothing. */
+	row = json_pack("{s:s,s:[[i,i]]}", "images", "x", "models", 99, -1);
+	interfere_unpack(&to, row);
+	json_decref(row);
+	interfere_unpack(&to, NULL);
+	interfere_finish(&from);
+	interfere_finish(&to);
+}
+
+/* A serving task that asked for 6 of 8 processors, and `n` fillers. */
+static void serving_and_fillers(struct paper *p, int32_t n, int64_t milli)
+{
+	struct jobspec *serving = paper_spec_of("a", "short", 1, 1);
+	struct jobspec *fillers = paper_spec_of("b", "long", 1, n);
+
+	paper_open(p, 1, NULL);
+	paper_add_worker(p, "w", "r");
+	paper_look_at(p, "w", NULL, 0, NULL, 0, 10);
+	serving->steps[0].lasts = true;
+	serving->steps[0].tail_goal_ms = 100;
+	serving->steps[0].cpu_milli = 6000;
+	g_strlcpy(serving->steps[0].image, "s", JOBSPEC_NAME_MAX);
+	fillers->steps[0].best_effort = true;
+	fillers->steps[0].cpu_milli = milli;
+	g_strlcpy(fillers->steps[0].image, "f", JOBSPEC_NAME_MAX);
+	paper_add_job(p, serving);
+	sched_place(&p->s, 20);
+	paper_started(p, paper_start_at(p, 0), 25);
+	paper_add_job(p, fillers);
+}
+
+/*
+ * Pattern: serving tasks over their target with nothing harmful beside them
+ * (dhl-pettycash, quiet-1: a third of that time). At the peak of its load a
+ * task leaves less idle than on the average.
+ */
+static void test_idle_follows_load(void)
+{
+	struct paper p;
+	struct sched_active a;
+
+	serving_and_fillers(&p, 3, 2000);
+	a = paper_active_of(paper_start_at(&p, 0), 100);
+	a.gauge = 66;
+	paper_look_at(&p, "w", &a, 1, NULL, 0, 400);
+	/* What the pair does to each other is known to be little. */
+	for (int i = 0; i < 50; i++) {
+		struct interfere_load load = { 2, i % 2 ? -0.2 : 0.2 };
+		struct interfere_change c = { 0, 0.4, &load, 1 };
+
+		interfere_observe(&p.s.interfere, 1, &c);
+	}
+	sched_place(&p.s, 410);
+	g_assert_cmpuint(p.starts->len, ==, 2);
+	paper_close(&p);
+}
+
+/*
+ * Pattern: harmful work has left, and the tail of the last half second still
+ * shows it. What is left must not be slowed for that.
+ */
+static void test_tail_shows_what_left(void)
+{
+	struct paper p;
+	struct sched_active a[2];
+	struct sched_end e;
+	struct sched_run *run;
+
+	serving_and_fillers(&p, 1, 800);
+	a[0] = paper_active_of(paper_start_at(&p, 0), 100);
+	a[0].gauge = 33;
+	paper_look_at(&p, "w", a, 1, NULL, 0, 400);
+	paper_look_at(&p, "w", a, 1, NULL, 0, 800);
+	sched_place(&p.s, 810);
+	g_assert_cmpuint(p.starts->len, ==, 2);
+	a[1] = paper_active_of(paper_start_at(&p, 1), 10);
+	a[1].gauge = 800;
+	a[0].gauge = 90;
+	paper_look_at(&p, "w", a, 2, NULL, 0, 1200);
+	e = paper_end_of(paper_start_at(&p, 1), 1, SCHED_DONE);
+	run = paper_worker(&p, "w")->runs.head->data;
+	a[0].gauge = 85;
+	paper_look_at(&p, "w", a, 1, &e, 1, 1400);
+	g_assert_cmpfloat(run->slack, >, 2.5);
+	a[0].gauge = 33;
+	paper_look_at(&p, "w", a, 1, NULL, 0, 2200);
+	g_assert_cmpfloat(interfere_weight(&p.s.interfere, 1, 2), >, 8);
+	paper_close(&p);
+}
+
+void unit_add_pace(void)
+{
+	g_test_add_func("/sched/paced-not-stalled", test_paced_is_not_stalled);
+	g_test_add_func("/sched/silence-before-harm", test_silence_before_harm);
+	g_test_add_func("/sched/interference", test_interference_learnt);
+	g_test_add_func("/sched/interference-handed-on",
+			test_interference_handed_on);
+	g_test_add_func("/sched/idle-follows-load", test_idle_follows_load);
+	g_test_add_func("/sched/tail-shows-what-left",
+			test_tail_shows_what_left);
+}
--- a/tests/unit_tests.c
+++ b/tests/unit_tests.c
@@ -18,6 +18,7 @@
 	unit_add_door();
 	unit_add_platform();
 	unit_add_policy();
+	unit_add_pace();
 	unit_add_sched();
 	unit_add_state();
 	return g_test_run();
