Don't begin work that is known to disturb what serves there

Work that takes over 0.5 of slack of a pair that is known is begun only where the serving task bears it at its floor. Unknown pairs are still tried where there is room at the moment; that is how they become known.

Test: /sched/harmful-not-begun, seen to fail with the mechanism taken out.

--- a/src/coordination/interfere.c
+++ b/src/coordination/interfere.c
@@ -5,7 +5,6 @@
 #include "coordination/interfere.h"
 
 #include <math.h>
-#include <stdbool.h>
 #include <string.h>
 
 /* Belief about a pair before it was seen, and its variance: most pairs don't
@@ -14,6 +13,8 @@
 #define WEIGHT_VARIANCE 25.0
 /* Standard deviations that are added to a weight: doubt counts as harm. */
 #define DOUBT 1.0
+/* Below this a weight is known: weights are about 1 or about 10. */
+#define KNOWN_VARIANCE 6.0
 /* A pair may come to behave otherwise: no weight is surer than this. */
 #define VARIANCE_LEAST 0.1
 /* Slack alone before it was seen: the sites' targets are six times the tail
@@ -181,6 +182,14 @@
 	       DOUBT * sqrt(fmax(model->variance[other][other], 0));
 }
 
+bool interfere_is_known(const struct interfere *m, int32_t image, int32_t other)
+{
+	const struct interfere_model *model = m->models[image];
+
+	return model && other && model->seen[other] &&
+	       model->variance[other][other] < KNOWN_VARIANCE;
+}
+
 double interfere_alone(const struct interfere *m, int32_t image)
 {
 	const struct interfere_model *model = m->models[image];
--- a/src/coordination/interfere.h
+++ b/src/coordination/interfere.h
@@ -7,6 +7,7 @@
 
 #include <glib.h>
 #include <jansson.h>
+#include <stdbool.h>
 #include <stdint.h>
 
 /* Images told apart; later ones all count as image 0, which is unknown. */
@@ -56,6 +57,10 @@
 double interfere_weight(const struct interfere *m, int32_t image,
 			int32_t other);
 
+/* Was the pair seen often enough to tell what disturbs from what doesn't? */
+bool interfere_is_known(const struct interfere *m, int32_t image,
+			int32_t other);
+
 /* The usual slack of `image` with nothing beside it. */
 double interfere_alone(const struct interfere *m, int32_t image);
 
--- a/src/coordination/sched_pace.c
+++ b/src/coordination/sched_pace.c
@@ -5,6 +5,10 @@
 
 /* Slack that may be taken in any case; measurements can't tell so little. */
 #define TOLERATED 0.1
+/* Work that takes more slack than this disturbs; the sites' harmless pairs take
+ * a third of it at most, harmful ones twice as much and more. */
+#define DISTURBING 0.5
+
 /* Slower than this is standing still, and holds memory for nothing. */
 #define SPEED_LEAST 0.1
 /* Best-effort tasks at one worker that are paced; no site has half as many. */
@@ -61,6 +65,17 @@
 	return fmax(room, 0);
 }
 
+/*
+ * A task at the peak of its load has hardly any room, and loads swing within a
+ * few of the work's lengths. So what is known to disturb is not begun in the
+ * hope that the load stays low; what is not known yet is tried.
+ */
+static double lasting_room(const struct sched *s,
+			   const struct sched_step *serving)
+{
+	return fmax(interfere_floor(&s->interfere, serving->image) - 1, 0);
+}
+
 double sched_speed_beside(const struct sched *s, const struct sched_worker *w,
 			  const struct sched_step *step)
 {
@@ -68,12 +83,16 @@
 
 	for (const GList *i = w->runs.head; w->serving && i; i = i->next) {
 		const struct sched_run *run = i->data;
+		const struct sched_step *serving = run->task->step;
 		double wanted;
 
-		if (!run->task->step->def->tail_goal_ms)
+		if (!serving->def->tail_goal_ms)
 			continue;
-		wanted =
-			cost(s, w, run->task->step, step, step->def->cpu_milli);
+		wanted = cost(s, w, serving, step, step->def->cpu_milli);
+		if (wanted > DISTURBING &&
+		    interfere_is_known(&s->interfere, serving->image,
+				       step->image))
+			speed = fmin(speed, lasting_room(s, serving) / wanted);
 		if (wanted > 0)
 			speed = fmin(speed,
 				     room_left(s, w, run, step) / wanted);
--- a/tests/unit_pace.c
+++ b/tests/unit_pace.c
@@ -245,6 +245,38 @@
 	paper_close(&p);
 }
 
+/*
+ * Pattern: loads that swing within the length of a task (dhl-pettycash,
+ * quiet-1: half of the time over target was by pairs known to disturb). Work
+ * that disturbs isn't begun while the load happens to be low.
+ */
+static void test_harmful_is_not_begun(void)
+{
+	struct paper p;
+	struct sched_active a;
+
+	serving_and_fillers(&p, 1, 800);
+	a = paper_active_of(paper_start_at(&p, 0), 100);
+	a.gauge = 25;
+	paper_look_at(&p, "w", &a, 1, NULL, 0, 400);
+	for (int i = 0; i < 50; i++) {
+		struct interfere_load load = { 2, i % 2 ? -0.1 : 0.1 };
+		struct interfere_change c = { i % 2 ? 1.0 : -1.0, 0.4, &load,
+					      1 };
+
+		interfere_observe(&p.s.interfere, 1, &c);
+	}
+	/* Of four times the target's slack it would take one. */
+	sched_place(&p.s, 410);
+	g_assert_cmpuint(p.starts->len, ==, 1);
+	paper_add_worker(&p, "v", "r");
+	paper_look_at(&p, "v", NULL, 0, NULL, 0, 420);
+	sched_place(&p.s, 430);
+	g_assert_cmpuint(p.starts->len, ==, 2);
+	g_assert_cmpstr(paper_start_at(&p, 1)->worker, ==, "v");
+	paper_close(&p);
+}
+
 void unit_add_pace(void)
 {
 	g_test_add_func("/sched/paced-not-stalled", test_paced_is_not_stalled);
@@ -255,4 +287,5 @@
 	g_test_add_func("/sched/idle-follows-load", test_idle_follows_load);
 	g_test_add_func("/sched/tail-shows-what-left",
 			test_tail_shows_what_left);
+	g_test_add_func("/sched/harmful-not-begun", test_harmful_is_not_begun);
 }
