Silence best-effort work after 40 % of the time in which harm is done

Tails of half a second show work that has left, so that a task counts as over its target longer than it is, and all work beside it stands still.

Change. 40 % instead of 30 %: 1.6 of 4 s, which leaves 2.4 s for a look (0.45 s), the order and the tail.

--- a/src/coordination/sched_pace.c
+++ b/src/coordination/sched_pace.c
@@ -16,7 +16,7 @@
 /* A task that stays over its target for this part of the time in which harm is
  * done, in percent, silences all best-effort work beside it, also what
  * seems harmless: the model may be wrong. */
-#define SILENCE_PERCENT 30
+#define SILENCE_PERCENT 40
 /* Paces are told in steps of this many percent, to spare orders. */
 #define PACE_STEP 10
 
