Count an owner's certainty from the first try of a commit that was done

If an earlier try turns out to have been done, the certainty counts from the first one. If the last try itself was done, none before was, and its own time counts.

Ruled out: a claim applied late (its version would not have matched), clocks (steady, on each VM by itself), the watchers (they count from when they see the change, which is later).

Test: /state/confirmed-since-first-try, seen to fail before the change.

--- a/src/state/owner.c
+++ b/src/state/owner.c
@@ -42,7 +42,8 @@
 	int64_t answered_ms; /* when the store last answered a poll */
 	int64_t polled_ms; /* when the poll under way was sent */
 	int64_t trip_ms; /* shortest time that a poll took; 0: none yet */
-	int64_t sent_ms; /* when the commit under way was first sent */
+	int64_t first_sent_ms; /* when the commit under way was first sent */
+	int64_t sent_ms; /* when it was last sent */
 	int64_t confirmed_ms;
 	int64_t last_commit_ms;
 	bool committing;
@@ -132,14 +133,18 @@
 	poll_soon(o, o->lim.poll_ms);
 }
 
-static void after_commit(struct owner *o, int64_t version)
+/*
+ * The commit was done, not before `done_ms`: since then at the earliest others
+ * see the row stand still.
+ */
+static void after_commit(struct owner *o, int64_t version, int64_t done_ms)
 {
 	enum phase was = o->phase;
 
 	o->version = version;
 	o->committing = false;
 	o->unsure = false;
-	o->confirmed_ms = o->sent_ms;
+	o->confirmed_ms = done_ms;
 	o->changed_ms = clk_mono_ms(o->clk);
 	if (o->row.released) {
 		o->phase = o->rest_until_ms ? WATCHING : RELEASED;
@@ -175,7 +180,7 @@
 		row_parse(o, ans->rows[i].value, &row);
 		if (is_ours(o, &row) && row.seq == seq) {
 			talloc_free(row.pending);
-			after_commit(o, ans->rows[i].version);
+			after_commit(o, ans->rows[i].version, o->first_sent_ms);
 			return;
 		}
 		talloc_free(o->row.pending);
@@ -201,7 +206,8 @@
 	struct owner *o = priv;
 
 	if (ans->result == ROWS_OK) {
-		after_commit(o, ans->version);
+		/* Had an earlier try been done, this one would conflict. */
+		after_commit(o, ans->version, o->sent_ms);
 		return;
 	}
 	if (ans->result == ROWS_CONFLICT) {
@@ -248,6 +254,7 @@
 		.conditional = true,
 		.expected = o->version,
 	};
+	o->first_sent_ms = o->last_commit_ms;
 	send_commit(o);
 }
 
--- a/tests/unit_state.c
+++ b/tests/unit_state.c
@@ -156,6 +156,28 @@
 	bench_close(&b);
 }
 
+/*
+ * Pattern: the store does what it is asked and its answers are lost. Others see
+ * the row stand still from the first of several tries on, so that is when the
+ * owner was last surely the owner, not when it learned of it.
+ */
+static void test_confirmed_since_first_try(void)
+{
+	struct bench b;
+	struct node n;
+
+	bench_open(&b);
+	node_start(&b, &n, "a", "1");
+	await(&b, &n.gained, 1);
+	b.store.mode = FAKE_LOSE_ANSWER;
+	b.store.mode_left = 1;
+	n.committed = 0;
+	await(&b, &n.committed, 1);
+	g_assert_cmpint(b.store.mode_left, <=, 0);
+	g_assert_cmpint(owner_confirm_age_ms(n.owner), >=, 100);
+	bench_close(&b);
+}
+
 /* An owner that the store refuses is succeeded, and knows it in the end. */
 static void test_succession(void)
 {
@@ -299,5 +321,7 @@
 	g_test_add_func("/state/succession", test_succession);
 	g_test_add_func("/state/release", test_release_and_former_life);
 	g_test_add_func("/state/yield", test_yield);
+	g_test_add_func("/state/confirmed-since-first-try",
+			test_confirmed_since_first_try);
 	g_test_add_func("/state/follow", test_follow);
 }
