Let strong VMs claim shards before weak ones

It waited 250 ms before a claim and a strong one 60 ms, so that after a loss of power of all VMs whichever was back first had the shard.

The owner's row keeps the strongest processor share that an owner ever had; a weaker VM waits longer by the square of the ratio: 0.12 beside 0.5 of a core 1 s, 0.07 3 s. Where all are alike nobody waits.

Test: /state/strong-comes-first (written with the change).

--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -21,8 +21,8 @@
 /* Ends within this time, in ms, share a commit: 40 a second at most, of the
  * 150 that a part of the store can do. */
 #define OWNER_GROUP_MS 25
-/* Wait before a claim of a VM with a whole core, in ms. */
-#define CLAIM_HANDICAP_MS 30
+/* Wait of the strongest VM before it claims, in ms. */
+#define CLAIM_HANDICAP_MS 60
 /* Longest lease granted with each contact, in ms: an owner's silence, its
  * successor's claim, load and first looks fit into it. */
 #define LEASE_MS 6000
@@ -50,7 +50,8 @@
 		.silence_ms = OWNER_SILENCE_MS,
 		.heartbeat_ms = OWNER_HEARTBEAT_MS,
 		.group_ms = OWNER_GROUP_MS,
-		.handicap_ms = (int64_t)(CLAIM_HANDICAP_MS / processor_share),
+		.handicap_ms = CLAIM_HANDICAP_MS,
+		.strength_milli = (int64_t)(processor_share * 1000),
 	};
 	s->sched.lease_ms = LEASE_MS;
 	if (s->sched.lease_ms > s->sched.lease_max_ms)
--- a/src/state/owner.c
+++ b/src/state/owner.c
@@ -81,6 +81,8 @@
 	out->seq = json_integer_value(json_object_get(j, "seq"));
 	out->released = json_is_true(json_object_get(j, "released"));
 	out->strays = json_is_true(json_object_get(j, "strays"));
+	out->strongest_milli =
+		json_integer_value(json_object_get(j, "strongest_milli"));
 	json_decref(j);
 }
 
@@ -88,11 +90,13 @@
 {
 	json_t *pending =
 		json_loads(row->pending ? row->pending : "{}", 0, NULL);
-	json_t *j = json_pack(
-		"{s:s,s:s,s:I,s:I,s:b,s:b,s:o}", "vm", row->vm, "life",
-		row->life, "epoch", (json_int_t)row->epoch, "seq",
-		(json_int_t)row->seq, "released", row->released, "strays",
-		row->strays, "pending", pending ? pending : json_object());
+	json_t *j =
+		json_pack("{s:s,s:s,s:I,s:I,s:b,s:b,s:I,s:o}", "vm", row->vm,
+			  "life", row->life, "epoch", (json_int_t)row->epoch,
+			  "seq", (json_int_t)row->seq, "released",
+			  row->released, "strays", row->strays,
+			  "strongest_milli", (json_int_t)row->strongest_milli,
+			  "pending", pending ? pending : json_object());
 	char *text = json_dumps(j, JSON_COMPACT);
 
 	json_decref(j);
@@ -308,11 +312,29 @@
 	snprintf(o->row.life, sizeof(o->row.life), "%s", o->life);
 	o->row.epoch++;
 	o->row.released = false;
+	if (o->row.strongest_milli < o->lim.strength_milli)
+		o->row.strongest_milli = o->lim.strength_milli;
 	o->n = 1;
 	TALLOC_FREE(o->timer);
 	begin_commit(o);
 }
 
+/*
+ * VMs that are weaker than some former owner wait longer, by the square of the
+ * ratio: a strong one that starts at the same time comes before them, and they
+ * still take over when there is none.
+ */
+static int64_t claim_wait_ms(const struct owner *o)
+{
+	int64_t most = o->row.strongest_milli;
+	int64_t ours = o->lim.strength_milli;
+	int64_t wait = o->lim.handicap_ms;
+
+	if (ours > 0 && most > ours)
+		wait = wait * most * most / (ours * ours);
+	return wait + o->trip_ms * CLAIM_WAIT_TRIPS;
+}
+
 static void on_poll(const struct rows_answer *ans, void *priv)
 {
 	struct owner *o = priv;
@@ -338,10 +360,8 @@
 	o->read = true;
 	if (o->phase == WATCHING && !o->claim_timer && is_free(o, now) &&
 	    now >= o->rest_until_ms)
-		o->claim_timer = tmr_after(
-			o->timers,
-			o->lim.handicap_ms + o->trip_ms * CLAIM_WAIT_TRIPS,
-			claim, o);
+		o->claim_timer =
+			tmr_after(o->timers, claim_wait_ms(o), claim, o);
 }
 
 static void poll_now(void *priv)
--- a/src/state/owner.h
+++ b/src/state/owner.h
@@ -16,6 +16,7 @@
 	int64_t seq; /* rises with each commit */
 	bool released; /* handed over; nobody has to be waited for */
 	bool strays; /* tasks may run at workers that left the list */
+	int64_t strongest_milli; /* processors of the strongest owner so far */
 	char *pending; /* JSON object: queue to count; talloc child */
 };
 
@@ -25,7 +26,8 @@
 	int64_t silence_ms; /* a row that stands still this long is free */
 	int64_t heartbeat_ms; /* the owner writes at least this often */
 	int64_t group_ms; /* least time between two commits */
-	int64_t handicap_ms; /* wait before claiming, so that the best win */
+	int64_t handicap_ms; /* wait of the strongest VM before it claims */
+	int64_t strength_milli; /* thousandths of a core that this VM has */
 };
 
 struct owner;
--- a/tests/unit_state.c
+++ b/tests/unit_state.c
@@ -90,7 +90,8 @@
 						 .silence_ms = SILENCE_MS,
 						 .heartbeat_ms = 50,
 						 .group_ms = 5,
-						 .handicap_ms = 1 };
+						 .handicap_ms = 1,
+						 .strength_milli = 500 };
 	struct rows rows = fake_rows_table(&b->store);
 
 	memset(n, 0, sizeof(*n));
@@ -117,6 +118,41 @@
 		tevent_loop_once(b->ev);
 }
 
+/*
+ * Pattern: VMs of 0.07 to 0.5 of a core, all without power at once. The weak
+ * one that is back first leaves the shard to the strong one, and takes it if
+ * there is none.
+ */
+static void test_strong_comes_first(void)
+{
+	struct owner_limits weak_lim = { .poll_ms = 20,
+					 .silence_ms = SILENCE_MS,
+					 .heartbeat_ms = 100,
+					 .group_ms = 10,
+					 .handicap_ms = 10,
+					 .strength_milli = 70 };
+	struct bench b;
+	struct node weak = { 0 };
+	struct node strong = { 0 };
+	struct rows rows;
+
+	bench_open(&b);
+	rows = fake_rows_table(&b.store);
+	fake_rows_put(&b.store, "owners", "s0", "owner",
+		      "{\"vm\":\"x\",\"epoch\":4,\"released\":true,"
+		      "\"strongest_milli\":500}");
+	weak.owner = owner_start(b.ev, &rows, b.timers, &clk_system, 0, "w",
+				 "1", &weak_lim, &owner_ops, &weak);
+	turn_for(&b, 100);
+	node_start(&b, &strong, "a", "1");
+	await(&b, &strong.gained, 1);
+	g_assert_cmpint(weak.gained, ==, 0);
+	/* It waits 51 times as long, 0.5 s, once the strong one is silent. */
+	b.store.refused_text = "\"vm\":\"a\"";
+	await(&b, &weak.gained, 1);
+	bench_close(&b);
+}
+
 static void test_claim_and_commit(void)
 {
 	struct bench b;
@@ -323,5 +359,6 @@
 	g_test_add_func("/state/yield", test_yield);
 	g_test_add_func("/state/confirmed-since-first-try",
 			test_confirmed_since_first_try);
+	g_test_add_func("/state/strong-comes-first", test_strong_comes_first);
 	g_test_add_func("/state/follow", test_follow);
 }
