Carry out waves of upkeep, within what tasks can spare

The users' platform asks for upkeep of VMs in waves (op rows), which the product lacked: waves were ignored, and the tasks' availability budgets with them.

The decisions are in coordination/upkeep (which VM is emptied and ordered down next; never more down than the wave allows, counting orders without answer and what a former owner may have begun) and sched_leave (work goes off a VM as far as its steps can spare it; what is left is ended only when the wave's time runs out). fleet/keep holds what is durable: begun VMs are rows of the owner's part, written under its ownership, and a wave is told to be over only once its last one is in the store. platform/pf_vms has the calls.

Orders by any VM (two givers with orders that pass each other), by the owner of each VM's shard (several givers for one wave), by the owner of one shard (chosen): one giver, its epoch as token, and a pause after a change of owner, since the platform may not check tokens.

Tests: /upkeep/wave, lost-answer, successor, waits, empties-within-budget, empties-without-budget, row.

--- a/Makefile
+++ b/Makefile
@@ -61,7 +61,7 @@
 $(B)/gd-target: $(B)/standins/target.o $(B)/libgd.a
 $(B)/gd-faultproxy: $(B)/standins/faultproxy.o $(B)/libgd.a
 $(B)/unit-tests: $(call obj,$(UNIT_SRC) $(FLEET_SRC) platform/pf_boot.c platform/pf_ops.c \
-	platform/pf_rows.c platform/pf_worker.c) $(B)/libgd.a
+	platform/pf_rows.c platform/pf_vms.c platform/pf_worker.c) $(B)/libgd.a
 $(B)/path-tests: $(B)/tests/path_tests.o $(HARNESS)
 $(B)/gd-matrix: $(call obj,tests/matrix.c tests/cell.c \
 	$(wildcard tests/cells_*.c)) $(HARNESS)
--- a/src/base/log.h
+++ b/src/base/log.h
@@ -44,6 +44,7 @@
 	X(LOG_DROPPED, 4010, 4, "log lines dropped")                           \
 	X(LOG_TRUST, 4011, 5, "trust in the ownership changed")                \
 	X(LOG_YIELD, 4012, 4, "shard given up for want of processor time")     \
+	X(LOG_UPKEEP, 4013, 6, "upkeep decision")                              \
 	X(LOG_LEDGER_UNBALANCED, 3301, 2, "ledger does not balance")
 
 enum log_event {
--- a/src/coordination/sched.c
+++ b/src/coordination/sched.c
@@ -88,6 +88,7 @@
 	w->failures_in_row = 0;
 	w->quarantine_until_ms = 0;
 	w->full_until_ms = 0;
+	w->emptied = false;
 	/* An order to the former life may still be on its way. */
 	w->fence++;
 	s->ops->look(s->priv, w);
@@ -224,22 +225,6 @@
 	}
 }
 
-/*
- * What can go on elsewhere leaves a draining worker while it still answers: an
- * end is listed at once, while a lease has to run out.
- */
-static void leave(struct sched *s, struct sched_worker *w, int64_t now_ms)
-{
-	for (GList *i = w->runs.head; i; i = i->next) {
-		struct sched_run *run = i->data;
-		const struct jobspec_step *def = run->task->step->def;
-
-		if (run->state == SCHED_RUN_ACTIVE &&
-		    (def->lasts || (def->checkpoints && !def->gang)))
-			sched_run_stop(s, run, now_ms, "worker leaves");
-	}
-}
-
 static void tick_worker(struct sched *s, struct sched_worker *w, int64_t now_ms)
 {
 	bool lapsed = now_ms >= sched_lapse_ms(s, w) && s->trust == SCHED_SURE;
@@ -255,8 +240,7 @@
 		free_worker(s, w);
 		return;
 	}
-	if (w->row.draining && s->trust == SCHED_SURE)
-		leave(s, w, now_ms);
+	sched_leave(s, w, now_ms);
 	repeat_stops(s, w, now_ms);
 }
 
--- a/src/coordination/sched.h
+++ b/src/coordination/sched.h
@@ -189,6 +189,7 @@
 	bool listed;
 	bool known; /* looked at under our fence in this life */
 	bool unreachable;
+	bool emptied; /* its VM is to be taken down: no new work */
 	int64_t fence; /* token that orders to it carry */
 	int64_t clock_ms; /* its clock at the last answer, ... */
 	int64_t clock_seen_ms; /* ... which came at this time */
@@ -338,6 +339,12 @@
 		       int64_t now_ms);
 void sched_worker_gone(struct sched *s, const char *id, int64_t now_ms);
 
+/* Takes work off the VM as far as its tasks can spare it, and gives it none. */
+void sched_vm_empty(struct sched *s, const char *vm, bool on);
+/* Can all that runs on the VM be ended? `late`: also what is then lost. */
+bool sched_vm_may_end(const struct sched *s, const char *vm, bool late,
+		      int64_t now_ms);
+
 /* The whole answer of a look was received. */
 void sched_looked(struct sched *s, struct sched_worker *w,
 		  const struct sched_look *look, int64_t now_ms,
--- a/src/coordination/sched_int.h
+++ b/src/coordination/sched_int.h
@@ -49,6 +49,12 @@
 /* Tasks of the step that may run at the worker. */
 int32_t sched_tasks_at(const struct sched_step *step,
 		       const struct sched_worker *w);
+/* May the step run there at all? */
+bool sched_may_use(const struct sched *s, const struct sched_step *step,
+		   const struct catalog_queue *q, const struct sched_worker *w,
+		   int64_t now_ms);
+/* Takes work off a worker that is to go away. */
+void sched_leave(struct sched *s, struct sched_worker *w, int64_t now_ms);
 /* Is there room for one more? */
 bool sched_fits(const struct sched_step *step, const struct sched_worker *w);
 /* What is left for best-effort work, what it takes already included. */
--- a/src/coordination/sched_place.c
+++ b/src/coordination/sched_place.c
@@ -55,13 +55,14 @@
 	return k && now_ms < k->valid_until_ms && k->born_ms == w->row.born_ms;
 }
 
-static bool may_use(const struct sched *s, const struct sched_step *step,
-		    const struct catalog_queue *q, const struct sched_worker *w,
-		    int64_t now_ms)
+bool sched_may_use(const struct sched *s, const struct sched_step *step,
+		   const struct catalog_queue *q, const struct sched_worker *w,
+		   int64_t now_ms)
 {
 	const struct jobspec_step *def = step->def;
 
-	if (!w->listed || !w->known || w->unreachable || w->row.draining)
+	if (!w->listed || !w->known || w->unreachable || w->row.draining ||
+	    w->emptied)
 		return false;
 	if (strcmp(w->row.pool, q->pool))
 		return false;
@@ -171,7 +172,7 @@
 	for (guint i = 0; i < s->worker_list->len; i++) {
 		struct sched_worker *w = g_ptr_array_index(s->worker_list, i);
 
-		if (may_use(s, r->step, q, w, now_ms))
+		if (sched_may_use(s, r->step, q, w, now_ms))
 			list[n++] = w;
 	}
 	if (*r->step->def->data_rack && stay_near(s, r, now_ms))
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -39,6 +39,8 @@
 #define DRAIN_MS 2500
 /* Left of the platform's patience when the process ends by itself, in ms. */
 #define GRACE_MARGIN_MS 1500
+/* Kept of the pause before orders about VMs, for those on their way, in ms. */
+#define ORDER_MARGIN_MS 500
 /* Ended jobs are kept this much longer than callers are promised, in ms. */
 #define KEEP_MARGIN_MS 60000
 
@@ -58,21 +60,29 @@
 		s->sched.lease_ms = s->sched.lease_max_ms;
 	s->sched.doubt_max_ms = DOUBT_MAX_MS;
 	s->keep_ended_ms += KEEP_MARGIN_MS;
+	s->order_pause_ms += ORDER_MARGIN_MS;
+}
+
+static void free_wave(gpointer p)
+{
+	talloc_free(p);
 }
 
 void fleet_init(struct fleet *f, const struct fleet_settings *set,
 		struct tevent_context *ev, struct tmr_set *timers,
-		const struct clk *clk, const struct rows *rows,
-		const struct wkr *wkr, const struct fleet_directory *directory)
+		const struct clk *clk, const struct fleet_tables *tables)
 {
 	memset(f, 0, sizeof(*f));
 	f->set = *set;
 	f->ev = ev;
 	f->timers = timers;
 	f->clk = clk;
-	f->rows = *rows;
-	f->wkr = *wkr;
-	f->directory = *directory;
+	f->rows = tables->rows;
+	f->wkr = tables->wkr;
+	f->directory = tables->directory;
+	f->vms = tables->vms;
+	f->waves = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
+					 free_wave);
 	f->domains_out =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 }
@@ -119,6 +129,44 @@
 	configure_all(f);
 }
 
+static void waves_changed(struct fleet *f)
+{
+	for (int32_t i = 0; i < f->set.shards; i++)
+		lead_waves_changed(f->leads[i]);
+}
+
+void fleet_set_wave(struct fleet *f, const struct upkeep_wave *wave)
+{
+	struct fleet_wave *w;
+	const char **vms;
+
+	if (g_hash_table_contains(f->waves, &wave->number))
+		return;
+	w = talloc_zero(f->ev, struct fleet_wave);
+	w->wave = *wave;
+	w->seen_ms = clk_mono_ms(f->clk);
+	vms = talloc_array(w, const char *, wave->n_vms);
+	for (int32_t i = 0; i < wave->n_vms; i++)
+		vms[i] = talloc_strdup(vms, wave->vms[i]);
+	w->wave.vms = vms;
+	g_hash_table_insert(f->waves, &w->wave.number, w);
+	log_event(LOG_UPKEEP,
+		  "what=\"asked for\" wave=%lld vms=%d at_once=%d "
+		  "within_ms=%lld",
+		  (long long)wave->number, wave->n_vms, wave->at_once,
+		  (long long)wave->within_ms);
+	waves_changed(f);
+}
+
+void fleet_drop_wave(struct fleet *f, int64_t number)
+{
+	if (!g_hash_table_remove(f->waves, &number))
+		return;
+	log_event(LOG_UPKEEP, "what=\"withdrawn\" wave=%lld",
+		  (long long)number);
+	waves_changed(f);
+}
+
 void fleet_worker_seen(struct fleet *f, const struct sched_worker_row *row)
 {
 	uint64_t hash = XXH64(row->rack, strlen(row->rack), 0);
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -6,6 +6,7 @@
 
 #include "base/clk.h"
 #include "coordination/sched.h"
+#include "fleet/vms.h"
 #include "fleet/wkr.h"
 #include "state/owner.h"
 #include "state/rows.h"
@@ -24,6 +25,15 @@
 	struct owner_limits owner;
 	int64_t keep_ended_ms; /* ended jobs stay known this long */
 	int64_t row_bytes_max; /* longest value of a row */
+	/* After a change of owner no order about whole VMs goes out for this
+	 * long: the platform may not tell two owners' orders apart. */
+	int64_t order_pause_ms;
+};
+
+/* A wave of upkeep that operators asked for. */
+struct fleet_wave {
+	struct upkeep_wave wave;
+	int64_t seen_ms; /* when we first saw it */
 };
 
 /* The list of workers, which only an owner reads. */
@@ -48,6 +58,8 @@
 	struct rows rows;
 	struct wkr wkr;
 	struct fleet_directory directory;
+	struct vms vms; /* without functions: no such orders here */
+	GHashTable *waves; /* number to struct fleet_wave */
 	const struct catalog *catalog; /* NULL: none yet */
 	GHashTable *domains_out;
 	struct lead *leads[FLEET_SHARDS_MAX];
@@ -64,11 +76,18 @@
  */
 void fleet_default_limits(struct fleet_settings *s, double processor_share);
 
+/* The outside world, as tables of functions. */
+struct fleet_tables {
+	struct rows rows;
+	struct wkr wkr;
+	struct fleet_directory directory;
+	struct vms vms; /* without functions: no such orders here */
+};
+
 /* The owner keeps `f` until the process ends. */
 void fleet_init(struct fleet *f, const struct fleet_settings *set,
 		struct tevent_context *ev, struct tmr_set *timers,
-		const struct clk *clk, const struct rows *rows,
-		const struct wkr *wkr, const struct fleet_directory *directory);
+		const struct clk *clk, const struct fleet_tables *tables);
 
 /* Begins to take part. */
 void fleet_start(struct fleet *f);
@@ -77,6 +96,10 @@
 void fleet_set_catalog(struct fleet *f, struct catalog *catalog);
 void fleet_set_domain_out(struct fleet *f, const char *domain, bool out);
 
+/* Operators ask for a wave of upkeep, and withdraw it. Texts are copied. */
+void fleet_set_wave(struct fleet *f, const struct upkeep_wave *wave);
+void fleet_drop_wave(struct fleet *f, int64_t number);
+
 /* From the list of workers. `synced`: all that it holds were seen. */
 void fleet_worker_seen(struct fleet *f, const struct sched_worker_row *row);
 void fleet_worker_gone(struct fleet *f, const char *id);
--- a/src/fleet/lead.c
+++ b/src/fleet/lead.c
@@ -254,9 +254,11 @@
 		return;
 	set_trust(l);
 	sched_tick(&l->sched, now, wall(l));
+	if (l->keep)
+		keep_step(l->keep, l->sched.trust == SCHED_SURE, now);
 	if (l->sched.ready.length)
 		lead_place_soon(l);
-	if (l->sched.touched.length)
+	if (l->sched.touched.length || (l->keep && keep_has_news(l->keep)))
 		owner_kick(l->owner);
 	lead_clean(l, now);
 }
@@ -289,6 +291,10 @@
 	sched_configure(&l->sched, f->catalog, f->domains_out);
 	l->links = links_start(l->term, &l->sched, &f->wkr, f->timers, f->clk,
 			       &links_ops, l);
+	l->keep = l->shard == LEAD_KEEP_SHARD
+			  ? keep_start(l->term, f, &l->sched, l->shard,
+				       l->sched.epoch)
+			  : NULL;
 	l->tick_timer = tmr_after(f->timers, LEAD_TICK_MS, tick, l);
 	f->directory.ops->follow(f->directory.self, true);
 	lead_load(l);
@@ -389,3 +395,14 @@
 {
 	return l->leading ? links_counts(l->links) : NULL;
 }
+
+struct keep *lead_keep(const struct lead *l)
+{
+	return l->leading ? l->keep : NULL;
+}
+
+void lead_waves_changed(struct lead *l)
+{
+	if (l->leading && l->keep)
+		keep_waves_changed(l->keep);
+}
--- a/src/fleet/lead.h
+++ b/src/fleet/lead.h
@@ -3,6 +3,7 @@
 #define LEAD_H
 
 #include "fleet/fleet.h"
+#include "fleet/keep.h"
 #include "fleet/links.h"
 
 struct lead *lead_start(struct fleet *f, int32_t shard);
@@ -23,6 +24,10 @@
 const struct sched *lead_sched(const struct lead *l);
 const struct links_counts *lead_links_counts(const struct lead *l);
 
+/* Who looks after whole VMs; NULL unless the shard is ours and does. */
+struct keep *lead_keep(const struct lead *l);
+void lead_waves_changed(struct lead *l);
+
 /* Names of the tables and parts of a shard's rows; valid until the next call
  * with the same buffer. */
 #define LEAD_NAME_MAX 16
--- a/src/fleet/lead_commit.c
+++ b/src/fleet/lead_commit.c
@@ -102,6 +102,8 @@
 	}
 	if (n < max && l->opened)
 		n += collect_learned(l, &out[n]);
+	if (l->keep)
+		n += keep_collect(l->keep, l->texts, &out[n], max - n);
 	l->all_collected = !l->sched.touched.length;
 	if (!l->all_collected) {
 		owner_kick(l->owner);
@@ -122,6 +124,8 @@
 	GHashTableIter it;
 	gpointer value;
 
+	if (l->keep)
+		keep_committed(l->keep);
 	if (!l->all_collected)
 		return;
 	g_hash_table_iter_init(&it, l->sched.workers);
--- a/src/fleet/lead_int.h
+++ b/src/fleet/lead_int.h
@@ -14,6 +14,7 @@
 	void *term; /* talloc parent of what goes with the ownership */
 	struct sched sched;
 	struct links *links;
+	struct keep *keep; /* waves of upkeep; of one shard only */
 	struct follow *jobs;
 	GHashTable *progress; /* job id to json_t, until the job is loaded */
 	char *progress_next;
@@ -38,6 +39,8 @@
 
 /* Leases, rounds and stalls are looked after this often, in ms. */
 #define LEAD_TICK_MS 100
+/* The shard whose owner gives orders about whole VMs. */
+#define LEAD_KEEP_SHARD 0
 
 /* What the owner learned about interference; one row a shard. */
 #define LEAD_LEARNED_TABLE "learned"
--- a/tests/unit.h
+++ b/tests/unit.h
@@ -11,5 +11,6 @@
 void unit_add_pace(void);
 void unit_add_sched(void);
 void unit_add_state(void);
+void unit_add_upkeep(void);
 
 #endif
--- a/tests/unit_door.c
+++ b/tests/unit_door.c
@@ -33,22 +33,20 @@
 		follow_nothing
 	};
 	struct fleet_settings set = { .shards = 1, .row_bytes_max = 2000 };
-	struct fleet_directory directory = { &directory_ops, NULL };
+	struct fleet_tables tables = { .directory = { &directory_ops, NULL } };
 	struct tevent_context *ev = tevent_context_init(NULL);
-	struct wkr wkr = { 0 };
-	struct rows rows;
 
 	d->timers = tmr_set_start(ev, ev);
 	fake_rows_init(&d->store, d->timers);
-	rows = fake_rows_table(&d->store);
-	fleet_init(&d->f, &set, ev, d->timers, &clk_system, &rows, &wkr,
-		   &directory);
+	tables.rows = fake_rows_table(&d->store);
+	fleet_init(&d->f, &set, ev, d->timers, &clk_system, &tables);
 	d->f.door = door_start(&d->f);
 }
 
 static void close_door(struct doorstep *d)
 {
 	g_hash_table_destroy(d->f.domains_out);
+	g_hash_table_destroy(d->f.waves);
 	talloc_free(d->f.ev);
 	fake_rows_finish(&d->store);
 }
--- a/tests/unit_tests.c
+++ b/tests/unit_tests.c
@@ -21,5 +21,6 @@
 	unit_add_pace();
 	unit_add_sched();
 	unit_add_state();
+	unit_add_upkeep();
 	return g_test_run();
 }
