Try an unknown pair at one place at a time

What is not known yet is tried wherever a serving task has room at the moment, at many workers in the same second; the first look would have told.

A pair that isn't known is begun at one worker, and again a second later, until it is known.

Test: /sched/one-try-at-a-time, seen to fail with the mechanism taken out.

--- a/src/coordination/interfere.c
+++ b/src/coordination/interfere.c
@@ -13,6 +13,8 @@
 #define WEIGHT_VARIANCE 25.0
 /* Standard deviations that are added to a weight: doubt counts as harm. */
 #define DOUBT 1.0
+/* A try shows in the tails after this, in ms: two looks. */
+#define TRY_MS 1000
 /* Below this a weight is known: weights are about 1 or about 10. */
 #define KNOWN_VARIANCE 6.0
 /* A pair may come to behave otherwise: no weight is surer than this. */
@@ -40,6 +42,7 @@
 	double weight[INTERFERE_IMAGES_MAX + 1];
 	double variance[INTERFERE_IMAGES_MAX + 1][INTERFERE_IMAGES_MAX + 1];
 	bool seen[INTERFERE_IMAGES_MAX + 1];
+	int64_t tried_ms[INTERFERE_IMAGES_MAX + 1]; /* last try; 0: none */
 };
 
 void interfere_init(struct interfere *m)
@@ -190,6 +193,24 @@
 	       model->variance[other][other] < KNOWN_VARIANCE;
 }
 
+bool interfere_may_try(const struct interfere *m, int32_t image, int32_t other,
+		       int64_t now_ms)
+{
+	const struct interfere_model *model = m->models[image];
+
+	if (!model || !other || interfere_is_known(m, image, other))
+		return true;
+	return !model->tried_ms[other] ||
+	       now_ms - model->tried_ms[other] >= TRY_MS;
+}
+
+void interfere_note_try(struct interfere *m, int32_t image, int32_t other,
+			int64_t now_ms)
+{
+	if (image && other && !interfere_is_known(m, image, other))
+		model_of(m, image)->tried_ms[other] = now_ms;
+}
+
 double interfere_alone(const struct interfere *m, int32_t image)
 {
 	const struct interfere_model *model = m->models[image];
--- a/src/coordination/interfere.h
+++ b/src/coordination/interfere.h
@@ -61,6 +61,16 @@
 bool interfere_is_known(const struct interfere *m, int32_t image,
 			int32_t other);
 
+/*
+ * May the pair be tried at `now_ms`? One that isn't known is tried at one place
+ * at a time, since it may do harm.
+ */
+bool interfere_may_try(const struct interfere *m, int32_t image, int32_t other,
+		       int64_t now_ms);
+/* Work of `other` begins beside `image`. */
+void interfere_note_try(struct interfere *m, int32_t image, int32_t other,
+			int64_t now_ms);
+
 /* The usual slack of `image` with nothing beside it. */
 double interfere_alone(const struct interfere *m, int32_t image);
 
--- a/src/coordination/sched.h
+++ b/src/coordination/sched.h
@@ -293,6 +293,7 @@
 	GQueue touched; /* jobs to be written */
 	int64_t epoch;
 	int64_t taken_over_ms;
+	int64_t placing_ms; /* when the last pass of placement began */
 	enum sched_trust trust;
 	/* While in doubt, jobs of this or a later version wait: a successor
 	 * holds back only what is older than its claim. */
--- a/src/coordination/sched_int.h
+++ b/src/coordination/sched_int.h
@@ -84,6 +84,9 @@
  * the worker, 0 to 1. */
 double sched_speed_beside(const struct sched *s, const struct sched_worker *w,
 			  const struct sched_step *step);
+/* Best-effort work begins beside what serves there. */
+void sched_note_try(struct sched *s, const struct sched_run *run,
+		    int64_t now_ms);
 /* Tasks that stand still, and workers that fail what they start. */
 void sched_watch(struct sched *s, int64_t now_ms);
 void sched_note_result(struct sched *s, struct sched_worker *w,
--- a/src/coordination/sched_pace.c
+++ b/src/coordination/sched_pace.c
@@ -89,6 +89,9 @@
 		if (!serving->def->tail_goal_ms)
 			continue;
 		wanted = cost(s, w, serving, step, step->def->cpu_milli);
+		if (!interfere_may_try(&s->interfere, serving->image,
+				       step->image, s->placing_ms))
+			return 0;
 		if (wanted > DISTURBING &&
 		    interfere_is_known(&s->interfere, serving->image,
 				       step->image))
@@ -100,6 +103,19 @@
 	return speed;
 }
 
+void sched_note_try(struct sched *s, const struct sched_run *run,
+		    int64_t now_ms)
+{
+	for (const GList *i = run->worker->runs.head; i; i = i->next) {
+		const struct sched_step *serving =
+			((const struct sched_run *)i->data)->task->step;
+
+		if (serving->def->tail_goal_ms)
+			interfere_note_try(&s->interfere, serving->image,
+					   run->task->step->image, now_ms);
+	}
+}
+
 /* One best-effort run while paces are worked out. */
 struct paced {
 	struct sched_run *run;
--- a/src/coordination/sched_place.c
+++ b/src/coordination/sched_place.c
@@ -80,6 +80,9 @@
 	struct sched_run *run = sched_run_new(s, t, w, number, now_ms);
 	struct sched_ref ref;
 
+	if (t->step->def->best_effort)
+		sched_note_try(s, run, now_ms);
+
 	s->counts.starts++;
 	s->counts.resumes += t->checkpoint != NULL;
 	sched_ref_of(run, &ref);
@@ -330,6 +333,8 @@
 	struct sched_rank *ranks;
 	int32_t n = 0;
 
+	s->placing_ms = now_ms;
+
 	if (!s->ready.length || !s->catalog || !s->worker_list->len ||
 	    s->trust == SCHED_GIVEN_UP)
 		return;
--- a/tests/unit_pace.c
+++ b/tests/unit_pace.c
@@ -277,6 +277,58 @@
 	paper_close(&p);
 }
 
+/*
+ * Pattern: many kinds of best-effort work, and nothing known of them (the grown
+ * sites: 10 serving images and 18 others). A pair does its harm at one place,
+ * not at all that have room for it.
+ */
+static void test_one_try_at_a_time(void)
+{
+	struct paper p;
+	struct jobspec *serving = paper_spec_of("a", "short", 1, 2);
+	struct jobspec *fillers = paper_spec_of("b", "long", 1, 4);
+	struct sched_active a;
+
+	paper_open(&p, 1, NULL);
+	paper_add_worker(&p, "w", "r");
+	paper_add_worker(&p, "v", "r");
+	paper_look_at(&p, "w", NULL, 0, NULL, 0, 10);
+	paper_look_at(&p, "v", NULL, 0, NULL, 0, 10);
+	serving->steps[0].lasts = true;
+	serving->steps[0].spread_max = 1;
+	serving->steps[0].tail_goal_ms = 100;
+	g_strlcpy(serving->steps[0].image, "s", JOBSPEC_NAME_MAX);
+	fillers->steps[0].best_effort = true;
+	fillers->steps[0].cpu_milli = 500;
+	g_strlcpy(fillers->steps[0].image, "f", JOBSPEC_NAME_MAX);
+	paper_add_job(&p, serving);
+	sched_place(&p.s, 20);
+	g_assert_cmpuint(p.starts->len, ==, 2);
+	for (guint i = 0; i < 2; i++) {
+		a = paper_active_of(paper_start_at(&p, i), 100);
+		a.gauge = 25;
+		paper_look_at(&p, paper_start_at(&p, i)->worker, &a, 1, NULL, 0,
+			      400);
+	}
+	paper_add_job(&p, fillers);
+	sched_place(&p.s, 410);
+	g_assert_cmpuint(p.starts->len, ==, 3);
+	sched_place(&p.s, 900);
+	g_assert_cmpuint(p.starts->len, ==, 3);
+	sched_place(&p.s, 1500);
+	g_assert_cmpuint(p.starts->len, ==, 4);
+	/* Known to be harmless, it goes wherever there is room. */
+	for (int i = 0; i < 50; i++) {
+		struct interfere_load load = { 2, i % 2 ? -0.2 : 0.2 };
+		struct interfere_change c = { 0, 0.4, &load, 1 };
+
+		interfere_observe(&p.s.interfere, 1, &c);
+	}
+	sched_place(&p.s, 1510);
+	g_assert_cmpuint(p.starts->len, ==, 6);
+	paper_close(&p);
+}
+
 void unit_add_pace(void)
 {
 	g_test_add_func("/sched/paced-not-stalled", test_paced_is_not_stalled);
@@ -288,4 +340,5 @@
 	g_test_add_func("/sched/tail-shows-what-left",
 			test_tail_shows_what_left);
 	g_test_add_func("/sched/harmful-not-begun", test_harmful_is_not_begun);
+	g_test_add_func("/sched/one-try-at-a-time", test_one_try_at_a_time);
 }
