Move paused best-effort work to where it can go on

A run that was told to stand still for half a second is stopped, with its checkpoint, if another worker would take it at full speed; without a checkpoint only while hardly anything of it is done. Eight searches a tick at most, since each looks at all workers.

Test: /sched/paused-work-moves, seen to fail with the mechanism taken out.

--- a/src/coordination/sched.c
+++ b/src/coordination/sched.c
@@ -260,6 +260,7 @@
 			sched_make_rounds(s, job, now_ms, wall_ms);
 	}
 	sched_watch(s, now_ms);
+	sched_move_paused(s, now_ms);
 }
 
 bool sched_has_strays(const struct sched *s)
--- a/src/coordination/sched.h
+++ b/src/coordination/sched.h
@@ -111,6 +111,7 @@
 	int64_t moved_ms; /* when its percentage last rose */
 	int32_t percent;
 	int32_t pace; /* percent of full speed that it was told */
+	int64_t paused_ms; /* told to stand still since; 0: it is not */
 	bool pace_unsure; /* by a former owner, or without answer */
 	int64_t gauge;
 	/* Of a serving task: the slack that it would have alone, ... */
@@ -293,6 +294,7 @@
 	GQueue touched; /* jobs to be written */
 	int64_t epoch;
 	int64_t taken_over_ms;
+	guint move_from; /* worker at which the next search for moves begins */
 	int64_t placing_ms; /* when the last pass of placement began */
 	enum sched_trust trust;
 	/* While in doubt, jobs of this or a later version wait: a successor
--- a/src/coordination/sched_int.h
+++ b/src/coordination/sched_int.h
@@ -55,6 +55,8 @@
 		   int64_t now_ms);
 /* Takes work off a worker that is to go away. */
 void sched_leave(struct sched *s, struct sched_worker *w, int64_t now_ms);
+/* Best-effort work that stands still moves to where it can go on. */
+void sched_move_paused(struct sched *s, int64_t now_ms);
 /* Is there room for one more? */
 bool sched_fits(const struct sched_step *step, const struct sched_worker *w);
 /* What is left for best-effort work, what it takes already included. */
--- /dev/null
+++ b/src/coordination/sched_move.c
@@ -0,0 +1,80 @@
+/* Best-effort work that stands still moves to where it can go on. */
+#include <talloc.h>
+
+#include "coordination/sched_int.h"
+
+/* Work that is paused for this long, in ms, moves: a swing of load that lets it
+ * go on by itself comes and goes in seconds, a move costs half of one. */
+#define PAUSED_MS 500
+/* Without a checkpoint it moves only while so little of it is done, percent. */
+#define LOSS_MAX_PERCENT 10
+/* Places are searched for so many runs each time: a search looks at all
+ * workers. */
+#define SEARCHES_MAX 8
+
+static bool should_move(const struct sched_run *run, int64_t now_ms)
+{
+	const struct sched_step *step = run->task->step;
+
+	if (!run->paused_ms || now_ms - run->paused_ms < PAUSED_MS)
+		return false;
+	if (run->stopping || run->state != SCHED_RUN_ACTIVE ||
+	    !step->round->job->queue)
+		return false;
+	return step->def->checkpoints || run->percent <= LOSS_MAX_PERCENT;
+}
+
+static bool has_better_place(const struct sched *s, const struct sched_run *run,
+			     struct sched_worker **list, int64_t now_ms)
+{
+	const struct sched_step *step = run->task->step;
+	int32_t n = 0;
+
+	for (guint i = 0; i < s->worker_list->len; i++) {
+		struct sched_worker *w = g_ptr_array_index(s->worker_list, i);
+
+		if (w != run->worker &&
+		    sched_may_use(s, step, step->round->job->queue, w, now_ms))
+			list[n++] = w;
+	}
+	return sched_choose(s, list, n, step) != NULL;
+}
+
+/* Returns how many searches it made. */
+static int move_from(struct sched *s, struct sched_worker *w,
+		     struct sched_worker **list, int left, int64_t now_ms)
+{
+	int searches = 0;
+
+	for (GList *i = w->runs.head; i && searches < left; i = i->next) {
+		struct sched_run *run = i->data;
+
+		if (!should_move(run, now_ms))
+			continue;
+		searches++;
+		if (!has_better_place(s, run, list, now_ms))
+			continue;
+		s->counts.moved++;
+		sched_run_stop(s, run, now_ms, "paused; room elsewhere");
+	}
+	return searches;
+}
+
+void sched_move_paused(struct sched *s, int64_t now_ms)
+{
+	guint n = s->worker_list->len;
+	struct sched_worker **list;
+	int searches = 0;
+
+	if (s->trust != SCHED_SURE || !n)
+		return;
+	s->placing_ms = now_ms;
+	list = talloc_array(NULL, struct sched_worker *, n);
+	for (guint k = 0; k < n && searches < SEARCHES_MAX; k++) {
+		guint at = s->move_from++ % n;
+
+		searches += move_from(s, g_ptr_array_index(s->worker_list, at),
+				      list, SEARCHES_MAX - searches, now_ms);
+	}
+	talloc_free(list);
+}
--- a/src/coordination/sched_pace.c
+++ b/src/coordination/sched_pace.c
@@ -205,6 +205,10 @@
 			   run->task->step->def->cpu_milli *
 				   (run->pace - pace) / 100,
 			   now_ms);
+	if (pace)
+		run->paused_ms = 0;
+	else if (!run->paused_ms)
+		run->paused_ms = now_ms;
 	sched_set_pace(run, pace);
 	sched_ref_of(run, &ref);
 	s->ops->pace(s->priv, run, &ref, pace);
--- a/tests/unit_pace.c
+++ b/tests/unit_pace.c
@@ -329,6 +329,40 @@
 	paper_close(&p);
 }
 
+/*
+ * Pattern: work stands still beside serving tasks while others have room
+ * (dhl-pettycash, quiet-1: 797 of 6,389 s). It moves, and only then.
+ */
+static void test_paused_work_moves(void)
+{
+	struct paper p;
+	struct sched_active a[2];
+	struct sched_run *run;
+
+	serving_and_fillers(&p, 1, 400);
+	a[0] = paper_active_of(paper_start_at(&p, 0), 100);
+	a[0].gauge = 25;
+	paper_look_at(&p, "w", a, 1, NULL, 0, 400);
+	sched_place(&p.s, 410);
+	g_assert_cmpuint(p.starts->len, ==, 2);
+	paper_started(&p, paper_start_at(&p, 1), 420);
+	a[1] = paper_active_of(paper_start_at(&p, 1), 5);
+	for (int64_t t = 800; t <= 3200; t += 400) {
+		a[0].gauge = 300;
+		a[1].gauge = 400;
+		paper_look_at(&p, "w", a, 2, NULL, 0, t);
+	}
+	run = paper_worker(&p, "w")->runs.tail->data;
+	g_assert_cmpint(run->pace, ==, 0);
+	sched_tick(&p.s, 3300, 0);
+	g_assert_cmpuint(p.stops->len, ==, 0);
+	paper_add_worker(&p, "v", "r");
+	paper_look_at(&p, "v", NULL, 0, NULL, 0, 3310);
+	sched_tick(&p.s, 3400, 0);
+	g_assert_cmpuint(p.stops->len, ==, 1);
+	paper_close(&p);
+}
+
 void unit_add_pace(void)
 {
 	g_test_add_func("/sched/paced-not-stalled", test_paced_is_not_stalled);
@@ -341,4 +375,5 @@
 			test_tail_shows_what_left);
 	g_test_add_func("/sched/harmful-not-begun", test_harmful_is_not_begun);
 	g_test_add_func("/sched/one-try-at-a-time", test_one_try_at_a_time);
+	g_test_add_func("/sched/paused-work-moves", test_paused_work_moves);
 }
