Test gd-fleet as processes against a stand-in of the users' platform

They judge by what the stand-in saw: each task done once, none in two places, never two VMs down at once.

--- a/Makefile
+++ b/Makefile
@@ -38,8 +38,9 @@
 PLATFORM_SRC = $(wildcard platform/*.c)
 
 DAEMONS = $(B)/gd-fleet $(B)/gd-entry $(B)/gd-sched $(B)/gdctl $(B)/gd-load
-STANDINS = $(B)/gd-platform $(B)/gd-worker $(B)/gd-target $(B)/gd-faultproxy
-TESTS = $(B)/unit-tests $(B)/path-tests $(B)/gd-matrix $(B)/gd-demo \
+STANDINS = $(B)/gd-platform $(B)/gd-worker $(B)/gd-target $(B)/gd-faultproxy \
+	$(B)/gd-site
+TESTS = $(B)/unit-tests $(B)/path-tests $(B)/fleet-tests $(B)/gd-matrix $(B)/gd-demo \
 	$(B)/gd-bench
 
 all: $(DAEMONS) $(STANDINS) $(TESTS)
@@ -60,9 +61,11 @@
 $(B)/gd-worker: $(B)/standins/worker.o $(B)/libgd.a
 $(B)/gd-target: $(B)/standins/target.o $(B)/libgd.a
 $(B)/gd-faultproxy: $(B)/standins/faultproxy.o $(B)/libgd.a
+$(B)/gd-site: $(call obj,$(wildcard standins/site*.c)) $(B)/libgd.a
 $(B)/unit-tests: $(call obj,$(UNIT_SRC) $(FLEET_SRC) platform/pf_boot.c platform/pf_ops.c \
 	platform/pf_rows.c platform/pf_vms.c platform/pf_worker.c) $(B)/libgd.a
 $(B)/path-tests: $(B)/tests/path_tests.o $(HARNESS)
+$(B)/fleet-tests: $(B)/tests/fleet_tests.o $(HARNESS)
 $(B)/gd-matrix: $(call obj,tests/matrix.c tests/cell.c \
 	$(wildcard tests/cells_*.c)) $(HARNESS)
 $(B)/gd-demo: $(B)/tests/demo.o $(HARNESS)
@@ -90,6 +93,7 @@
 	$(MAKE) all
 	$(B)/unit-tests
 	GD_BIN=$(B) $(B)/path-tests
+	GD_BIN=$(B) $(B)/fleet-tests
 	GD_BIN=$(B) $(B)/gd-matrix --ci
 
 # The request path under the thread sanitizer.
--- /dev/null
+++ b/standins/site_store.c
@@ -0,0 +1,272 @@
+/* The platform's store of rows, as a stand-in. */
+#include <stdlib.h>
+#include <string.h>
+
+#include "standins/site.h"
+
+#define ROWS_MAX 500
+
+struct site_row {
+	char *table;
+	char *part;
+	char *key;
+	char *value; /* base64; NULL: deleted */
+	int64_t version;
+};
+
+/* A caller that waits for changes of a table. */
+struct site_watch {
+	struct hts_req *req;
+	char *table;
+	int64_t after;
+	int64_t until_ms;
+};
+
+void store_init(struct site *s)
+{
+	s->rows = g_ptr_array_new();
+	s->watches = g_ptr_array_new();
+}
+
+static int compare(const struct site_row *r, const char *table,
+		   const char *part, const char *key)
+{
+	int by_table = strcmp(r->table, table);
+	int by_part = strcmp(r->part, part);
+
+	if (by_table)
+		return by_table;
+	return by_part ? by_part : strcmp(r->key, key);
+}
+
+/* The row, or where it would stand. */
+static struct site_row *find(const struct site *s, const char *table,
+			     const char *part, const char *key, guint *at)
+{
+	guint low = 0;
+	guint high = s->rows->len;
+
+	while (low < high) {
+		guint mid = (low + high) / 2;
+		struct site_row *r = g_ptr_array_index(s->rows, mid);
+		int c = compare(r, table, part, key);
+
+		if (!c)
+			return r;
+		if (c < 0)
+			low = mid + 1;
+		else
+			high = mid;
+	}
+	*at = low;
+	return NULL;
+}
+
+static void set_row(struct site *s, const char *table, const char *part,
+		    const char *key, const char *value)
+{
+	guint at;
+	struct site_row *r = find(s, table, part, key, &at);
+
+	if (!r) {
+		r = g_new0(struct site_row, 1);
+		r->table = g_strdup(table);
+		r->part = g_strdup(part);
+		r->key = g_strdup(key);
+		g_ptr_array_insert(s->rows, (gint)at, r);
+	}
+	g_free(r->value);
+	r->value = g_strdup(value);
+	r->version = s->version;
+}
+
+void store_put(struct site *s, const char *table, const char *part,
+	       const char *key, const char *value)
+{
+	char *b64 =
+		value ? g_base64_encode((const guchar *)value, strlen(value))
+		      : NULL;
+
+	s->version++;
+	set_row(s, table, part, key, b64);
+	g_free(b64);
+}
+
+static json_t *row_json(const struct site_row *r)
+{
+	json_t *j = json_pack("{s:s,s:s,s:s,s:I}", "table", r->table, "part",
+			      r->part, "key", r->key, "ver",
+			      (json_int_t)r->version);
+
+	if (r->value)
+		json_object_set_new(j, "value", json_string(r->value));
+	else
+		json_object_set_new(j, "deleted", json_true());
+	return j;
+}
+
+static json_t *answer(const struct site *s, json_t *rows, bool more)
+{
+	return json_pack("{s:o,s:b,s:I,s:I}", "rows", rows, "has_more", more,
+			 "ver", (json_int_t)s->version, "now_ms",
+			 (json_int_t)site_now_ms());
+}
+
+static const char *arg(struct hts_req *req, const char *name)
+{
+	const char *v = hts_query(req, name);
+
+	return v ? v : "";
+}
+
+static void get_rows(struct site *s, struct hts_req *req)
+{
+	const char *to = arg(req, "target");
+	int64_t limit = atoll(arg(req, "limit"));
+	json_t *rows = json_array();
+	bool more = false;
+
+	limit = limit > 0 && limit < ROWS_MAX ? limit : ROWS_MAX;
+	for (guint i = 0; i < s->rows->len && !more; i++) {
+		const struct site_row *r = g_ptr_array_index(s->rows, i);
+
+		if (strcmp(r->table, arg(req, "table")) ||
+		    strcmp(r->part, arg(req, "part")) || !r->value ||
+		    strcmp(r->key, arg(req, "from")) < 0 ||
+		    (*to && strcmp(r->key, to) >= 0))
+			continue;
+		more = (int64_t)json_array_size(rows) == limit;
+		if (!more)
+			json_array_append_new(rows, row_json(r));
+	}
+	site_reply(req, 200, answer(s, rows, more));
+}
+
+static const char *text_of(const json_t *row, const char *name)
+{
+	const char *v = json_string_value(json_object_get(row, name));
+
+	return v ? v : "";
+}
+
+static struct site_row *named(const struct site *s, const json_t *row)
+{
+	guint at;
+
+	return find(s, text_of(row, "table"), text_of(row, "part"),
+		    text_of(row, "key"), &at);
+}
+
+/* The rows of a condition that fails; NULL if all hold. */
+static json_t *conflict(const struct site *s, const json_t *expected)
+{
+	bool failed = false;
+	json_t *rows = json_array();
+	const json_t *row;
+	size_t i;
+
+	json_array_foreach(expected, i, row)
+	{
+		const struct site_row *r = named(s, row);
+		int64_t is = r && r->value ? r->version : 0;
+
+		failed |= is != json_integer_value(json_object_get(row, "ver"));
+		if (r && r->value)
+			json_array_append_new(rows, row_json(r));
+	}
+	if (failed)
+		return rows;
+	json_decref(rows);
+	return NULL;
+}
+
+static void apply(struct site *s, const json_t *body)
+{
+	const json_t *row;
+	size_t i;
+
+	s->version++;
+	json_array_foreach(json_object_get(body, "set_keys"), i, row)
+		set_row(s, text_of(row, "table"), text_of(row, "part"),
+			text_of(row, "key"), text_of(row, "value"));
+	json_array_foreach(json_object_get(body, "remove"), i, row)
+	{
+		if (named(s, row))
+			set_row(s, text_of(row, "table"), text_of(row, "part"),
+				text_of(row, "key"), NULL);
+	}
+}
+
+static void commit(struct site *s, struct hts_req *req)
+{
+	json_t *body = json_loadb(req->body, req->body_len, 0, NULL);
+	json_t *rows = conflict(s, json_object_get(body, "expected_rev"));
+	bool lose_call = s->lose_calls > 0;
+	bool lose_answer = !lose_call && s->lose_answers > 0;
+
+	s->lose_calls -= lose_call;
+	s->lose_answers -= lose_answer;
+	if (!rows && !lose_call)
+		apply(s, body);
+	json_decref(body);
+	/* Without an answer the caller's own time-out shows it. */
+	if (lose_call || lose_answer) {
+		json_decref(rows);
+		return;
+	}
+	site_reply(req, rows ? 412 : 200,
+		   answer(s, rows ? rows : json_array(), false));
+}
+
+static json_t *changes(const struct site *s, const struct site_watch *w)
+{
+	json_t *rows = json_array();
+
+	for (guint i = 0; i < s->rows->len; i++) {
+		const struct site_row *r = g_ptr_array_index(s->rows, i);
+
+		if (!strcmp(r->table, w->table) && r->version > w->after)
+			json_array_append_new(rows, row_json(r));
+	}
+	return rows;
+}
+
+void store_tick(struct site *s)
+{
+	for (guint i = s->watches->len; i > 0; i--) {
+		struct site_watch *w = g_ptr_array_index(s->watches, i - 1);
+		json_t *rows = changes(s, w);
+
+		if (!json_array_size(rows) && site_now_ms() < w->until_ms) {
+			json_decref(rows);
+			continue;
+		}
+		site_reply(w->req, 200, answer(s, rows, false));
+		g_ptr_array_remove_index(s->watches, i - 1);
+		g_free(w->table);
+		g_free(w);
+	}
+}
+
+static void watch(struct site *s, struct hts_req *req)
+{
+	struct site_watch *w = g_new0(struct site_watch, 1);
+
+	w->req = req;
+	w->table = g_strdup(arg(req, "table"));
+	w->after = atoll(arg(req, "after"));
+	w->until_ms = site_now_ms() + atoll(arg(req, "wait_ms"));
+	g_ptr_array_add(s->watches, w);
+}
+
+void store_request(struct site *s, struct hts_req *req)
+{
+	if (!strcmp(req->path, "/v1/rows-get"))
+		get_rows(s, req);
+	else if (!strcmp(req->path, "/v1/rows-tx"))
+		commit(s, req);
+	else if (!strcmp(req->path, "/v1/rows-feed"))
+		watch(s, req);
+	else
+		site_reply(req, 404, json_object());
+}
--- a/tests/harness.c
+++ b/tests/harness.c
@@ -70,8 +70,7 @@
 	return good;
 }
 
-/* The first of `n` free ports in a row, outside of the ephemeral range. */
-static int free_ports(int n)
+int hx_free_ports(int n)
 {
 	static int next;
 	int first;
@@ -92,14 +91,15 @@
 	return first;
 }
 
-static pid_t spawn(struct hx *x, const char *log, char *const *argv)
+pid_t hx_run(const char *bin, const char *dir, const char *log,
+	     char *const *argv)
 {
 	char path[160];
 	char program[256];
 	pid_t pid;
 
-	snprintf(path, sizeof(path), "%s/%s", x->dir, log);
-	snprintf(program, sizeof(program), "%s/%s", x->bin, argv[0]);
+	snprintf(path, sizeof(path), "%s/%s", dir, log);
+	snprintf(program, sizeof(program), "%s/%s", bin, argv[0]);
 	pid = fork();
 	if (pid)
 		return pid;
@@ -113,6 +113,11 @@
 	_exit(127);
 }
 
+static pid_t spawn(struct hx *x, const char *log, char *const *argv)
+{
+	return hx_run(x->bin, x->dir, log, argv);
+}
+
 static void add_map(struct hx *x, const char *ip, int port, const char *to_ip,
 		    int to_port)
 {
@@ -323,16 +328,16 @@
 	char port[16];
 	char *argv[] = { "gd-faultproxy", port, NULL };
 
-	x->proxy_port = free_ports(1);
+	x->proxy_port = hx_free_ports(1);
 	snprintf(port, sizeof(port), "%d", x->proxy_port);
 	x->proxy = spawn(x, "proxy.log", argv);
 	hx_until(proxy_answers, x, NULL, 10000);
-	x->platform_public = free_ports(1);
+	x->platform_public = hx_free_ports(1);
 	add_map(x, "127.0.0.1", x->platform_public, "127.0.0.1",
 		x->platform_port);
 	for (int d = 0; d < HX_DOMAINS; d++) {
-		x->vm_port_base[0][d] = free_ports(x->opt.targets);
-		x->vm_port_base[1][d] = free_ports(x->opt.workers);
+		x->vm_port_base[0][d] = hx_free_ports(x->opt.targets);
+		x->vm_port_base[1][d] = hx_free_ports(x->opt.workers);
 		for (int i = 0; i < x->opt.targets; i++)
 			add_map(x, "127.0.0.1", x->vm_port_base[0][d] + i,
 				"127.0.0.1", x->target_port[d] + i);
@@ -342,7 +347,7 @@
 	}
 	for (int vm = 0; vm < x->opt.vms; vm++) {
 		for (int r = 0; r < HX_ROLES; r++) {
-			x->public_port[r][vm] = free_ports(1);
+			x->public_port[r][vm] = hx_free_ports(1);
 			add_map(x, x->vm_ip[vm], x->public_port[r][vm],
 				x->vm_ip[vm], x->peer_port[r][vm]);
 		}
@@ -353,10 +358,10 @@
 
 static void choose_ports(struct hx *x)
 {
-	x->platform_port = x->platform_public = free_ports(1);
+	x->platform_port = x->platform_public = hx_free_ports(1);
 	for (int d = 0; d < HX_DOMAINS; d++) {
-		x->target_port[d] = free_ports(x->opt.targets);
-		x->worker_port[d] = free_ports(x->opt.workers);
+		x->target_port[d] = hx_free_ports(x->opt.targets);
+		x->worker_port[d] = hx_free_ports(x->opt.workers);
 		x->vm_port_base[0][d] = x->target_port[d];
 		x->vm_port_base[1][d] = x->worker_port[d];
 	}
@@ -365,8 +370,8 @@
 		snprintf(x->vm_ip[vm], sizeof(x->vm_ip[vm]), "127.%d.1.%d",
 			 vm % HX_DOMAINS + 1, vm + 1);
 		for (int r = 0; r < HX_ROLES; r++) {
-			x->http_port[r][vm] = free_ports(1);
-			x->peer_port[r][vm] = free_ports(1);
+			x->http_port[r][vm] = hx_free_ports(1);
+			x->peer_port[r][vm] = hx_free_ports(1);
 			x->public_port[r][vm] = x->peer_port[r][vm];
 		}
 	}
--- a/tests/harness.h
+++ b/tests/harness.h
@@ -83,6 +83,13 @@
 int hx_reap(struct hx *x, enum hx_role role, int vm);
 void hx_signal_pid(pid_t pid, int sig);
 
+/* Starts a program of `bin`; its output goes to the file `log` in `dir`. It
+ * ends with the test. */
+pid_t hx_run(const char *bin, const char *dir, const char *log,
+	     char *const *argv);
+/* The first of `n` free ports in a row, outside of the ephemeral range. */
+int hx_free_ports(int n);
+
 /* All entries are ready and own all groups; all shards are held. */
 bool hx_wait_ready(struct hx *x);
 bool hx_wait_entry_ready(struct hx *x, int vm);
