--- a/src/fleet/links.c
+++ b/src/fleet/links.c
@@ -8,8 +8,9 @@
 
 /* Longest wait of a look: a third of the shortest lease, in ms. */
 #define LOOK_WAIT_MS 1500
-/* With best-effort work beside serving tasks, tails must be seen soon. */
-#define LOOK_WAIT_PACING_MS 400
+/* With best-effort work beside serving tasks, tails must be seen soon; they
+ * cover half a second, so that sooner looks show much the same. */
+#define LOOK_WAIT_PACING_MS 550
 /* Least time between looks at one worker, in ms: ends come in groups. */
 #define LOOK_GAP_MS 30
 /* While ends can't be made durable, leases are still renewed this often. */
