Keep a roster of workers in the store, and start nothing elsewhere

The flag in the owner's row for tasks at unlisted workers could not help: the former owner couldn't commit any more.

The owner keeps a roster of all workers that may run something in its part of the store, in 16 rows by the hash of their ids, and starts nothing at a worker before the roster has it. A successor reads it before all else. The flag goes.

--- a/src/coordination/sched.c
+++ b/src/coordination/sched.c
@@ -38,6 +38,7 @@
 
 static void free_worker(struct sched *s, struct sched_worker *w)
 {
+	sched_roster_changed(s, w);
 	g_hash_table_remove(s->workers, w->row.id);
 	g_ptr_array_remove(s->worker_list, w);
 	talloc_free(w);
@@ -110,6 +111,7 @@
 		g_queue_init(&w->runs);
 		g_ptr_array_add(s->worker_list, w);
 		g_hash_table_insert(s->workers, w->row.id, w);
+		sched_roster_changed(s, w);
 		s->ops->look(s->priv, w);
 	}
 	/* The list lags: a former life's row must not undo the new one. */
@@ -117,6 +119,8 @@
 		return;
 	if (row->draining && !w->row.draining)
 		s->ops->note(s->priv, "worker draining", NULL, w, "listed so");
+	if (strcmp(w->row.address, row->address))
+		sched_roster_changed(s, w);
 	w->row = *row;
 	w->listed = true;
 	if (reborn)
@@ -262,15 +266,3 @@
 	sched_watch(s, now_ms);
 	sched_move_paused(s, now_ms);
 }
-
-bool sched_has_strays(const struct sched *s)
-{
-	for (guint i = 0; i < s->worker_list->len; i++) {
-		const struct sched_worker *w =
-			g_ptr_array_index(s->worker_list, i);
-
-		if (!w->listed && w->runs.length)
-			return true;
-	}
-	return false;
-}
--- a/src/coordination/sched.h
+++ b/src/coordination/sched.h
@@ -190,6 +190,8 @@
 	bool listed;
 	bool known; /* looked at under our fence in this life */
 	bool unreachable;
+	bool recorded; /* the store's roster has it, so that work may start */
+	bool recording; /* it is in the commit under way */
 	bool emptied; /* its VM is to be taken down: no new work */
 	int64_t fence; /* token that orders to it carry */
 	int64_t clock_ms; /* its clock at the last answer, ... */
@@ -290,6 +292,7 @@
 	GHashTable *jobs; /* id to struct sched_job */
 	GHashTable *workers; /* id to struct sched_worker */
 	GPtrArray *worker_list;
+	uint32_t roster_dirty; /* rows of the roster that are to be written */
 	GQueue ready; /* steps with tasks to start */
 	GQueue touched; /* jobs to be written */
 	int64_t epoch;
@@ -300,7 +303,6 @@
 	/* While in doubt, jobs of this or a later version wait: a successor
 	 * holds back only what is older than its claim. */
 	int64_t start_before_version;
-	bool strays; /* tasks may run at workers that are not listed */
 	struct interfere interfere;
 	struct sched_counts counts;
 };
@@ -342,6 +344,18 @@
 		       int64_t now_ms);
 void sched_worker_gone(struct sched *s, const char *id, int64_t now_ms);
 
+/*
+ * The roster of workers that may run something, in so many rows; a successor
+ * reads it, since the list of workers may leave some out for a while. The
+ * caller owns the reference.
+ */
+#define SCHED_ROSTER_ROWS 16
+json_t *sched_roster_row(struct sched *s, int32_t row);
+/* The rows that were taken are in the store. */
+void sched_roster_stored(struct sched *s);
+/* A former owner's row; rows that make no sense are left out. */
+void sched_roster_restore(struct sched *s, const json_t *list, int64_t now_ms);
+
 /* Takes work off the VM as far as its tasks can spare it, and gives it none. */
 void sched_vm_empty(struct sched *s, const char *vm, bool on);
 /* Can all that runs on the VM be ended? `late`: also what is then lost. */
@@ -397,9 +411,6 @@
 /* Has it ended, one way or another? */
 bool sched_job_over(const struct sched_job *job);
 
-/* May tasks run at workers that are not listed? */
-bool sched_has_strays(const struct sched *s);
-
 /* Does anything at the worker need its lease, an end or a fence? */
 bool sched_worker_busy(const struct sched_worker *w);
 
--- a/src/coordination/sched_int.h
+++ b/src/coordination/sched_int.h
@@ -66,6 +66,8 @@
 				  struct sched_worker **list, int32_t n,
 				  const struct sched_step *step);
 
+/* The worker came, went or moved. */
+void sched_roster_changed(struct sched *s, const struct sched_worker *w);
 /* Part of the worker's processors. */
 double sched_share(const struct sched_worker *w, int64_t milli);
 /* What a serving task surely leaves unused of the processors it asked for. */
--- a/src/coordination/sched_place.c
+++ b/src/coordination/sched_place.c
@@ -25,7 +25,7 @@
 		if (!w->known)
 			return true;
 	}
-	return s->strays;
+	return false;
 }
 
 bool sched_task_waits(const struct sched *s, const struct sched_task *t,
@@ -62,7 +62,7 @@
 	const struct jobspec_step *def = step->def;
 
 	if (!w->listed || !w->known || w->unreachable || w->row.draining ||
-	    w->emptied)
+	    w->emptied || !w->recorded)
 		return false;
 	if (strcmp(w->row.pool, q->pool))
 		return false;
--- /dev/null
+++ b/src/coordination/sched_roster.c
@@ -0,0 +1,73 @@
+/*
+ * The roster: all workers that may run something of this shard, kept in the
+ * store, since the list of workers leaves out those whose entries have lapsed.
+ */
+#include <string.h>
+
+#include "coordination/sched_int.h"
+
+static int32_t bucket_of(const char *id)
+{
+	return (int32_t)(g_str_hash(id) % SCHED_ROSTER_ROWS);
+}
+
+void sched_roster_changed(struct sched *s, const struct sched_worker *w)
+{
+	s->roster_dirty |= 1u << bucket_of(w->row.id);
+}
+
+json_t *sched_roster_row(struct sched *s, int32_t row)
+{
+	json_t *list = json_array();
+
+	s->roster_dirty &= ~(1u << row);
+	for (guint i = 0; i < s->worker_list->len; i++) {
+		struct sched_worker *w = g_ptr_array_index(s->worker_list, i);
+
+		if (bucket_of(w->row.id) != row)
+			continue;
+		w->recording = true;
+		json_array_append_new(
+			list, json_pack("[s,s,I]", w->row.id, w->row.address,
+					(json_int_t)w->row.born_ms));
+	}
+	return list;
+}
+
+void sched_roster_stored(struct sched *s)
+{
+	for (guint i = 0; i < s->worker_list->len; i++) {
+		struct sched_worker *w = g_ptr_array_index(s->worker_list, i);
+
+		w->recorded |= w->recording;
+		w->recording = false;
+	}
+}
+
+void sched_roster_restore(struct sched *s, const json_t *list, int64_t now_ms)
+{
+	const json_t *entry;
+	size_t i;
+
+	json_array_foreach(list, i, entry)
+	{
+		const char *id = json_string_value(json_array_get(entry, 0));
+		const char *address =
+			json_string_value(json_array_get(entry, 1));
+		struct sched_worker_row row = { 0 };
+		struct sched_worker *w;
+
+		if (!id || !address || strlen(id) >= sizeof(row.id) ||
+		    strlen(address) >= sizeof(row.address) ||
+		    g_hash_table_contains(s->workers, id))
+			continue;
+		g_strlcpy(row.id, id, sizeof(row.id));
+		g_strlcpy(row.address, address, sizeof(row.address));
+		row.born_ms = json_integer_value(json_array_get(entry, 2));
+		sched_worker_seen(s, &row, now_ms);
+		w = g_hash_table_lookup(s->workers, id);
+		/* Only the list of workers lists it. */
+		w->listed = false;
+		w->recorded = true;
+	}
+}
--- a/src/fleet/lead.c
+++ b/src/fleet/lead.c
@@ -258,7 +258,8 @@
 		keep_step(l->keep, l->sched.trust == SCHED_SURE, now);
 	if (l->sched.ready.length)
 		lead_place_soon(l);
-	if (l->sched.touched.length || (l->keep && keep_has_news(l->keep)))
+	if (l->sched.touched.length || l->sched.roster_dirty ||
+	    (l->keep && keep_has_news(l->keep)))
 		owner_kick(l->owner);
 	lead_clean(l, now);
 }
@@ -269,6 +270,7 @@
 	struct lead *l = priv;
 	struct fleet *f = l->f;
 
+	(void)former;
 	l->leading = true;
 	l->loaded = false;
 	l->workers_synced = false;
@@ -287,7 +289,6 @@
 	l->dropped = g_ptr_array_new();
 	sched_init(&l->sched, &sched_ops, l, &f->set.sched,
 		   owner_epoch(l->owner), mono(l));
-	l->sched.strays = former->strays;
 	sched_configure(&l->sched, f->catalog, f->domains_out);
 	l->links = links_start(l->term, &l->sched, &f->wkr, f->timers, f->clk,
 			       &links_ops, l);
--- a/src/fleet/lead_commit.c
+++ b/src/fleet/lead_commit.c
@@ -68,6 +68,28 @@
 	return 1;
 }
 
+/* Rows of the roster that have changed. */
+static int32_t collect_roster(struct lead *l, struct rows_change *out,
+			      int32_t max)
+{
+	int32_t n = 0;
+
+	for (int32_t i = 0; i < SCHED_ROSTER_ROWS && n < max; i++) {
+		json_t *list;
+
+		if (!(l->sched.roster_dirty & 1u << i))
+			continue;
+		list = sched_roster_row(&l->sched, i);
+		out[n++] = (struct rows_change){
+			.table = LEAD_ROSTER_TABLE,
+			.key = keep_text(l, g_strdup_printf("%02d", i)),
+			.value = keep_text(l, json_dumps(list, JSON_COMPACT)),
+		};
+		json_decref(list);
+	}
+	return n;
+}
+
 int32_t lead_collect(struct rows_change *out, int32_t max, void *priv)
 {
 	struct lead *l = priv;
@@ -100,11 +122,12 @@
 		};
 		talloc_free(id);
 	}
+	n += collect_roster(l, &out[n], max - n);
 	if (n < max && l->opened)
 		n += collect_learned(l, &out[n]);
 	if (l->keep)
 		n += keep_collect(l->keep, l->texts, &out[n], max - n);
-	l->all_collected = !l->sched.touched.length;
+	l->all_collected = !l->sched.touched.length && !l->sched.roster_dirty;
 	if (!l->all_collected) {
 		owner_kick(l->owner);
 		return n;
@@ -124,6 +147,7 @@
 	GHashTableIter it;
 	gpointer value;
 
+	sched_roster_stored(&l->sched);
 	if (l->keep)
 		keep_committed(l->keep);
 	if (!l->all_collected)
@@ -162,7 +186,6 @@
 	row->pending = talloc_strdup(l, text);
 	free(text);
 	json_decref(pending);
-	row->strays = sched_has_strays(&l->sched);
 }
 
 static void on_cleaned(const struct rows_answer *ans, void *priv)
--- a/src/fleet/lead_int.h
+++ b/src/fleet/lead_int.h
@@ -42,6 +42,8 @@
 /* The shard whose owner gives orders about whole VMs. */
 #define LEAD_KEEP_SHARD 0
 
+/* The workers that may run something; SCHED_ROSTER_ROWS rows a shard. */
+#define LEAD_ROSTER_TABLE "roster"
 /* What the owner learned about interference; one row a shard. */
 #define LEAD_LEARNED_TABLE "learned"
 #define LEAD_LEARNED_KEY "interference"
--- a/src/fleet/lead_load.c
+++ b/src/fleet/lead_load.c
@@ -161,6 +161,53 @@
 }
 
 static void read_progress(struct lead *l);
+static void read_roster(struct lead *l);
+
+static void read_roster_again(void *priv)
+{
+	struct lead *l = priv;
+
+	l->place_timer = NULL;
+	read_roster(l);
+}
+
+static void on_roster(const struct rows_answer *ans, void *priv)
+{
+	struct lead *l = loaded_by(priv);
+
+	if (!l)
+		return;
+	if (ans->result != ROWS_OK || ans->version < l->gained_version) {
+		TALLOC_FREE(l->place_timer);
+		l->place_timer = tmr_after(l->f->timers, LEAD_TICK_MS,
+					   read_roster_again, l);
+		return;
+	}
+	for (int32_t i = 0; i < ans->n; i++) {
+		json_t *j = ans->rows[i].value
+				    ? json_loads(ans->rows[i].value, 0, NULL)
+				    : NULL;
+
+		if (!j)
+			log_event(LOG_ROW_UNUSABLE,
+				  "table=" LEAD_ROSTER_TABLE
+				  " key=%s why=\"not JSON\"",
+				  ans->rows[i].key);
+		sched_roster_restore(&l->sched, j, clk_mono_ms(l->f->clk));
+		json_decref(j);
+	}
+	read_progress(l);
+}
+
+/* Before all else: what may run is what these workers list. */
+static void read_roster(struct lead *l)
+{
+	char part[LEAD_NAME_MAX];
+	struct rows_range range = { .table = LEAD_ROSTER_TABLE,
+				    .part = lead_state_part(l->shard, part) };
+
+	l->f->rows.ops->read(l->f->rows.self, &range, on_roster, new_load(l));
+}
 
 static void read_progress_again(void *priv)
 {
@@ -260,5 +307,5 @@
 void lead_load(struct lead *l)
 {
 	read_learned(l);
-	read_progress(l);
+	read_roster(l);
 }
--- a/src/state/owner.c
+++ b/src/state/owner.c
@@ -80,7 +80,6 @@
 	out->epoch = json_integer_value(json_object_get(j, "epoch"));
 	out->seq = json_integer_value(json_object_get(j, "seq"));
 	out->released = json_is_true(json_object_get(j, "released"));
-	out->strays = json_is_true(json_object_get(j, "strays"));
 	out->strongest_milli =
 		json_integer_value(json_object_get(j, "strongest_milli"));
 	json_decref(j);
@@ -90,13 +89,12 @@
 {
 	json_t *pending =
 		json_loads(row->pending ? row->pending : "{}", 0, NULL);
-	json_t *j =
-		json_pack("{s:s,s:s,s:I,s:I,s:b,s:b,s:I,s:o}", "vm", row->vm,
-			  "life", row->life, "epoch", (json_int_t)row->epoch,
-			  "seq", (json_int_t)row->seq, "released",
-			  row->released, "strays", row->strays,
-			  "strongest_milli", (json_int_t)row->strongest_milli,
-			  "pending", pending ? pending : json_object());
+	json_t *j = json_pack(
+		"{s:s,s:s,s:I,s:I,s:b,s:I,s:o}", "vm", row->vm, "life",
+		row->life, "epoch", (json_int_t)row->epoch, "seq",
+		(json_int_t)row->seq, "released", row->released,
+		"strongest_milli", (json_int_t)row->strongest_milli, "pending",
+		pending ? pending : json_object());
 	char *text = json_dumps(j, JSON_COMPACT);
 
 	json_decref(j);
--- a/src/state/owner.h
+++ b/src/state/owner.h
@@ -15,7 +15,6 @@
 	int64_t epoch; /* rises with each change of owner */
 	int64_t seq; /* rises with each commit */
 	bool released; /* handed over; nobody has to be waited for */
-	bool strays; /* tasks may run at workers that left the list */
 	int64_t strongest_milli; /* processors of the strongest owner so far */
 	char *pending; /* JSON object: queue to count; talloc child */
 };
--- a/tests/paper.c
+++ b/tests/paper.c
@@ -126,6 +126,14 @@
 	g_strlcpy(row.labels[0], "a", sizeof(row.labels[0]));
 	g_strlcpy(row.labels[1], rack, sizeof(row.labels[1]));
 	sched_worker_seen(&p->s, &row, 0);
+	paper_store_roster(p);
+}
+
+void paper_store_roster(struct paper *p)
+{
+	for (int32_t i = 0; i < SCHED_ROSTER_ROWS; i++)
+		json_decref(sched_roster_row(&p->s, i));
+	sched_roster_stored(&p->s);
 }
 
 /* A look under the present token that lists these. */
--- a/tests/paper.h
+++ b/tests/paper.h
@@ -28,6 +28,8 @@
 void paper_close(struct paper *p);
 struct sched_worker *paper_worker(struct paper *p, const char *id);
 void paper_add_worker(struct paper *p, const char *id, const char *rack);
+/* The store has the roster as it is. */
+void paper_store_roster(struct paper *p);
 void paper_look_at(struct paper *p, const char *id, struct sched_active *a,
 		   int32_t n_active, struct sched_end *e, int32_t n_ends,
 		   int64_t now_ms);
--- a/tests/unit_sched.c
+++ b/tests/unit_sched.c
@@ -396,8 +396,64 @@
 	paper_close(&p);
 }
 
+/*
+ * Pattern: the entry of a worker lapses while the store loses what workers
+ * write, and the owner changes at that moment (siri-dispatch with gangs,
+ * lost-answers-and-kill: TWICE 10). The successor knows the worker from the
+ * roster and starts nothing old until it has been looked at.
+ */
+static void test_roster_knows_unlisted(void)
+{
+	struct paper p;
+	struct sched_active running = { .ref = { "a", 0, 0, 0, 1 },
+					.percent = 50 };
+	json_t *roster = json_pack("[[s,s,i]]", "w", "1.2.3.4:5", 1);
+
+	paper_open(&p, 2, NULL);
+	sched_roster_restore(&p.s, roster, 0);
+	json_decref(roster);
+	sched_job_add(&p.s, paper_spec_of("a", "short", 1, 1), NULL, 5, true, 0,
+		      1000000);
+	paper_add_worker(&p, "v", "r");
+	paper_look_at(&p, "v", NULL, 0, NULL, 0, 10);
+	sched_place(&p.s, 20);
+	g_assert_cmpuint(p.starts->len, ==, 0);
+	paper_look_at(&p, "w", &running, 1, NULL, 0, 30);
+	sched_place(&p.s, 40);
+	g_assert_cmpuint(p.starts->len, ==, 0);
+	g_assert_cmpuint(paper_worker(&p, "w")->runs.length, ==, 1);
+	paper_close(&p);
+}
+
+/* Nothing starts at a worker that a successor would not know of. */
+static void test_roster_comes_first(void)
+{
+	struct paper p;
+	struct sched_worker_row row = { .pool = "p",
+					.domain = "d",
+					.born_ms = 1,
+					.total = { 8000, 8000, 0 } };
+
+	paper_open(&p, 1, NULL);
+	g_strlcpy(row.id, "w", sizeof(row.id));
+	sched_worker_seen(&p.s, &row, 0);
+	g_assert_cmpuint(p.s.roster_dirty, !=, 0);
+	paper_look_at(&p, "w", NULL, 0, NULL, 0, 10);
+	paper_add_job(&p, paper_spec_of("a", "short", 1, 1));
+	sched_place(&p.s, 20);
+	g_assert_cmpuint(p.starts->len, ==, 0);
+	paper_store_roster(&p);
+	g_assert_cmpuint(p.s.roster_dirty, ==, 0);
+	sched_place(&p.s, 30);
+	g_assert_cmpuint(p.starts->len, ==, 1);
+	paper_close(&p);
+}
+
 void unit_add_sched(void)
 {
+	g_test_add_func("/sched/roster-knows-unlisted",
+			test_roster_knows_unlisted);
+	g_test_add_func("/sched/roster-comes-first", test_roster_comes_first);
 	g_test_add_func("/sched/look-of-the-same-ms", test_look_of_the_same_ms);
 	g_test_add_func("/sched/steps-in-order", test_steps_in_order);
 	g_test_add_func("/sched/attempts-once", test_attempts_counted_once);
