Count rounds that a former owner began before our time

A report about a round that isn't made yet makes it; what is left of it waits until it is due by our clock.

Test: /sched/round-begun-early, seen to fail before the change.

--- a/src/coordination/sched_int.h
+++ b/src/coordination/sched_int.h
@@ -6,6 +6,9 @@
 
 struct sched_task *sched_find_task(struct sched *s,
 				   const struct sched_ref *ref);
+struct sched_task *sched_reported_task(struct sched *s,
+				       const struct sched_ref *ref,
+				       int64_t now_ms, int64_t wall_ms);
 void sched_ref_of(const struct sched_run *run, struct sched_ref *ref);
 
 /* The job has news for the store. */
--- a/src/coordination/sched_job.c
+++ b/src/coordination/sched_job.c
@@ -122,6 +122,28 @@
 	}
 }
 
+/*
+ * The task of a report by a worker. A former owner whose clock was ahead of
+ * ours may have begun a round that we have not made yet.
+ */
+struct sched_task *sched_reported_task(struct sched *s,
+				       const struct sched_ref *ref,
+				       int64_t now_ms, int64_t wall_ms)
+{
+	struct sched_job *job = g_hash_table_lookup(s->jobs, ref->job);
+
+	while (job && !sched_job_over(job) && job->next_round <= ref->round &&
+	       ref->round < job->spec->rounds &&
+	       job->next_round - job->rounds_done < ROUNDS_OPEN_MAX) {
+		int64_t due = job->spec->first_due_ms +
+			      job->next_round * job->spec->interval_ms;
+
+		new_round(s, job, job->next_round++, now_ms - (wall_ms - due));
+		sched_touch(s, job);
+	}
+	return sched_find_task(s, ref);
+}
+
 static void unlist_round(struct sched *s, struct sched_round *round)
 {
 	int32_t n = round->job->spec->n_steps;
--- a/src/coordination/sched_place.c
+++ b/src/coordination/sched_place.c
@@ -347,6 +347,9 @@
 
 		if (hold_inherited && job->inherited)
 			continue;
+		/* Made before its time; see sched_reported_task. */
+		if (job->spec->rounds && step->round->due_ms > now_ms)
+			continue;
 		if (s->trust != SCHED_SURE &&
 		    job->version >= s->start_before_version)
 			continue;
--- a/src/coordination/sched_run.c
+++ b/src/coordination/sched_run.c
@@ -197,7 +197,7 @@
 static void take_end(struct sched *s, struct sched_worker *w,
 		     const struct sched_end *e, int64_t now_ms, int64_t wall_ms)
 {
-	struct sched_task *t = sched_find_task(s, &e->ref);
+	struct sched_task *t = sched_reported_task(s, &e->ref, now_ms, wall_ms);
 	struct sched_run *run = find_run(t, w, e->ref.run);
 	static const char *const names[] = { "done",   "failed", "stopped",
 					     "lapsed", "broken", "alone" };
@@ -276,9 +276,10 @@
 }
 
 static void take_active(struct sched *s, struct sched_worker *w,
-			const struct sched_active *a, int64_t now_ms)
+			const struct sched_active *a, int64_t now_ms,
+			int64_t wall_ms)
 {
-	struct sched_task *t = sched_find_task(s, &a->ref);
+	struct sched_task *t = sched_reported_task(s, &a->ref, now_ms, wall_ms);
 	struct sched_run *run = find_run(t, w, a->ref.run);
 
 	if (!run)
@@ -375,7 +376,7 @@
 		take_end(s, w, &look->ends[i], now_ms, wall_ms);
 	}
 	for (int32_t i = 0; i < look->n_active; i++)
-		take_active(s, w, &look->active[i], now_ms);
+		take_active(s, w, &look->active[i], now_ms, wall_ms);
 	settle(s, w, look);
 	if (look->fence == w->fence && !w->known) {
 		w->known = true;
--- a/tests/unit_sched.c
+++ b/tests/unit_sched.c
@@ -449,8 +449,38 @@
 	paper_close(&p);
 }
 
+/*
+ * Pattern: the time of day jumps ahead on the owner, which begins a round, and
+ * is succeeded (dhl-pettycash with scheduled jobs: TWICE 27). What it began
+ * counts, and the rest of the round waits for its time.
+ */
+static void test_round_begun_early(void)
+{
+	struct paper p;
+	struct jobspec *spec = paper_spec_of("a", "short", 1, 2);
+	struct sched_end e = { .seq = 1,
+			       .ref = { "a", 0, 0, 0, 1 },
+			       .how = SCHED_DONE };
+
+	paper_open(&p, 2, NULL);
+	spec->rounds = 3;
+	spec->first_due_ms = 1002000; /* two seconds from now */
+	spec->interval_ms = 60000;
+	sched_job_add(&p.s, spec, NULL, 5, true, 0, 1000000);
+	paper_add_worker(&p, "w", "r");
+	paper_look_at(&p, "w", NULL, 0, &e, 1, 10);
+	sched_place(&p.s, 20);
+	g_assert_cmpuint(p.starts->len, ==, 0);
+	sched_tick(&p.s, 2010, 1002010);
+	sched_place(&p.s, 2020);
+	g_assert_cmpuint(p.starts->len, ==, 1);
+	g_assert_cmpint(paper_start_at(&p, 0)->ref.index, ==, 1);
+	paper_close(&p);
+}
+
 void unit_add_sched(void)
 {
+	g_test_add_func("/sched/round-begun-early", test_round_begun_early);
 	g_test_add_func("/sched/roster-knows-unlisted",
 			test_roster_knows_unlisted);
 	g_test_add_func("/sched/roster-comes-first", test_roster_comes_first);
