--- a/tests/unit_pace.c
+++ b/tests/unit_pace.c
@@ -164,6 +164,20 @@
 	interfere_finish(&to);
 }
 
+/* The second image of the test takes `slack` from the first with each `share`
+ * of the processors, seen many times. */
+static void teach_pair(struct paper *p, double share, double slack)
+{
+	for (int i = 0; i < 50; i++) {
+		bool ends = i % 2;
+		struct interfere_load load = { 2, ends ? -share : share };
+		struct interfere_change c = { ends ? slack : -slack, 0.4, &load,
+					      1 };
+
+		interfere_observe(&p->s.interfere, 1, &c);
+	}
+}
+
 /* A serving task that asked for 6 of 8 processors, and `n` fillers. */
 static void serving_and_fillers(struct paper *p, int32_t n, int64_t milli)
 {
@@ -201,12 +215,7 @@
 	a.gauge = 66;
 	paper_look_at(&p, "w", &a, 1, NULL, 0, 400);
 	/* What the pair does to each other is known to be little. */
-	for (int i = 0; i < 50; i++) {
-		struct interfere_load load = { 2, i % 2 ? -0.2 : 0.2 };
-		struct interfere_change c = { 0, 0.4, &load, 1 };
-
-		interfere_observe(&p.s.interfere, 1, &c);
-	}
+	teach_pair(&p, 0.2, 0);
 	sched_place(&p.s, 410);
 	g_assert_cmpuint(p.starts->len, ==, 2);
 	paper_close(&p);
@@ -259,13 +268,7 @@
 	a = paper_active_of(paper_start_at(&p, 0), 100);
 	a.gauge = 25;
 	paper_look_at(&p, "w", &a, 1, NULL, 0, 400);
-	for (int i = 0; i < 50; i++) {
-		struct interfere_load load = { 2, i % 2 ? -0.1 : 0.1 };
-		struct interfere_change c = { i % 2 ? 1.0 : -1.0, 0.4, &load,
-					      1 };
-
-		interfere_observe(&p.s.interfere, 1, &c);
-	}
+	teach_pair(&p, 0.1, 1.0);
 	/* Of four times the target's slack it would take one. */
 	sched_place(&p.s, 410);
 	g_assert_cmpuint(p.starts->len, ==, 1);
@@ -318,12 +321,7 @@
 	sched_place(&p.s, 1500);
 	g_assert_cmpuint(p.starts->len, ==, 4);
 	/* Known to be harmless, it goes wherever there is room. */
-	for (int i = 0; i < 50; i++) {
-		struct interfere_load load = { 2, i % 2 ? -0.2 : 0.2 };
-		struct interfere_change c = { 0, 0.4, &load, 1 };
-
-		interfere_observe(&p.s.interfere, 1, &c);
-	}
+	teach_pair(&p, 0.2, 0);
 	sched_place(&p.s, 1510);
 	g_assert_cmpuint(p.starts->len, ==, 6);
 	paper_close(&p);
