Count runs that are not ours as taking room at unguarded workers

A run that an owner finds and doesn't want is stopped and takes room until it has ended, up to 0.9 s; it was not counted.

A worker that lists runs that are not ours gets no work before they are gone, in pools whose workers don't guard their room.

Test: /sched/strangers-take-room, seen to fail before the change.

--- a/src/coordination/sched.h
+++ b/src/coordination/sched.h
@@ -208,6 +208,7 @@
 	int64_t quarantine_until_ms;
 	int64_t quarantine_ms;
 	struct place_size used; /* by all that may run there */
+	int32_t strangers; /* runs listed last that are not ours to keep */
 	int32_t best_effort; /* tasks of that kind, ... */
 	int64_t best_effort_milli; /* ... and what their paces let them take */
 	int32_t serving; /* tasks with a response-time target, ... */
--- a/src/coordination/sched_place.c
+++ b/src/coordination/sched_place.c
@@ -55,6 +55,15 @@
 	return k && now_ms < k->valid_until_ms && k->born_ms == w->row.born_ms;
 }
 
+/* What is being stopped takes room until it has ended; of runs that we don't
+ * know, nobody knows how much. Workers that guard their room refuse then. */
+static bool may_overfill(const struct sched *s, const struct sched_worker *w)
+{
+	const struct catalog_pool *p = catalog_pool(s->catalog, w->row.pool);
+
+	return w->strangers && p && !p->guards_capacity;
+}
+
 bool sched_may_use(const struct sched *s, const struct sched_step *step,
 		   const struct catalog_queue *q, const struct sched_worker *w,
 		   int64_t now_ms)
@@ -64,7 +73,7 @@
 	if (!w->listed || !w->known || w->unreachable || w->row.draining ||
 	    w->emptied || !w->recorded)
 		return false;
-	if (strcmp(w->row.pool, q->pool))
+	if (strcmp(w->row.pool, q->pool) || may_overfill(s, w))
 		return false;
 	if (now_ms < w->quarantine_until_ms || now_ms < w->full_until_ms)
 		return false;
--- a/src/coordination/sched_run.c
+++ b/src/coordination/sched_run.c
@@ -275,7 +275,8 @@
 	return run;
 }
 
-static void take_active(struct sched *s, struct sched_worker *w,
+/* False if it is no run of ours. */
+static bool take_active(struct sched *s, struct sched_worker *w,
 			const struct sched_active *a, int64_t now_ms,
 			int64_t wall_ms)
 {
@@ -285,7 +286,7 @@
 	if (!run)
 		run = adopt(s, w, a, t, now_ms);
 	if (!run)
-		return;
+		return false;
 	/* Only looks sent from now on have to list it. */
 	if (run->state != SCHED_RUN_ACTIVE)
 		run->started_ms = now_ms;
@@ -298,6 +299,7 @@
 	run->gauge = a->gauge;
 	mark_started(s, t->step->round->job);
 	keep_checkpoint(t, a->checkpoint);
+	return true;
 }
 
 static bool listed(const struct sched_look *look, const struct sched_run *run)
@@ -375,8 +377,10 @@
 		w->seen_seq = look->ends[i].seq;
 		take_end(s, w, &look->ends[i], now_ms, wall_ms);
 	}
+	w->strangers = 0;
 	for (int32_t i = 0; i < look->n_active; i++)
-		take_active(s, w, &look->active[i], now_ms, wall_ms);
+		w->strangers +=
+			!take_active(s, w, &look->active[i], now_ms, wall_ms);
 	settle(s, w, look);
 	if (look->fence == w->fence && !w->known) {
 		w->known = true;
--- a/tests/unit_sched.c
+++ b/tests/unit_sched.c
@@ -478,8 +478,33 @@
 	paper_close(&p);
 }
 
+/*
+ * Pattern: workers that start whatever they are told, and an owner that finds
+ * runs there that it doesn't want (dhl-pettycash with unguarded workers:
+ * LIMIT). They take room until they have ended.
+ */
+static void test_strangers_take_room(void)
+{
+	struct paper p;
+	struct sched_active stranger = { .ref = { "gone", 0, 0, 0, 1 },
+					 .percent = 50 };
+
+	paper_open(&p, 2, NULL);
+	paper_add_worker(&p, "w", "r");
+	paper_look_at(&p, "w", &stranger, 1, NULL, 0, 10);
+	g_assert_cmpuint(p.stops->len, ==, 1);
+	paper_add_job(&p, paper_spec_of("a", "short", 1, 1));
+	sched_place(&p.s, 20);
+	g_assert_cmpuint(p.starts->len, ==, 0);
+	paper_look_at(&p, "w", NULL, 0, NULL, 0, 200);
+	sched_place(&p.s, 210);
+	g_assert_cmpuint(p.starts->len, ==, 1);
+	paper_close(&p);
+}
+
 void unit_add_sched(void)
 {
+	g_test_add_func("/sched/strangers-take-room", test_strangers_take_room);
 	g_test_add_func("/sched/round-begun-early", test_round_begun_early);
 	g_test_add_func("/sched/roster-knows-unlisted",
 			test_roster_knows_unlisted);
