Keep workers that leave and run nothing off the roster

Five workers had left; the owner was frozen before it saw them gone, so that the roster still had them though nothing ran there since 18.3. The successor (25.67) could not reach them and held all old work back until 35, when newer work had taken the room of the lasting tasks.

A draining worker with no runs and nothing unacknowledged is taken off the roster, and nothing starts there unless it is on it again.

Test: /sched/roster-without-idle-leavers (written with the change).

--- a/src/coordination/sched.c
+++ b/src/coordination/sched.c
@@ -108,6 +108,7 @@
 		w->index = s->worker_list->len;
 		w->row = *row;
 		w->last_answer_ms = now_ms;
+		w->on_roster = true;
 		g_queue_init(&w->runs);
 		g_ptr_array_add(s->worker_list, w);
 		g_hash_table_insert(s->workers, w->row.id, w);
@@ -245,6 +246,7 @@
 		return;
 	}
 	sched_leave(s, w, now_ms);
+	sched_roster_check(s, w);
 	repeat_stops(s, w, now_ms);
 }
 
--- a/src/coordination/sched.h
+++ b/src/coordination/sched.h
@@ -192,6 +192,7 @@
 	bool unreachable;
 	bool recorded; /* the store's roster has it, so that work may start */
 	bool recording; /* it is in the commit under way */
+	bool on_roster; /* it belongs there, since work may run there */
 	bool emptied; /* its VM is to be taken down: no new work */
 	int64_t fence; /* token that orders to it carry */
 	int64_t clock_ms; /* its clock at the last answer, ... */
--- a/src/coordination/sched_int.h
+++ b/src/coordination/sched_int.h
@@ -69,6 +69,8 @@
 				  struct sched_worker **list, int32_t n,
 				  const struct sched_step *step);
 
+/* A worker that leaves and runs nothing would only make a successor wait. */
+void sched_roster_check(struct sched *s, struct sched_worker *w);
 /* The worker came, went or moved. */
 void sched_roster_changed(struct sched *s, const struct sched_worker *w);
 /* Part of the worker's processors. */
--- a/src/coordination/sched_roster.c
+++ b/src/coordination/sched_roster.c
@@ -11,6 +11,24 @@
 	return (int32_t)(g_str_hash(id) % SCHED_ROSTER_ROWS);
 }
 
+/* Nothing will start there, and nothing runs there. */
+static bool is_idle_leaver(const struct sched_worker *w)
+{
+	return w->row.draining && w->known && !w->runs.length &&
+	       w->seen_seq == w->durable_seq;
+}
+
+void sched_roster_check(struct sched *s, struct sched_worker *w)
+{
+	bool wanted = !is_idle_leaver(w);
+
+	if (wanted == w->on_roster)
+		return;
+	w->on_roster = wanted;
+	w->recorded = false;
+	sched_roster_changed(s, w);
+}
+
 void sched_roster_changed(struct sched *s, const struct sched_worker *w)
 {
 	s->roster_dirty |= 1u << bucket_of(w->row.id);
@@ -24,7 +42,7 @@
 	for (guint i = 0; i < s->worker_list->len; i++) {
 		struct sched_worker *w = g_ptr_array_index(s->worker_list, i);
 
-		if (bucket_of(w->row.id) != row)
+		if (bucket_of(w->row.id) != row || is_idle_leaver(w))
 			continue;
 		w->recording = true;
 		json_array_append_new(
@@ -68,6 +86,7 @@
 		w = g_hash_table_lookup(s->workers, id);
 		/* Only the list of workers lists it. */
 		w->listed = false;
+		w->on_roster = true;
 		w->recorded = true;
 	}
 }
--- a/tests/unit_sched.c
+++ b/tests/unit_sched.c
@@ -502,8 +502,50 @@
 	paper_close(&p);
 }
 
+/*
+ * Pattern: workers leave, and the owner is frozen before it sees them gone
+ * (dhl-pettycash, lost-answers-and-kill, seed 1081996117693: LOST 8). One that
+ * leaves and runs nothing is off the roster, or a successor would wait for its
+ * lease; it is back on it before anything starts there again.
+ */
+static void test_roster_without_idle_leavers(void)
+{
+	struct paper p;
+	struct sched_worker_row row;
+
+	paper_open(&p, 1, NULL);
+	paper_add_worker(&p, "w", "r");
+	paper_look_at(&p, "w", NULL, 0, NULL, 0, 10);
+	sched_tick(&p.s, 20, 0);
+	g_assert_cmpuint(p.s.roster_dirty, ==, 0);
+	row = paper_worker(&p, "w")->row;
+	row.draining = true;
+	sched_worker_seen(&p.s, &row, 30);
+	sched_tick(&p.s, 40, 0);
+	g_assert_cmpuint(p.s.roster_dirty, !=, 0);
+	for (int32_t i = 0; i < SCHED_ROSTER_ROWS; i++) {
+		json_t *list = sched_roster_row(&p.s, i);
+
+		g_assert_cmpuint(json_array_size(list), ==, 0);
+		json_decref(list);
+	}
+	sched_roster_stored(&p.s);
+	row.draining = false;
+	sched_worker_seen(&p.s, &row, 50);
+	paper_add_job(&p, paper_spec_of("a", "short", 1, 1));
+	sched_place(&p.s, 60);
+	g_assert_cmpuint(p.starts->len, ==, 0);
+	sched_tick(&p.s, 70, 0);
+	paper_store_roster(&p);
+	sched_place(&p.s, 80);
+	g_assert_cmpuint(p.starts->len, ==, 1);
+	paper_close(&p);
+}
+
 void unit_add_sched(void)
 {
+	g_test_add_func("/sched/roster-without-idle-leavers",
+			test_roster_without_idle_leavers);
 	g_test_add_func("/sched/strangers-take-room", test_strangers_take_room);
 	g_test_add_func("/sched/round-begun-early", test_round_begun_early);
 	g_test_add_func("/sched/roster-knows-unlisted",
