--- a/tests/fleet_tests.c
+++ b/tests/fleet_tests.c
@@ -237,8 +237,10 @@
 
 static struct seen read_seen(const struct site *s)
 {
-	GHashTable *running = g_hash_table_new(g_str_hash, g_str_equal);
-	GHashTable *over = g_hash_table_new(g_str_hash, g_str_equal);
+	GHashTable *running =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	GHashTable *over =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	struct seen out = { 0 };
 	long long last_upkeep = 0;
 	char path[128];
