--- a/tests/unit.h
+++ b/tests/unit.h
@@ -10,6 +10,7 @@
 void unit_add_policy(void);
 void unit_add_pace(void);
 void unit_add_sched(void);
+void unit_add_handover(void);
 void unit_add_state(void);
 void unit_add_upkeep(void);
 
