Hand on what a former owner knew of silent workers; wait for leases as granted

Change: (1) the owner's row says the longest lease that owners grant, and for how long owners before may still renew; a planned stop, or a process that has ended, leaves no renewal behind. (2) The last commit of a planned stop tells the successor of each worker that was not heard how long its leases may hold and what may run there; so the wait goes on instead of beginning anew, and only those tasks wait. (3) A lease that goes out is reckoned from the least that the worker's clock may show, so that none is longer than successors assume (an idle worker's could be, by 2 % of its idle time).

Why it works: nobody renews after the release, so what is left of a lease at that commit only shrinks. Ruled out: handing on times of the store's clock (its answers may be late by seconds); shorter leases in doubt (tasks would not outlive a store that is away for ten seconds).

--- a/src/base/log.h
+++ b/src/base/log.h
@@ -28,6 +28,7 @@
 	X(LOG_SHARD_LOST, 3002, 4, "shard lost")                               \
 	X(LOG_SHARD_FAILED, 3003, 3, "shard could not be recovered")           \
 	X(LOG_SNAPSHOT, 3004, 6, "shard snapshot written")                     \
+	X(LOG_SHARD_HANDED, 3005, 5, "shard handed over")                      \
 	X(LOG_WORKER_LOST, 3101, 4, "worker silent past its lease")            \
 	X(LOG_WORKER_QUARANTINED, 3102, 4, "worker quarantined")               \
 	X(LOG_TASK_EVICTED, 3201, 6, "task evicted")                           \
--- a/src/coordination/sched.c
+++ b/src/coordination/sched.c
@@ -24,6 +24,10 @@
 	s->lim = *lim;
 	s->epoch = epoch;
 	s->taken_over_ms = now_ms;
+	s->former = (struct sched_former){
+		.renews_until_ms = now_ms + lim->doubt_max_ms,
+		.lease_ms = lim->lease_ms,
+	};
 	s->start_before_version = INT64_MAX;
 	s->order = &sched_order_value;
 	s->mean_work =
@@ -80,6 +84,7 @@
 {
 	sched_worker_lapsed(s, w, now_ms, "worker started anew");
 	w->known = false;
+	w->runs_known = false;
 	w->seen_seq = 0;
 	w->durable_seq = 0;
 	w->commit_seq = 0;
@@ -108,6 +113,7 @@
 		w->index = s->worker_list->len;
 		w->row = *row;
 		w->last_answer_ms = now_ms;
+		w->former_lapse_ms = sched_former_lapse_ms(s);
 		w->on_roster = true;
 		g_queue_init(&w->runs);
 		g_ptr_array_add(s->worker_list, w);
@@ -152,26 +158,22 @@
 	s->ops->look(s->priv, w);
 }
 
-int64_t sched_former_lapse_ms(const struct sched *s)
+int64_t sched_lease_lasts_ms(int64_t lease_ms)
 {
-	return s->taken_over_ms + s->lim.doubt_max_ms +
-	       s->lim.lease_max_ms * 1000 / (1000 - CLOCK_SLOW_MILLI) +
-	       LAPSE_SLACK_MS;
+	return lease_ms * 1000 / (1000 - CLOCK_SLOW_MILLI) + LAPSE_SLACK_MS;
 }
 
-int64_t sched_lapse_ms(const struct sched *s, const struct sched_worker *w)
+int64_t sched_lapse_ms(const struct sched_worker *w)
 {
-	int64_t former = sched_former_lapse_ms(s);
 	int64_t ours = 0;
 
 	if (w->lease_end_clock_ms)
 		ours = w->clock_seen_ms +
-		       (w->lease_end_clock_ms - w->clock_ms) * 1000 /
-			       (1000 - CLOCK_SLOW_MILLI) +
-		       LAPSE_SLACK_MS;
-	if (w->known)
+		       sched_lease_lasts_ms(w->lease_end_clock_ms -
+					    w->clock_ms);
+	if (w->known || ours > w->former_lapse_ms)
 		return ours;
-	return ours > former ? ours : former;
+	return w->former_lapse_ms;
 }
 
 int64_t sched_lease_end(struct sched *s, struct sched_worker *w, int64_t now_ms)
@@ -182,7 +184,10 @@
 	 */
 	if (!w->clock_seen_ms || w->unreachable || s->trust == SCHED_GIVEN_UP)
 		return 0;
-	end = w->clock_ms + (now_ms - w->clock_seen_ms) + s->lim.lease_ms;
+	/* Its clock at the least: no lease is longer than successors reckon. */
+	end = w->clock_ms +
+	      (now_ms - w->clock_seen_ms) * (1000 - CLOCK_SLOW_MILLI) / 1000 +
+	      s->lim.lease_ms;
 	if (end > w->lease_end_clock_ms)
 		w->lease_end_clock_ms = end;
 	return end;
@@ -232,7 +237,7 @@
 
 static void tick_worker(struct sched *s, struct sched_worker *w, int64_t now_ms)
 {
-	bool lapsed = now_ms >= sched_lapse_ms(s, w) && s->trust == SCHED_SURE;
+	bool lapsed = now_ms >= sched_lapse_ms(w) && s->trust == SCHED_SURE;
 
 	if (w->unreachable && lapsed) {
 		sched_worker_lapsed(s, w, now_ms, "lease ran out");
--- a/src/coordination/sched.h
+++ b/src/coordination/sched.h
@@ -190,6 +190,8 @@
 	bool listed;
 	bool known; /* looked at under our fence in this life */
 	bool unreachable;
+	bool runs_known; /* `runs` has all that former owners left there */
+	int64_t former_lapse_ms; /* their leases there have ended by then */
 	bool recorded; /* the store's roster has it, so that work may start */
 	bool recording; /* it is in the commit under way */
 	bool on_roster; /* it belongs there, since work may run there */
@@ -249,8 +251,8 @@
 struct sched_limits {
 	int64_t lease_ms; /* what workers are granted with each contact */
 	int64_t lease_max_ms; /* no worker grants more */
-	int64_t doubt_max_ms; /* a former owner renews leases this long after
-				 its successor's claim */
+	int64_t doubt_max_ms; /* an owner renews leases this long after others
+				 may claim its shard */
 	int64_t stop_ms; /* a stop takes at most this long */
 	int64_t away_factor_milli; /* run time away from its data, times this */
 	int64_t impact_ms; /* interference longer than this does harm */
@@ -262,6 +264,12 @@
 	int64_t jobs_done, jobs_failed, jobs_cancelled;
 };
 
+/* What can be said of the owners before us. */
+struct sched_former {
+	int64_t renews_until_ms; /* none of them renews a lease later */
+	int64_t lease_ms; /* the longest that they granted */
+};
+
 /* How sure we are that the shard is still ours. */
 enum sched_trust {
 	SCHED_SURE,
@@ -299,6 +307,7 @@
 	GQueue touched; /* jobs to be written */
 	int64_t epoch;
 	int64_t taken_over_ms;
+	struct sched_former former;
 	guint move_from; /* worker at which the next search for moves begins */
 	int64_t placing_ms; /* when the last pass of placement began */
 	enum sched_trust trust;
@@ -314,6 +323,10 @@
 		const struct sched_limits *lim, int64_t epoch, int64_t now_ms);
 void sched_finish(struct sched *s);
 
+/* Right after sched_init; without it, leases are as long as ours, and former
+ * owners renew them until they know of us. */
+void sched_take_over(struct sched *s, const struct sched_former *former);
+
 /* Both are borrowed until the next call. */
 void sched_configure(struct sched *s, const struct catalog *catalog,
 		     GHashTable *domains_out);
@@ -358,6 +371,21 @@
 /* A former owner's row; rows that make no sense are left out. */
 void sched_roster_restore(struct sched *s, const json_t *list, int64_t now_ms);
 
+/*
+ * For the successor, once no order goes out any more: the workers that were
+ * not heard, how long their leases may hold, and `with_runs` what may run
+ * there. The caller owns the reference.
+ */
+json_t *sched_hand_over(const struct sched *s, bool with_runs, int64_t now_ms);
+/* The same from what we were handed, `waited_ms` after we took over. */
+json_t *sched_hand_on(const json_t *handed, int64_t waited_ms);
+/*
+ * What the former owner handed over, after the roster and all jobs; entries
+ * that make no sense are left out. Returns the number of workers.
+ */
+int32_t sched_take_handed(struct sched *s, const json_t *handed, int64_t now_ms,
+			  int64_t wall_ms);
+
 /* Takes work off the VM as far as its tasks can spare it, and gives it none. */
 void sched_vm_empty(struct sched *s, const char *vm, bool on);
 /* Can all that runs on the VM be ended? `late`: also what is then lost. */
--- /dev/null
+++ b/src/coordination/sched_former.c
@@ -0,0 +1,154 @@
+/*
+ * What former owners left behind: leases that may still hold, and workers that
+ * they had not heard, with what may run there.
+ */
+#include <stdio.h>
+#include <string.h>
+
+#include "coordination/sched_int.h"
+
+void sched_take_over(struct sched *s, const struct sched_former *former)
+{
+	s->former = *former;
+}
+
+int64_t sched_former_lapse_ms(const struct sched *s)
+{
+	return s->former.renews_until_ms +
+	       sched_lease_lasts_ms(s->former.lease_ms);
+}
+
+static json_t *runs_of(const struct sched_worker *w)
+{
+	json_t *list = json_array();
+
+	for (const GList *i = w->runs.head; i; i = i->next) {
+		struct sched_ref ref;
+
+		sched_ref_of(i->data, &ref);
+		json_array_append_new(list,
+				      json_pack("[s,I,i,i,i]", ref.job,
+						(json_int_t)ref.round, ref.step,
+						ref.index, ref.run));
+	}
+	return list;
+}
+
+json_t *sched_hand_over(const struct sched *s, bool with_runs, int64_t now_ms)
+{
+	json_t *list = json_array();
+
+	for (guint i = 0; i < s->worker_list->len; i++) {
+		const struct sched_worker *w =
+			g_ptr_array_index(s->worker_list, i);
+		int64_t left_ms = sched_lapse_ms(w) - now_ms;
+		bool runs_known = with_runs && (w->known || w->runs_known);
+
+		if (w->known && !w->unreachable)
+			continue;
+		json_array_append_new(
+			list, json_pack("[s,I,o]", w->row.id,
+					(json_int_t)(left_ms > 0 ? left_ms : 0),
+					runs_known ? runs_of(w) : json_null()));
+	}
+	return list;
+}
+
+static bool unpack_ref(const json_t *j, struct sched_ref *ref)
+{
+	const char *job = json_string_value(json_array_get(j, 0));
+
+	memset(ref, 0, sizeof(*ref));
+	if (!job || strlen(job) >= sizeof(ref->job))
+		return false;
+	g_strlcpy(ref->job, job, sizeof(ref->job));
+	ref->round = json_integer_value(json_array_get(j, 1));
+	ref->step = (int32_t)json_integer_value(json_array_get(j, 2));
+	ref->index = (int32_t)json_integer_value(json_array_get(j, 3));
+	ref->run = (int32_t)json_integer_value(json_array_get(j, 4));
+	return true;
+}
+
+/* The run may be there; a look under our token that lacks it frees it. */
+static void restore_run(struct sched *s, struct sched_worker *w,
+			const struct sched_ref *ref, int64_t now_ms,
+			int64_t wall_ms)
+{
+	struct sched_task *t = sched_reported_task(s, ref, now_ms, wall_ms);
+	struct sched_run *run;
+
+	if (!t || t->done || sched_job_over(t->step->round->job))
+		return;
+	run = sched_run_new(s, t, w, ref->run, now_ms);
+	run->state = SCHED_RUN_UNSURE;
+	run->fence = 0;
+	run->pace_unsure = true;
+	if (t->step->gang_run < ref->run)
+		t->step->gang_run = ref->run;
+}
+
+static void restore_worker(struct sched *s, const json_t *entry, int64_t now_ms,
+			   int64_t wall_ms)
+{
+	const char *id = json_string_value(json_array_get(entry, 0));
+	const json_t *left = json_array_get(entry, 1);
+	const json_t *runs = json_array_get(entry, 2);
+	struct sched_worker *w =
+		id ? g_hash_table_lookup(s->workers, id) : NULL;
+	const json_t *j;
+	size_t i;
+
+	if (!w || w->known || !json_is_integer(left))
+		return;
+	w->former_lapse_ms = s->taken_over_ms + json_integer_value(left);
+	w->unreachable = true;
+	w->runs_known = json_is_array(runs);
+	json_array_foreach(runs, i, j)
+	{
+		struct sched_ref ref;
+
+		if (unpack_ref(j, &ref))
+			restore_run(s, w, &ref, now_ms, wall_ms);
+		else
+			w->runs_known = false;
+	}
+}
+
+int32_t sched_take_handed(struct sched *s, const json_t *handed, int64_t now_ms,
+			  int64_t wall_ms)
+{
+	const json_t *entry;
+	size_t i;
+
+	json_array_foreach(handed, i, entry)
+		restore_worker(s, entry, now_ms, wall_ms);
+	return (int32_t)json_array_size(handed);
+}
+
+json_t *sched_hand_on(const json_t *handed, int64_t waited_ms)
+{
+	json_t *list = handed ? json_deep_copy(handed) : json_array();
+	json_t *entry;
+	size_t i;
+
+	json_array_foreach(list, i, entry)
+	{
+		int64_t left = json_integer_value(json_array_get(entry, 1));
+
+		left = left > waited_ms ? left - waited_ms : 0;
+		json_array_set_new(entry, 1, json_integer(left));
+	}
+	return list;
+}
+
+bool sched_is_blind(const struct sched *s, int64_t now_ms)
+{
+	for (guint i = 0; i < s->worker_list->len; i++) {
+		const struct sched_worker *w =
+			g_ptr_array_index(s->worker_list, i);
+
+		if (!w->known && !w->runs_known && now_ms < w->former_lapse_ms)
+			return true;
+	}
+	return false;
+}
--- a/src/coordination/sched_int.h
+++ b/src/coordination/sched_int.h
@@ -43,9 +43,13 @@
 void sched_worker_lapsed(struct sched *s, struct sched_worker *w,
 			 int64_t now_ms, const char *why);
 /* When every lease that the worker may hold has surely ended. */
-int64_t sched_lapse_ms(const struct sched *s, const struct sched_worker *w);
+int64_t sched_lapse_ms(const struct sched_worker *w);
+/* A lease lasts at most this long by our clock, delays included. */
+int64_t sched_lease_lasts_ms(int64_t lease_ms);
 /* When every lease that a former owner gave has surely ended. */
 int64_t sched_former_lapse_ms(const struct sched *s);
+/* Some worker may run tasks of a former owner that we know nothing of. */
+bool sched_is_blind(const struct sched *s, int64_t now_ms);
 /* Orders sent so far are refused by the worker from its next look on. */
 void sched_raise_fence(struct sched *s, struct sched_worker *w);
 
--- a/src/coordination/sched_place.c
+++ b/src/coordination/sched_place.c
@@ -13,21 +13,6 @@
  * that a stop takes: the freed room shows with the next look. */
 #define EVICT_PAUSE_MS 300
 
-/* Some worker may run tasks of a former owner that we haven't seen. */
-static bool blind(const struct sched *s, int64_t now_ms)
-{
-	if (now_ms >= sched_former_lapse_ms(s))
-		return false;
-	for (guint i = 0; i < s->worker_list->len; i++) {
-		const struct sched_worker *w =
-			g_ptr_array_index(s->worker_list, i);
-
-		if (!w->known)
-			return true;
-	}
-	return false;
-}
-
 bool sched_task_waits(const struct sched *s, const struct sched_task *t,
 		      int64_t now_ms)
 {
@@ -337,7 +322,7 @@
 
 void sched_place(struct sched *s, int64_t now_ms)
 {
-	bool hold_inherited = blind(s, now_ms);
+	bool hold_inherited = sched_is_blind(s, now_ms);
 	struct sched_worker **list;
 	struct sched_rank *ranks;
 	int32_t n = 0;
--- a/src/coordination/sched_run.c
+++ b/src/coordination/sched_run.c
@@ -387,7 +387,7 @@
 		/* A former owner may have granted this much just before. */
 		if (s->epoch > 1)
 			w->lease_end_clock_ms =
-				look->clock_ms + s->lim.lease_max_ms;
+				look->clock_ms + s->former.lease_ms;
 	}
 	sched_pace(s, w, now_ms);
 }
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -59,6 +59,8 @@
 	if (s->sched.lease_ms > s->sched.lease_max_ms)
 		s->sched.lease_ms = s->sched.lease_max_ms;
 	s->sched.doubt_max_ms = DOUBT_MAX_MS;
+	s->owner.doubt_ms = DOUBT_MAX_MS;
+	s->owner.lease_ms = s->sched.lease_ms;
 	s->keep_ended_ms += KEEP_MARGIN_MS;
 	s->order_pause_ms += ORDER_MARGIN_MS;
 }
--- a/src/fleet/lead.c
+++ b/src/fleet/lead.c
@@ -264,13 +264,28 @@
 	lead_clean(l, now);
 }
 
+static void take_over(struct lead *l, const struct owner_row *former)
+{
+	const struct fleet_settings *set = &l->f->set;
+	struct sched_former of = {
+		.renews_until_ms = owner_former_until_ms(l->owner),
+		/* Only an owner of an older version doesn't say it. */
+		.lease_ms = former->lease_ms ? former->lease_ms
+					     : set->sched.lease_max_ms,
+	};
+
+	sched_take_over(&l->sched, &of);
+	l->handed = NULL;
+	if (former->released && former->handed)
+		l->handed = json_loads(former->handed, 0, NULL);
+}
+
 static void on_gained(const struct owner_row *former, int64_t version,
 		      void *priv)
 {
 	struct lead *l = priv;
 	struct fleet *f = l->f;
 
-	(void)former;
 	l->leading = true;
 	l->loaded = false;
 	l->workers_synced = false;
@@ -289,6 +304,7 @@
 	l->dropped = g_ptr_array_new();
 	sched_init(&l->sched, &sched_ops, l, &f->set.sched,
 		   owner_epoch(l->owner), mono(l));
+	take_over(l, former);
 	sched_configure(&l->sched, f->catalog, f->domains_out);
 	l->links = links_start(l->term, &l->sched, &f->wkr, f->timers, f->clk,
 			       &links_ops, l);
@@ -314,6 +330,7 @@
 	l->links = NULL;
 	l->jobs = NULL;
 	sched_finish(&l->sched);
+	json_decref(l->handed);
 	g_hash_table_destroy(l->progress);
 	g_ptr_array_free(l->texts, TRUE);
 	g_ptr_array_free(l->dropped, TRUE);
@@ -325,6 +342,7 @@
 	.collect = lead_collect,
 	.committed = lead_committed,
 	.fill = lead_fill,
+	.hand_over = lead_hand_over,
 };
 
 struct lead *lead_start(struct fleet *f, int32_t shard)
--- a/src/fleet/lead_commit.c
+++ b/src/fleet/lead_commit.c
@@ -188,6 +188,41 @@
 	json_decref(pending);
 }
 
+/* As text if a row has room for it beside what else it holds. */
+static char *fitting_text(const struct lead *l, void *ctx, json_t *j)
+{
+	char *text = json_dumps(j, JSON_COMPACT);
+	char *copy = NULL;
+
+	if ((int64_t)strlen(text) < l->f->set.row_bytes_max / 2)
+		copy = talloc_strdup(ctx, text);
+	free(text);
+	json_decref(j);
+	return copy;
+}
+
+char *lead_hand_over(void *ctx, void *priv)
+{
+	struct lead *l = priv;
+	int64_t now = clk_mono_ms(l->f->clk);
+	int64_t waited = now - l->sched.taken_over_ms;
+	char *text;
+
+	/* Not loaded, we know no more than what we were handed. */
+	if (!l->opened) {
+		text = fitting_text(l, ctx, sched_hand_on(l->handed, waited));
+	} else {
+		text = fitting_text(l, ctx,
+				    sched_hand_over(&l->sched, true, now));
+		if (!text)
+			text = fitting_text(
+				l, ctx, sched_hand_over(&l->sched, false, now));
+	}
+	log_event(LOG_SHARD_HANDED, "shard=%d epoch=%lld bytes=%zu", l->shard,
+		  (long long)l->sched.epoch, text ? strlen(text) : 0);
+	return text;
+}
+
 static void on_cleaned(const struct rows_answer *ans, void *priv)
 {
 	(void)priv;
--- a/src/fleet/lead_int.h
+++ b/src/fleet/lead_int.h
@@ -18,6 +18,7 @@
 	struct follow *jobs;
 	GHashTable *progress; /* job id to json_t, until the job is loaded */
 	char *progress_next;
+	json_t *handed; /* by the former owner; NULL: nothing */
 	int64_t gained_version;
 	int64_t jobs_version;
 	bool loaded;
@@ -57,6 +58,7 @@
 int32_t lead_collect(struct rows_change *out, int32_t max, void *priv);
 void lead_committed(void *priv);
 void lead_fill(struct owner_row *row, void *priv);
+char *lead_hand_over(void *ctx, void *priv);
 /* Removes the rows of jobs that ended long ago, a part at a time. */
 void lead_clean(struct lead *l, int64_t now_ms);
 
--- a/src/fleet/lead_load.c
+++ b/src/fleet/lead_load.c
@@ -93,16 +93,24 @@
 
 void lead_maybe_open(struct lead *l)
 {
+	int64_t now = clk_mono_ms(l->f->clk);
+	int32_t silent;
+
 	if (l->opened || !l->loaded || !l->workers_synced || !l->f->catalog)
 		return;
 	l->opened = true;
+	silent = sched_take_handed(&l->sched, l->handed, now,
+				   clk_wall_ms(l->f->clk));
 	log_event(LOG_SHARD_LOADED,
-		  "shard=%d epoch=%lld jobs=%u workers=%u "
-		  "after_ms=%lld",
+		  "shard=%d epoch=%lld jobs=%u workers=%u handed_silent=%d "
+		  "former_renews_ms=%lld former_lease_ms=%lld after_ms=%lld",
 		  l->shard, (long long)l->sched.epoch,
 		  g_hash_table_size(l->sched.jobs),
-		  g_hash_table_size(l->sched.workers),
-		  (long long)(clk_mono_ms(l->f->clk) - l->sched.taken_over_ms));
+		  g_hash_table_size(l->sched.workers), silent,
+		  (long long)(l->sched.former.renews_until_ms -
+			      l->sched.taken_over_ms),
+		  (long long)l->sched.former.lease_ms,
+		  (long long)(now - l->sched.taken_over_ms));
 	links_open(l->links);
 	lead_place_soon(l);
 }
--- a/src/state/owner.c
+++ b/src/state/owner.c
@@ -45,6 +45,7 @@
 	int64_t first_sent_ms; /* when the commit under way was first sent */
 	int64_t sent_ms; /* when it was last sent */
 	int64_t confirmed_ms;
+	int64_t former_until_ms; /* no owner before us renews a lease later */
 	int64_t last_commit_ms;
 	bool committing;
 	bool unsure; /* a commit may be done without our knowing */
@@ -60,21 +61,37 @@
 static void send_commit(struct owner *o);
 static void maybe_commit(struct owner *o);
 
+static void row_clear(struct owner_row *row)
+{
+	talloc_free(row->pending);
+	talloc_free(row->handed);
+	memset(row, 0, sizeof(*row));
+}
+
+static char *text_of(struct owner *o, const json_t *j)
+{
+	char *text = json_dumps(j, JSON_COMPACT);
+	char *copy = talloc_strdup(o, text);
+
+	free(text);
+	return copy;
+}
+
 static void row_parse(struct owner *o, const char *text, struct owner_row *out)
 {
 	json_t *j = text ? json_loads(text, 0, NULL) : NULL;
 	const char *vm = json_string_value(json_object_get(j, "vm"));
 	const char *life = json_string_value(json_object_get(j, "life"));
 
-	talloc_free(out->pending);
-	memset(out, 0, sizeof(*out));
-	if (j) {
-		char *p =
-			json_dumps(json_object_get(j, "pending"), JSON_COMPACT);
+	const json_t *pending = json_object_get(j, "pending");
+	const json_t *handed = json_object_get(j, "handed");
 
-		out->pending = talloc_strdup(o, p ? p : "{}");
-		free(p);
-	}
+	row_clear(out);
+	if (j)
+		out->pending =
+			pending ? text_of(o, pending) : talloc_strdup(o, "{}");
+	if (handed)
+		out->handed = text_of(o, handed);
 	snprintf(out->vm, sizeof(out->vm), "%s", vm ? vm : "");
 	snprintf(out->life, sizeof(out->life), "%s", life ? life : "");
 	out->epoch = json_integer_value(json_object_get(j, "epoch"));
@@ -82,6 +99,8 @@
 	out->released = json_is_true(json_object_get(j, "released"));
 	out->strongest_milli =
 		json_integer_value(json_object_get(j, "strongest_milli"));
+	out->lease_ms = json_integer_value(json_object_get(j, "lease_ms"));
+	out->renews_ms = json_integer_value(json_object_get(j, "renews_ms"));
 	json_decref(j);
 }
 
@@ -90,13 +109,19 @@
 	json_t *pending =
 		json_loads(row->pending ? row->pending : "{}", 0, NULL);
 	json_t *j = json_pack(
-		"{s:s,s:s,s:I,s:I,s:b,s:I,s:o}", "vm", row->vm, "life",
+		"{s:s,s:s,s:I,s:I,s:b,s:I,s:I,s:I,s:o}", "vm", row->vm, "life",
 		row->life, "epoch", (json_int_t)row->epoch, "seq",
 		(json_int_t)row->seq, "released", row->released,
-		"strongest_milli", (json_int_t)row->strongest_milli, "pending",
+		"strongest_milli", (json_int_t)row->strongest_milli, "lease_ms",
+		(json_int_t)row->lease_ms, "renews_ms",
+		(json_int_t)row->renews_ms, "pending",
 		pending ? pending : json_object());
-	char *text = json_dumps(j, JSON_COMPACT);
+	char *text;
 
+	if (row->handed)
+		json_object_set_new(j, "handed",
+				    json_loads(row->handed, 0, NULL));
+	text = json_dumps(j, JSON_COMPACT);
 	json_decref(j);
 	return text;
 }
@@ -181,11 +206,11 @@
 			continue;
 		row_parse(o, ans->rows[i].value, &row);
 		if (is_ours(o, &row) && row.seq == seq) {
-			talloc_free(row.pending);
+			row_clear(&row);
 			after_commit(o, ans->rows[i].version, o->first_sent_ms);
 			return;
 		}
-		talloc_free(o->row.pending);
+		row_clear(&o->row);
 		o->row = row;
 		o->version = ans->rows[i].version;
 		step_down(o, "another owner");
@@ -220,8 +245,9 @@
 	o->unsure |= ans->result == ROWS_UNKNOWN;
 	if (o->phase == CLAIMING && !o->unsure) {
 		o->committing = false;
+		row_clear(&o->row);
 		o->row = o->former;
-		o->former.pending = NULL;
+		memset(&o->former, 0, sizeof(o->former));
 		o->phase = WATCHING;
 		poll_soon(o, o->lim.poll_ms);
 		return;
@@ -246,6 +272,9 @@
 	o->committing = true;
 	o->wanted = false;
 	o->last_commit_ms = clk_mono_ms(o->clk);
+	o->row.renews_ms = o->former_until_ms > o->last_commit_ms
+				   ? o->former_until_ms - o->last_commit_ms
+				   : 0;
 	o->row.seq++;
 	free(o->value);
 	o->value = row_text(&o->row);
@@ -269,6 +298,8 @@
 	o->n = n + 1;
 	/* The last commit gives up only once there is no news left. */
 	o->row.released = o->releasing && n < COMMIT_ROWS_MAX - 1;
+	if (o->row.released)
+		o->row.handed = o->ops->hand_over(o, o->priv);
 	begin_commit(o);
 }
 
@@ -294,16 +325,35 @@
 	o->timer = tmr_after(o->timers, due - now, commit_due, o);
 }
 
+/*
+ * An owner that gave up, or whose process has ended, renews no lease; one that
+ * is silent may, for as long as it is in doubt.
+ */
+static int64_t former_until_ms(const struct owner *o, int64_t now_ms)
+{
+	int64_t earlier_ms = now_ms + o->row.renews_ms;
+	int64_t silent_ms = o->changed_ms + o->lim.silence_ms + o->lim.doubt_ms;
+
+	if (!o->version || o->row.released || !strcmp(o->row.vm, o->vm))
+		return earlier_ms;
+	return silent_ms > earlier_ms ? silent_ms : earlier_ms;
+}
+
 static void claim(void *priv)
 {
 	struct owner *o = priv;
+	int64_t now = clk_mono_ms(o->clk);
 
 	o->claim_timer = NULL;
-	if (o->phase != WATCHING || !is_free(o, clk_mono_ms(o->clk)))
+	if (o->phase != WATCHING || !is_free(o, now))
 		return;
 	o->phase = CLAIMING;
-	talloc_free(o->former.pending);
+	o->former_until_ms = former_until_ms(o, now);
+	row_clear(&o->former);
 	o->former = o->row;
+	o->row.handed = NULL;
+	if (o->row.lease_ms < o->lim.lease_ms)
+		o->row.lease_ms = o->lim.lease_ms;
 	/* Until we have counted ourselves, the former count stands. */
 	o->row.pending = talloc_strdup(o, o->former.pending);
 	snprintf(o->row.vm, sizeof(o->row.vm), "%s", o->vm);
@@ -456,6 +506,11 @@
 	return clk_mono_ms(o->clk) - o->confirmed_ms;
 }
 
+int64_t owner_former_until_ms(const struct owner *o)
+{
+	return o->former_until_ms;
+}
+
 int64_t owner_version(const struct owner *o)
 {
 	return o->version;
--- a/src/state/owner.h
+++ b/src/state/owner.h
@@ -16,7 +16,11 @@
 	int64_t seq; /* rises with each commit */
 	bool released; /* handed over; nobody has to be waited for */
 	int64_t strongest_milli; /* processors of the strongest owner so far */
+	int64_t lease_ms; /* longest lease that an owner grants; 0: not said */
+	int64_t renews_ms; /* owners before may renew leases this much longer
+			      than when this was written */
 	char *pending; /* JSON object: queue to count; talloc child */
+	char *handed; /* JSON for the successor, on a release; NULL: none */
 };
 
 /* Times in ms. */
@@ -27,6 +31,9 @@
 	int64_t group_ms; /* least time between two commits */
 	int64_t handicap_ms; /* wait of the strongest VM before it claims */
 	int64_t strength_milli; /* thousandths of a core that this VM has */
+	int64_t doubt_ms; /* an owner renews leases this long after others may
+			     claim the shard */
+	int64_t lease_ms; /* longest that this VM grants as owner */
 };
 
 struct owner;
@@ -44,6 +51,9 @@
 	void (*committed)(void *priv);
 	/* The row as it is: by others' polls, and by our own commits. */
 	void (*fill)(struct owner_row *row, void *priv);
+	/* The commit that gives up: what the successor is told, JSON, which
+	 * the owner of the row frees with talloc; NULL: nothing. */
+	char *(*hand_over)(void *ctx, void *priv);
 };
 
 /* A talloc child of `ctx`. Begins to poll at once. */
@@ -78,6 +88,8 @@
  */
 #define OWNER_SURE_PERCENT 70
 int64_t owner_confirm_age_ms(const struct owner *o);
+/* While leading: no owner before us renews a lease later than this. */
+int64_t owner_former_until_ms(const struct owner *o);
 int64_t owner_version(const struct owner *o);
 
 /* The row seen last, and when it last changed; NULL if none was read. */
--- a/tests/unit_handover.c
+++ b/tests/unit_handover.c
@@ -12,15 +12,19 @@
 #define LEASE_SLOW_MS (PAPER_LEASE_MS * 1000 / 980)
 #define SLACK_MS 300
 
+/* It may renew leases for as long as it is in doubt. */
+static const struct sched_former lost_owner = { DOUBT_MS, PAPER_LEASE_MS };
+
 /* A successor that knows worker w from the roster, and looked at v. */
-static void open_successor(struct paper *p, int64_t epoch)
+static void open_successor(struct paper *p, const struct sched_former *former)
 {
 	json_t *roster = json_pack("[[s,s,i],[s,s,i]]", "w", "1.2.3.4:5", 1,
 				   "v", "1.2.3.4:6", 1);
 
-	paper_open(p, epoch, NULL);
+	paper_open(p, 2, NULL);
 	p->s.lim.lease_max_ms = LEASE_MAX_MS;
 	p->s.lim.doubt_max_ms = DOUBT_MS;
+	sched_take_over(&p->s, former);
 	sched_roster_restore(&p->s, roster, 0);
 	json_decref(roster);
 	sched_job_add(&p->s, paper_spec_of("a", "short", 1, 1), NULL, 5, true,
@@ -46,15 +50,212 @@
 {
 	struct paper p;
 
-	open_successor(&p, 2);
+	open_successor(&p, &lost_owner);
 	g_assert_cmpuint(starts_at(&p, DOUBT_MS + PAPER_LEASE_MS), ==, 0);
 	g_assert_cmpuint(starts_at(&p, DOUBT_MS + LEASE_SLOW_MS + SLACK_MS), ==,
 			 1);
 	paper_close(&p);
 }
 
+/*
+ * An owner that stops as planned, with w silent since 1,000 ms while it ran
+ * task 0 of job a; what it tells its successor at 1,500 ms.
+ */
+static json_t *hand_over_silent(void)
+{
+	struct paper p;
+	struct sched_worker *w;
+	json_t *handed;
+
+	paper_open(&p, 1, NULL);
+	paper_add_worker(&p, "w", "r");
+	paper_look_at(&p, "w", NULL, 0, NULL, 0, 10);
+	w = paper_worker(&p, "w");
+	paper_add_job(&p, paper_spec_of("a", "short", 1, 1));
+	sched_place(&p.s, 20);
+	paper_started(&p, paper_start_at(&p, 0), 30);
+	sched_lease_end(&p.s, w, 900);
+	paper_add_worker(&p, "v", "r");
+	paper_look_at(&p, "v", NULL, 0, NULL, 0, 40);
+	sched_unanswered(&p.s, w, 1000);
+	handed = sched_hand_over(&p.s, true, 1500);
+	paper_close(&p);
+	return handed;
+}
+
+/* Of the lease that w was granted at 900 ms, this much is left at 1,500 ms. */
+#define LEFT_MS (LEASE_SLOW_MS + 200 - 600)
+
+static const struct sched_former planned = { 0, PAPER_LEASE_MS };
+
+static void open_handed(struct paper *p, json_t *handed)
+{
+	open_successor(p, &planned);
+	g_assert_cmpint(sched_take_handed(&p->s, handed, 0, 1000000), ==, 1);
+	json_decref(handed);
+}
+
+/*
+ * Pattern: a worker is gone, then the owner stops as planned (LOST 33 to 36 on
+ * dhl-pettycash). The successor starts its task when the lease ends that the
+ * former owner granted last, no sooner, and no later.
+ */
+static void test_handover_keeps_the_wait(void)
+{
+	struct paper p;
+
+	open_handed(&p, hand_over_silent());
+	g_assert_cmpuint(starts_at(&p, LEFT_MS - 200), ==, 0);
+	g_assert_cmpuint(starts_at(&p, LEFT_MS + SLACK_MS), ==, 1);
+	g_assert_cmpstr(paper_start_at(&p, 0)->worker, ==, "v");
+	paper_close(&p);
+}
+
+/*
+ * Pattern: planned stops in series within one wait (six in the day above). The
+ * wait goes on from owner to owner, loaded or not, and doesn't begin anew.
+ */
+static void test_handovers_in_series(void)
+{
+	struct paper p;
+	json_t *handed = hand_over_silent();
+	json_t *next = sched_hand_on(handed, 400);
+
+	json_decref(handed);
+	for (int32_t i = 0; i < 2; i++) {
+		open_handed(&p, next);
+		g_assert_cmpuint(starts_at(&p, 1000), ==, 0);
+		next = sched_hand_over(&p.s, true, 1000);
+		paper_close(&p);
+	}
+	open_handed(&p, next);
+	g_assert_cmpuint(starts_at(&p, LEFT_MS - 2400 - 200), ==, 0);
+	g_assert_cmpuint(starts_at(&p, LEFT_MS - 2400 + SLACK_MS), ==, 1);
+	paper_close(&p);
+}
+
+/*
+ * Pattern: one silent worker at a planned stop. What may run there was handed
+ * over, so nothing else waits for its lease.
+ */
+static void test_handover_holds_only_what_may_run(void)
+{
+	struct paper p;
+
+	open_handed(&p, hand_over_silent());
+	sched_job_add(&p.s, paper_spec_of("b", "short", 1, 1), NULL, 6, true, 0,
+		      1000000);
+	g_assert_cmpuint(starts_at(&p, 50), ==, 1);
+	g_assert_cmpstr(paper_start_at(&p, 0)->ref.job, ==, "b");
+	paper_close(&p);
+}
+
+/* Without the list of what may run there, all that is old waits. */
+static void test_handover_without_runs(void)
+{
+	struct paper p;
+	json_t *handed = hand_over_silent();
+
+	json_array_set_new(json_array_get(handed, 0), 2, json_null());
+	open_handed(&p, handed);
+	g_assert_cmpuint(starts_at(&p, LEFT_MS - 200), ==, 0);
+	g_assert_cmpuint(starts_at(&p, LEFT_MS + SLACK_MS), ==, 1);
+	paper_close(&p);
+}
+
+/*
+ * Pattern: a worker is cut off, runs on, and is back before the wait ends. Its
+ * task is adopted, whatever the list of workers says meanwhile.
+ */
+static void test_cut_off_worker_is_back(void)
+{
+	struct paper p;
+	struct sched_active a = { .ref = { "a", 0, 0, 0, 1 }, .percent = 40 };
+
+	open_handed(&p, hand_over_silent());
+	g_assert_cmpuint(starts_at(&p, LEFT_MS - 200), ==, 0);
+	paper_look_at(&p, "w", &a, 1, NULL, 0, LEFT_MS - 100);
+	g_assert_cmpuint(starts_at(&p, LEFT_MS + SLACK_MS), ==, 0);
+	g_assert_cmpuint(p.stops->len, ==, 0);
+	g_assert_cmpuint(paper_worker(&p, "w")->runs.length, ==, 1);
+	paper_close(&p);
+}
+
+/* The same, and the order was never carried out there. */
+static void test_cut_off_worker_lacks_the_task(void)
+{
+	struct paper p;
+
+	open_handed(&p, hand_over_silent());
+	paper_look_at(&p, "w", NULL, 0, NULL, 0, 300);
+	g_assert_cmpuint(starts_at(&p, 310), ==, 1);
+	g_assert_cmpint(paper_start_at(&p, 0)->ref.run, >, 1);
+	paper_close(&p);
+}
+
+/*
+ * Pattern: the worker is back just as the wait has ended, with the end of the
+ * run whose lease lapsed there. Its task has started once, elsewhere.
+ */
+static void test_worker_back_after_the_wait(void)
+{
+	struct paper p;
+	struct sched_end e = { .seq = 1,
+			       .ref = { "a", 0, 0, 0, 1 },
+			       .how = SCHED_LAPSED };
+
+	open_handed(&p, hand_over_silent());
+	g_assert_cmpuint(starts_at(&p, LEFT_MS + SLACK_MS), ==, 1);
+	paper_started(&p, paper_start_at(&p, 0), LEFT_MS + SLACK_MS + 10);
+	sched_worker_seen(&p.s,
+			  &(struct sched_worker_row){ .id = "w",
+						      .address = "1.2.3.4:5",
+						      .pool = "p",
+						      .born_ms = 1 },
+			  LEFT_MS + 400);
+	paper_look_at(&p, "w", NULL, 0, &e, 1, LEFT_MS + 410);
+	g_assert_cmpuint(starts_at(&p, LEFT_MS + 500), ==, 1);
+	g_assert_cmpuint(p.stops->len, ==, 0);
+	paper_close(&p);
+}
+
+/*
+ * Pattern: a worker idle for a minute whose clock is slow. The lease that goes
+ * out with its next start ends no later, by its own clock, than a lease after
+ * the order; successors reckon with that.
+ */
+static void test_lease_at_an_idle_worker(void)
+{
+	struct paper p;
+	struct sched_worker *w;
+	int64_t clock_ms = 100010 + 60000 * 98 / 100;
+
+	paper_open(&p, 1, NULL);
+	paper_add_worker(&p, "w", "r");
+	paper_look_at(&p, "w", NULL, 0, NULL, 0, 10);
+	w = paper_worker(&p, "w");
+	g_assert_cmpint(sched_lease_end(&p.s, w, 60010), <=,
+			clock_ms + PAPER_LEASE_MS);
+	paper_close(&p);
+}
+
 void unit_add_handover(void)
 {
+	g_test_add_func("/sched/lease-at-an-idle-worker",
+			test_lease_at_an_idle_worker);
+	g_test_add_func("/sched/worker-back-after-the-wait",
+			test_worker_back_after_the_wait);
+	g_test_add_func("/sched/cut-off-worker-lacks-the-task",
+			test_cut_off_worker_lacks_the_task);
+	g_test_add_func("/sched/cut-off-worker-is-back",
+			test_cut_off_worker_is_back);
+	g_test_add_func("/sched/handover-without-runs",
+			test_handover_without_runs);
+	g_test_add_func("/sched/handover-holds-only-what-may-run",
+			test_handover_holds_only_what_may_run);
+	g_test_add_func("/sched/handovers-in-series", test_handovers_in_series);
+	g_test_add_func("/sched/handover-keeps-the-wait",
+			test_handover_keeps_the_wait);
 	g_test_add_func("/sched/lease-that-owners-grant",
 			test_lease_that_owners_grant);
 }
--- a/tests/unit_state.c
+++ b/tests/unit_state.c
@@ -12,6 +12,8 @@
 /* Long beside a turn of the loop, short beside a test. */
 #define SILENCE_MS 1000
 #define PATIENCE_MS 20000
+#define DOUBT_MS 30000
+#define LEASE_MS 4000
 
 struct bench {
 	struct tevent_context *ev;
@@ -26,6 +28,10 @@
 	int lost;
 	int committed;
 	int64_t former_epoch;
+	char handed[32]; /* by the former owner; "" if nothing */
+	char handing[32]; /* what it tells its successor, if anything */
+	int64_t former_until_ms;
+	int64_t former_lease_ms;
 	char value[32]; /* what it wants written; "" if nothing */
 };
 
@@ -50,6 +56,10 @@
 	(void)version;
 	n->gained++;
 	n->former_epoch = former->epoch;
+	n->former_lease_ms = former->lease_ms;
+	n->former_until_ms = n->owner ? owner_former_until_ms(n->owner) : 0;
+	g_strlcpy(n->handed, former->handed ? former->handed : "",
+		  sizeof(n->handed));
 }
 
 static void on_lost(void *priv)
@@ -80,8 +90,16 @@
 	(void)priv;
 }
 
-static const struct owner_ops owner_ops = { on_gained, on_lost, on_collect,
-					    on_committed, on_fill };
+static char *on_hand_over(void *ctx, void *priv)
+{
+	struct node *n = priv;
+
+	return *n->handing ? talloc_strdup(ctx, n->handing) : NULL;
+}
+
+static const struct owner_ops owner_ops = {
+	on_gained, on_lost, on_collect, on_committed, on_fill, on_hand_over
+};
 
 static void node_start(struct bench *b, struct node *n, const char *vm,
 		       const char *life)
@@ -91,7 +109,9 @@
 						 .heartbeat_ms = 50,
 						 .group_ms = 5,
 						 .handicap_ms = 1,
-						 .strength_milli = 500 };
+						 .strength_milli = 500,
+						 .doubt_ms = DOUBT_MS,
+						 .lease_ms = LEASE_MS };
 	struct rows rows = fake_rows_table(&b->store);
 
 	memset(n, 0, sizeof(*n));
@@ -264,6 +284,72 @@
 	bench_close(&b);
 }
 
+/*
+ * Pattern: planned stops in series (LOST 33 to 36 on dhl-pettycash). What an
+ * owner tells its successor comes with the release, once, and the successor
+ * knows that no lease is renewed any more.
+ */
+static void test_release_hands_over(void)
+{
+	struct bench b;
+	struct node first;
+	struct node second;
+	struct node third;
+
+	bench_open(&b);
+	node_start(&b, &first, "a", "1");
+	g_strlcpy(first.handing, "[[\"w\",5,null]]", sizeof(first.handing));
+	await(&b, &first.gained, 1);
+	node_start(&b, &second, "b", "1");
+	turn_for(&b, 60);
+	owner_release(first.owner);
+	await(&b, &second.gained, 1);
+	g_assert_cmpstr(second.handed, ==, "[[\"w\",5,null]]");
+	g_assert_cmpint(second.former_lease_ms, ==, LEASE_MS);
+	g_assert_cmpint(second.former_until_ms, <=, clk_mono_ms(&clk_system));
+	node_start(&b, &third, "c", "1");
+	turn_for(&b, 60);
+	owner_release(second.owner);
+	await(&b, &third.gained, 1);
+	g_assert_cmpstr(third.handed, ==, "");
+	bench_close(&b);
+}
+
+/*
+ * Pattern: an owner is cut from the store and goes on in doubt, its successor
+ * stops as planned or is restarted. Whoever comes next knows for how long the
+ * first one may renew leases.
+ */
+static void test_doubt_outlives_a_successor(void)
+{
+	struct bench b;
+	struct node first;
+	struct node second;
+	struct node third;
+	struct node again;
+	int64_t until_ms;
+
+	bench_open(&b);
+	node_start(&b, &first, "a", "1");
+	await(&b, &first.gained, 1);
+	node_start(&b, &second, "b", "1");
+	turn_for(&b, 60);
+	b.store.refused_text = "\"vm\":\"a\"";
+	await(&b, &second.gained, 1);
+	until_ms = second.former_until_ms;
+	g_assert_cmpint(until_ms, >=,
+			clk_mono_ms(&clk_system) + DOUBT_MS - SILENCE_MS);
+	node_start(&b, &third, "c", "1");
+	turn_for(&b, 60);
+	owner_release(second.owner);
+	await(&b, &third.gained, 1);
+	g_assert_cmpint(third.former_until_ms, >=, until_ms);
+	node_start(&b, &again, "c", "2");
+	await(&b, &again.gained, 1);
+	g_assert_cmpint(again.former_until_ms, >=, until_ms);
+	bench_close(&b);
+}
+
 /* Who yields lets others go first, and claims again only after a rest. */
 static void test_yield(void)
 {
@@ -356,6 +442,9 @@
 	g_test_add_func("/state/lost-answer", test_lost_answer);
 	g_test_add_func("/state/succession", test_succession);
 	g_test_add_func("/state/release", test_release_and_former_life);
+	g_test_add_func("/state/release-hands-over", test_release_hands_over);
+	g_test_add_func("/state/doubt-outlives-a-successor",
+			test_doubt_outlives_a_successor);
 	g_test_add_func("/state/yield", test_yield);
 	g_test_add_func("/state/confirmed-since-first-try",
 			test_confirmed_since_first_try);
