Hold back what a former owner may run when the roster can't be read whole

A row of the roster that is no list, or an entry without id and address, was left out with a log line, and a successor started at once what ran on the workers in it. Now everything inherited waits for the longest lease of former owners.

--- a/src/coordination/sched.h
+++ b/src/coordination/sched.h
@@ -308,6 +308,7 @@
 	int64_t epoch;
 	int64_t taken_over_ms;
 	struct sched_former former;
+	bool roster_torn; /* the roster could not be read whole */
 	guint move_from; /* worker at which the next search for moves begins */
 	int64_t placing_ms; /* when the last pass of placement began */
 	enum sched_trust trust;
@@ -368,8 +369,8 @@
 json_t *sched_roster_row(struct sched *s, int32_t row);
 /* The rows that were taken are in the store. */
 void sched_roster_stored(struct sched *s);
-/* A former owner's row; rows that make no sense are left out. */
-void sched_roster_restore(struct sched *s, const json_t *list, int64_t now_ms);
+/* A former owner's row; false if part of it makes no sense. */
+bool sched_roster_restore(struct sched *s, const json_t *list, int64_t now_ms);
 
 /*
  * For the successor, once no order goes out any more: the workers that were
--- a/src/coordination/sched_former.c
+++ b/src/coordination/sched_former.c
@@ -150,5 +150,5 @@
 		if (!w->known && !w->runs_known && now_ms < w->former_lapse_ms)
 			return true;
 	}
-	return false;
+	return s->roster_torn && now_ms < sched_former_lapse_ms(s);
 }
--- a/src/coordination/sched_roster.c
+++ b/src/coordination/sched_roster.c
@@ -62,31 +62,38 @@
 	}
 }
 
-void sched_roster_restore(struct sched *s, const json_t *list, int64_t now_ms)
+static bool restore_entry(struct sched *s, const json_t *entry, int64_t now_ms)
+{
+	const char *id = json_string_value(json_array_get(entry, 0));
+	const char *address = json_string_value(json_array_get(entry, 1));
+	struct sched_worker_row row = { 0 };
+	struct sched_worker *w;
+
+	if (!id || !address || strlen(id) >= sizeof(row.id) ||
+	    strlen(address) >= sizeof(row.address))
+		return false;
+	if (g_hash_table_contains(s->workers, id))
+		return true;
+	g_strlcpy(row.id, id, sizeof(row.id));
+	g_strlcpy(row.address, address, sizeof(row.address));
+	row.born_ms = json_integer_value(json_array_get(entry, 2));
+	sched_worker_seen(s, &row, now_ms);
+	w = g_hash_table_lookup(s->workers, id);
+	/* Only the list of workers lists it. */
+	w->listed = false;
+	w->on_roster = true;
+	w->recorded = true;
+	return true;
+}
+
+bool sched_roster_restore(struct sched *s, const json_t *list, int64_t now_ms)
 {
 	const json_t *entry;
+	bool whole = json_is_array(list);
 	size_t i;
 
-	json_array_foreach(list, i, entry)
-	{
-		const char *id = json_string_value(json_array_get(entry, 0));
-		const char *address =
-			json_string_value(json_array_get(entry, 1));
-		struct sched_worker_row row = { 0 };
-		struct sched_worker *w;
-
-		if (!id || !address || strlen(id) >= sizeof(row.id) ||
-		    strlen(address) >= sizeof(row.address) ||
-		    g_hash_table_contains(s->workers, id))
-			continue;
-		g_strlcpy(row.id, id, sizeof(row.id));
-		g_strlcpy(row.address, address, sizeof(row.address));
-		row.born_ms = json_integer_value(json_array_get(entry, 2));
-		sched_worker_seen(s, &row, now_ms);
-		w = g_hash_table_lookup(s->workers, id);
-		/* Only the list of workers lists it. */
-		w->listed = false;
-		w->on_roster = true;
-		w->recorded = true;
-	}
+	json_array_foreach(list, i, entry) whole &=
+		restore_entry(s, entry, now_ms);
+	s->roster_torn |= !whole;
+	return whole;
 }
--- a/src/fleet/lead_load.c
+++ b/src/fleet/lead_load.c
@@ -196,12 +196,12 @@
 				    ? json_loads(ans->rows[i].value, 0, NULL)
 				    : NULL;
 
-		if (!j)
+		if (!sched_roster_restore(&l->sched, j, clk_mono_ms(l->f->clk)))
 			log_event(LOG_ROW_UNUSABLE,
 				  "table=" LEAD_ROSTER_TABLE
-				  " key=%s why=\"not JSON\"",
+				  " key=%s why=\"not a list of workers; leases "
+				  "are waited for\"",
 				  ans->rows[i].key);
-		sched_roster_restore(&l->sched, j, clk_mono_ms(l->f->clk));
 		json_decref(j);
 	}
 	read_progress(l);
--- a/tests/unit_handover.c
+++ b/tests/unit_handover.c
@@ -219,6 +219,23 @@
 	paper_close(&p);
 }
 
+/*
+ * Pattern: all owners are killed, and the worker's entry lapses while the store
+ * is away (TWICE on dhl-pettycash, lapsed-entries-and-kill-all). A roster that
+ * can't be read whole is no proof that nothing runs elsewhere.
+ */
+static void test_torn_roster_holds(void)
+{
+	struct paper p;
+
+	open_successor(&p, &planned);
+	g_assert_false(sched_roster_restore(&p.s, NULL, 0));
+	paper_look_at(&p, "w", NULL, 0, NULL, 0, 20);
+	g_assert_cmpuint(starts_at(&p, 30), ==, 0);
+	g_assert_cmpuint(starts_at(&p, LEASE_SLOW_MS + SLACK_MS), ==, 1);
+	paper_close(&p);
+}
+
 /*
  * Pattern: a worker idle for a minute whose clock is slow. The lease that goes
  * out with its next start ends no later, by its own clock, than a lease after
@@ -243,6 +260,7 @@
 {
 	g_test_add_func("/sched/lease-at-an-idle-worker",
 			test_lease_at_an_idle_worker);
+	g_test_add_func("/sched/torn-roster-holds", test_torn_roster_holds);
 	g_test_add_func("/sched/worker-back-after-the-wait",
 			test_worker_back_after_the_wait);
 	g_test_add_func("/sched/cut-off-worker-lacks-the-task",
