Write no row of the roster before the roster was read

An owner that had just taken over wrote rows of the roster with its first heartbeat, from the list of workers alone. If the read of the roster had failed or was slow until then, a worker whose entry had lapsed was erased from it before anybody had read of it; the read that followed looked whole.

The rows are written from the moment on at which the roster has been read.

--- a/src/fleet/lead.c
+++ b/src/fleet/lead.c
@@ -287,6 +287,8 @@
 	struct fleet *f = l->f;
 
 	l->leading = true;
+	l->roster_read = false;
+	l->roster_next = NULL;
 	l->loaded = false;
 	l->workers_synced = false;
 	l->opened = false;
--- a/src/fleet/lead_commit.c
+++ b/src/fleet/lead_commit.c
@@ -122,12 +122,14 @@
 		};
 		talloc_free(id);
 	}
-	n += collect_roster(l, &out[n], max - n);
+	if (l->roster_read)
+		n += collect_roster(l, &out[n], max - n);
 	if (n < max && l->opened)
 		n += collect_learned(l, &out[n]);
 	if (l->keep)
 		n += keep_collect(l->keep, l->texts, &out[n], max - n);
-	l->all_collected = !l->sched.touched.length && !l->sched.roster_dirty;
+	l->all_collected = !l->sched.touched.length &&
+			   !(l->roster_read && l->sched.roster_dirty);
 	if (!l->all_collected) {
 		owner_kick(l->owner);
 		return n;
--- a/src/fleet/lead_int.h
+++ b/src/fleet/lead_int.h
@@ -21,6 +21,8 @@
 	json_t *handed; /* by the former owner; NULL: nothing */
 	int64_t gained_version;
 	int64_t jobs_version;
+	bool roster_read; /* until then its rows are not ours to write */
+	char *roster_next; /* where its next page begins; NULL: the first */
 	bool loaded;
 	bool workers_synced;
 	bool opened;
--- a/src/fleet/lead_load.c
+++ b/src/fleet/lead_load.c
@@ -204,6 +204,14 @@
 				  ans->rows[i].key);
 		json_decref(j);
 	}
+	if (ans->more && ans->n) {
+		talloc_free(l->roster_next);
+		l->roster_next = talloc_asprintf(l->term, "%s%c",
+						 ans->rows[ans->n - 1].key, 1);
+		read_roster(l);
+		return;
+	}
+	l->roster_read = true;
 	read_progress(l);
 }
 
@@ -211,8 +219,11 @@
 static void read_roster(struct lead *l)
 {
 	char part[LEAD_NAME_MAX];
-	struct rows_range range = { .table = LEAD_ROSTER_TABLE,
-				    .part = lead_state_part(l->shard, part) };
+	struct rows_range range = {
+		.table = LEAD_ROSTER_TABLE,
+		.part = lead_state_part(l->shard, part),
+		.from = l->roster_next,
+	};
 
 	l->f->rows.ops->read(l->f->rows.self, &range, on_roster, new_load(l));
 }
--- a/tests/fake_rows.c
+++ b/tests/fake_rows.c
@@ -171,7 +171,8 @@
 
 	f->mode_left--;
 	f->commits++;
-	if (holds_text(tx, f->refused_text))
+	if (holds_text(tx, f->refused_text) ||
+	    (f->refused_parts && g_str_has_prefix(tx->part, f->refused_parts)))
 		mode = FAKE_REFUSE;
 	if (mode == FAKE_LOSE_CALL || mode == FAKE_REFUSE) {
 		new_reply(f, mode == FAKE_REFUSE ? ROWS_REFUSED : ROWS_UNKNOWN,
@@ -233,11 +234,14 @@
 		      rows_done done, void *priv)
 {
 	struct fake_rows *f = self;
-	struct reply *r = new_reply(f, ROWS_OK, done, priv);
+	bool refused =
+		f->unread_table && !strcmp(range->table, f->unread_table);
+	struct reply *r =
+		new_reply(f, refused ? ROWS_REFUSED : ROWS_OK, done, priv);
 	GPtrArray *list = rows_of(f, range->table, by_key);
 	int32_t limit = range->limit ? range->limit : PAGE;
 
-	for (guint i = 0; i < list->len; i++) {
+	for (guint i = 0; !refused && i < list->len; i++) {
 		struct fake_row *row = g_ptr_array_index(list, i);
 
 		if (!row->value || strcmp(row->part, range->part) ||
--- a/tests/fake_rows.h
+++ b/tests/fake_rows.h
@@ -24,6 +24,8 @@
 	enum fake_mode mode;
 	int32_t mode_left; /* commits that it still holds for */
 	const char *refused_text; /* commits that hold it are refused; NULL */
+	const char *refused_parts; /* commits to parts that begin so, too */
+	const char *unread_table; /* reads of it are refused; NULL: none */
 	int32_t commits;
 };
 
