Let an owner that yielded claim again when its last answer was lost

An owner short of processor time gives its shard up and rests. If the answer to that commit was lost and another VM had claimed meanwhile, the conflict made it step down for good: it never claimed again. Found by review; where it strikes all VMs, callers' jobs wait for ever. /state/ yield-unanswered failed before (await of the second claim times out).

--- a/src/state/owner.c
+++ b/src/state/owner.c
@@ -153,6 +153,8 @@
 	o->committing = false;
 	o->unsure = false;
 	o->wanted = false;
+	/* One that only rests may claim again. */
+	o->releasing = o->releasing && !o->rest_until_ms;
 	o->phase = o->releasing ? RELEASED : WATCHING;
 	o->changed_ms = clk_mono_ms(o->clk);
 	if (led)
--- a/tests/unit_state.c
+++ b/tests/unit_state.c
@@ -350,6 +350,32 @@
 	bench_close(&b);
 }
 
+/*
+ * Guards against an owner that yields, whose last answer is lost, and that
+ * never claims again: where all VMs did so, nobody would own the shard.
+ */
+static void test_yield_unanswered(void)
+{
+	struct bench b;
+	struct node first;
+	struct node second;
+
+	bench_open(&b);
+	node_start(&b, &first, "a", "1");
+	await(&b, &first.gained, 1);
+	node_start(&b, &second, "b", "1");
+	turn_for(&b, 60);
+	b.store.mode = FAKE_LOSE_ANSWER;
+	b.store.mode_left = 1;
+	owner_yield(first.owner, 100);
+	await(&b, &second.gained, 1);
+	await(&b, &first.lost, 1);
+	turn_for(&b, 300);
+	b.store.refused_text = "\"vm\":\"b\"";
+	await(&b, &first.gained, 2);
+	bench_close(&b);
+}
+
 /* Who yields lets others go first, and claims again only after a rest. */
 static void test_yield(void)
 {
@@ -445,6 +471,7 @@
 	g_test_add_func("/state/release-hands-over", test_release_hands_over);
 	g_test_add_func("/state/doubt-outlives-a-successor",
 			test_doubt_outlives_a_successor);
+	g_test_add_func("/state/yield-unanswered", test_yield_unanswered);
 	g_test_add_func("/state/yield", test_yield);
 	g_test_add_func("/state/confirmed-since-first-try",
 			test_confirmed_since_first_try);
