Let no worker's fence token fall when it comes back to the list

A worker whose entry lapsed while it was idle was forgotten with its token; when its entry was back, looks went out under the first token of the epoch. The worker does nothing for a token lower than it has seen, so it seemed silent, and its room was lost until the owner changed.

--- a/src/coordination/sched.c
+++ b/src/coordination/sched.c
@@ -43,6 +43,8 @@
 static void free_worker(struct sched *s, struct sched_worker *w)
 {
 	sched_roster_changed(s, w);
+	/* It may come back, and does nothing for a lower token. */
+	s->fence_min = MAX(s->fence_min, w->fence);
 	g_hash_table_remove(s->workers, w->row.id);
 	g_ptr_array_remove(s->worker_list, w);
 	talloc_free(w);
@@ -109,7 +111,7 @@
 
 	if (!w) {
 		w = talloc_zero(NULL, struct sched_worker);
-		w->fence = s->epoch * FENCES_PER_EPOCH;
+		w->fence = MAX(s->epoch * FENCES_PER_EPOCH, s->fence_min);
 		w->index = s->worker_list->len;
 		w->row = *row;
 		w->last_answer_ms = now_ms;
--- a/tests/unit.h
+++ b/tests/unit.h
@@ -12,6 +12,7 @@
 void unit_add_sched(void);
 void unit_add_handover(void);
 void unit_add_lead(void);
+void unit_add_lives(void);
 void unit_add_state(void);
 void unit_add_upkeep(void);
 
