Take no VM for empty because its worker's entry has lapsed

An upkeep may end a VM only if what runs there can be spared. A worker that the list leaves out was passed over, so its VM counted as empty, and tasks with a budget of unavailability would be ended (AVAIL). All workers of the VM count now, listed or not; a former life counts until its leases are over.

--- a/src/coordination/sched_leave.c
+++ b/src/coordination/sched_leave.c
@@ -101,23 +101,19 @@
 		leave_emptied(s, w, now_ms);
 }
 
-static struct sched_worker *worker_on(const struct sched *s, const char *vm)
+static bool is_on(const struct sched_worker *w, const char *vm)
 {
-	for (guint i = 0; i < s->worker_list->len; i++) {
-		struct sched_worker *w = g_ptr_array_index(s->worker_list, i);
-
-		if (w->listed && !strcmp(w->row.vm, vm))
-			return w;
-	}
-	return NULL;
+	return !strcmp(w->row.vm, vm);
 }
 
 void sched_vm_empty(struct sched *s, const char *vm, bool on)
 {
-	struct sched_worker *w = worker_on(s, vm);
+	for (guint i = 0; i < s->worker_list->len; i++) {
+		struct sched_worker *w = g_ptr_array_index(s->worker_list, i);
 
-	if (w)
-		w->emptied = on;
+		if (is_on(w, vm))
+			w->emptied = on;
+	}
 }
 
 /* Tasks of the run's step at its worker. */
@@ -126,13 +122,9 @@
 	return sched_tasks_at(run->task->step, run->worker);
 }
 
-bool sched_vm_may_end(const struct sched *s, const char *vm, bool late,
-		      int64_t now_ms)
+static bool may_end(const struct sched *s, const struct sched_worker *w,
+		    bool late, int64_t now_ms)
 {
-	const struct sched_worker *w = worker_on(s, vm);
-
-	if (!w)
-		return true;
 	if (!w->known || w->unreachable)
 		return false;
 	for (const GList *i = w->runs.head; i; i = i->next) {
@@ -149,3 +141,17 @@
 	}
 	return true;
 }
+
+bool sched_vm_may_end(const struct sched *s, const char *vm, bool late,
+		      int64_t now_ms)
+{
+	/* An unlisted one may run on: its entry lapses with the store. */
+	for (guint i = 0; i < s->worker_list->len; i++) {
+		const struct sched_worker *w =
+			g_ptr_array_index(s->worker_list, i);
+
+		if (is_on(w, vm) && !may_end(s, w, late, now_ms))
+			return false;
+	}
+	return true;
+}
--- a/tests/unit_lives.c
+++ b/tests/unit_lives.c
@@ -40,7 +40,43 @@
 	paper_close(&p);
 }
 
+/*
+ * Guards against an upkeep of a VM whose task can't be spared: the entry of its
+ * worker has lapsed from the list, and the VM was taken for empty.
+ */
+static void test_unlisted_worker_is_not_empty(void)
+{
+	struct paper p;
+	struct sched_worker_row row = { .id = "w",
+					.pool = "p",
+					.domain = "d",
+					.vm = "m1",
+					.born_ms = 1,
+					.total = { 8000, 8000, 0 } };
+	struct jobspec *spec = paper_spec_of("a", "short", 1, 1);
+	struct sched_active a;
+
+	paper_open(&p, 1, NULL);
+	sched_worker_seen(&p.s, &row, 0);
+	paper_store_roster(&p);
+	paper_look_at(&p, "w", NULL, 0, NULL, 0, 10);
+	spec->steps[0].lasts = true;
+	spec->steps[0].unavailable_max = 0;
+	paper_add_job(&p, spec);
+	sched_place(&p.s, 20);
+	paper_started(&p, paper_start_at(&p, 0), 30);
+	a = paper_active_of(paper_start_at(&p, 0), 100);
+	paper_look_at(&p, "w", &a, 1, NULL, 0, 60);
+	g_assert_false(sched_vm_may_end(&p.s, "m1", true, 100));
+	sched_worker_gone(&p.s, "w", 110);
+	g_assert_cmpuint(paper_worker(&p, "w")->runs.length, ==, 1);
+	g_assert_false(sched_vm_may_end(&p.s, "m1", true, 120));
+	paper_close(&p);
+}
+
 void unit_add_lives(void)
 {
+	g_test_add_func("/sched/unlisted-worker-is-not-empty",
+			test_unlisted_worker_is_not_empty);
 	g_test_add_func("/sched/token-never-falls", test_token_never_falls);
 }
