Renew no lease after a freeze on what was sure before it

An owner that was frozen sent the looks that were due before its next tick reckoned anew how sure it may be, and renewed leases later than its doubt lasts: successors count on that bound, and a worker that they can't reach would run a task which they start elsewhere (TWICE). The time up to which leases may be renewed stands now beside the trust and is compared when one is granted.

--- a/src/coordination/sched.c
+++ b/src/coordination/sched.c
@@ -29,6 +29,7 @@
 		.lease_ms = lim->lease_ms,
 	};
 	s->start_before_version = INT64_MAX;
+	s->renew_until_ms = INT64_MAX;
 	s->order = &sched_order_value;
 	s->mean_work =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
@@ -184,7 +185,8 @@
 
 	/* A lease that is renewed blindly would never be known to have ended.
 	 */
-	if (!w->clock_seen_ms || w->unreachable || s->trust == SCHED_GIVEN_UP)
+	if (!w->clock_seen_ms || w->unreachable || s->trust == SCHED_GIVEN_UP ||
+	    now_ms >= s->renew_until_ms)
 		return 0;
 	/* Its clock at the least: no lease is longer than successors reckon. */
 	end = w->clock_ms +
--- a/src/coordination/sched.h
+++ b/src/coordination/sched.h
@@ -312,6 +312,7 @@
 	guint move_from; /* worker at which the next search for moves begins */
 	int64_t placing_ms; /* when the last pass of placement began */
 	enum sched_trust trust;
+	int64_t renew_until_ms; /* no lease is renewed later */
 	int64_t fence_min; /* tokens of new workers are at least this */
 	/* While in doubt, jobs of this or a later version wait: a successor
 	 * holds back only what is older than its claim. */
--- a/src/fleet/lead.c
+++ b/src/fleet/lead.c
@@ -72,6 +72,8 @@
 		log_event(LOG_TRUST, "shard=%d trust=%d confirm_age_ms=%lld",
 			  l->shard, trust, (long long)age);
 	l->sched.trust = trust;
+	l->sched.renew_until_ms =
+		mono(l) - age + silence + set->sched.doubt_max_ms;
 	l->sched.start_before_version = owner_version(l->owner);
 }
 
@@ -307,6 +309,7 @@
 	sched_init(&l->sched, &sched_ops, l, &f->set.sched,
 		   owner_epoch(l->owner), mono(l));
 	take_over(l, former);
+	set_trust(l);
 	sched_configure(&l->sched, f->catalog, f->domains_out);
 	l->links = links_start(l->term, &l->sched, &f->wkr, f->timers, f->clk,
 			       &links_ops, l);
--- a/tests/unit_lives.c
+++ b/tests/unit_lives.c
@@ -74,8 +74,27 @@
 	paper_close(&p);
 }
 
+/*
+ * Guards against a lease renewed by an owner that was frozen, on what it was
+ * sure of before (TWICE): successors reckon with its doubt and no more.
+ */
+static void test_no_renewal_after_doubt(void)
+{
+	struct paper p;
+	struct sched_worker *w;
+
+	open_started(&p);
+	w = paper_worker(&p, "w");
+	p.s.renew_until_ms = 5000;
+	g_assert_cmpint(sched_lease_end(&p.s, w, 4999), >, 0);
+	g_assert_cmpint(sched_lease_end(&p.s, w, 5000), ==, 0);
+	paper_close(&p);
+}
+
 void unit_add_lives(void)
 {
+	g_test_add_func("/sched/no-renewal-after-doubt",
+			test_no_renewal_after_doubt);
 	g_test_add_func("/sched/unlisted-worker-is-not-empty",
 			test_unlisted_worker_is_not_empty);
 	g_test_add_func("/sched/token-never-falls", test_token_never_falls);
