Don't take an answer that is full of ends for whole

A worker lists 500 ends in one answer; the rest comes with the next. A task whose end had no room was taken for lost, and a successor took the worker for known, so that a task which is done started again (TWICE). Answers that are full settle nothing now. Found by review; it takes 500 ends at one worker that aren't acknowledged. /sched/answer-without-room and /sched/ first-answer-without-room failed before.

--- a/src/coordination/sched.h
+++ b/src/coordination/sched.h
@@ -18,6 +18,8 @@
 #define SCHED_ID_MAX 72
 #define SCHED_LABELS_MAX 6
 #define SCHED_CHECKPOINT_MAX 200
+/* Ends in one answer of a worker (platform); more may follow. */
+#define SCHED_ENDS_MAX 500
 /* Images of best-effort work told apart at one worker. */
 #define SCHED_LOADS_MAX 16
 
--- a/src/coordination/sched_run.c
+++ b/src/coordination/sched_run.c
@@ -348,6 +348,18 @@
 	}
 }
 
+/* Nothing that was ordered under a lower token is carried out any more. */
+static void make_known(struct sched *s, struct sched_worker *w,
+		       const struct sched_look *look)
+{
+	if (look->fence != w->fence || w->known)
+		return;
+	w->known = true;
+	/* A former owner may have granted this much just before. */
+	if (s->epoch > 1)
+		w->lease_end_clock_ms = look->clock_ms + s->former.lease_ms;
+}
+
 void sched_looked(struct sched *s, struct sched_worker *w,
 		  const struct sched_look *look, int64_t now_ms,
 		  int64_t wall_ms)
@@ -381,13 +393,10 @@
 	for (int32_t i = 0; i < look->n_active; i++)
 		w->strangers +=
 			!take_active(s, w, &look->active[i], now_ms, wall_ms);
-	settle(s, w, look);
-	if (look->fence == w->fence && !w->known) {
-		w->known = true;
-		/* A former owner may have granted this much just before. */
-		if (s->epoch > 1)
-			w->lease_end_clock_ms =
-				look->clock_ms + s->former.lease_ms;
+	/* An end may have had no room in the answer; the next one has it. */
+	if (look->n_ends < SCHED_ENDS_MAX) {
+		settle(s, w, look);
+		make_known(s, w, look);
 	}
 	sched_pace(s, w, now_ms);
 }
--- a/tests/unit_lives.c
+++ b/tests/unit_lives.c
@@ -74,6 +74,56 @@
 	paper_close(&p);
 }
 
+/* As many ends of others' as one answer of a worker holds. */
+static struct sched_end *full_answer(void)
+{
+	struct sched_end *ends = g_new0(struct sched_end, SCHED_ENDS_MAX);
+
+	for (int i = 0; i < SCHED_ENDS_MAX; i++)
+		ends[i] = (struct sched_end){ .seq = i + 1,
+					      .ref = { "z", 0, 0, i, 1 },
+					      .how = SCHED_DONE };
+	return ends;
+}
+
+/*
+ * Guards against a second run (TWICE) of a task that is done: its end had no
+ * room in an answer, and the task was taken for lost.
+ */
+static void test_answer_without_room(void)
+{
+	struct paper p;
+	g_autofree struct sched_end *ends = full_answer();
+
+	open_started(&p);
+	paper_started(&p, paper_start_at(&p, 0), 30);
+	paper_look_at(&p, "w", NULL, 0, ends, SCHED_ENDS_MAX, 100);
+	sched_tick(&p.s, 110, 1000110);
+	sched_place(&p.s, 110);
+	g_assert_cmpuint(p.starts->len, ==, 1);
+	paper_close(&p);
+}
+
+/* The same, for a successor's first look. */
+static void test_first_answer_without_room(void)
+{
+	struct paper p;
+	g_autofree struct sched_end *ends = full_answer();
+
+	paper_open(&p, 2, NULL);
+	paper_add_worker(&p, "w", "r");
+	sched_job_add(&p.s, paper_spec_of("a", "short", 1, 1), NULL, 5, true, 0,
+		      1000000);
+	paper_look_at(&p, "w", NULL, 0, ends, SCHED_ENDS_MAX, 100);
+	sched_tick(&p.s, 110, 1000110);
+	sched_place(&p.s, 110);
+	g_assert_cmpuint(p.starts->len, ==, 0);
+	paper_look_at(&p, "w", NULL, 0, NULL, 0, 200);
+	sched_place(&p.s, 210);
+	g_assert_cmpuint(p.starts->len, ==, 1);
+	paper_close(&p);
+}
+
 /*
  * Guards against a lease renewed by an owner that was frozen, on what it was
  * sure of before (TWICE): successors reckon with its doubt and no more.
@@ -93,6 +143,9 @@
 
 void unit_add_lives(void)
 {
+	g_test_add_func("/sched/answer-without-room", test_answer_without_room);
+	g_test_add_func("/sched/first-answer-without-room",
+			test_first_answer_without_room);
 	g_test_add_func("/sched/no-renewal-after-doubt",
 			test_no_renewal_after_doubt);
 	g_test_add_func("/sched/unlisted-worker-is-not-empty",
