Keep what a worker's new life may have begun

An executor may start again under its id, so an order for its old life may be carried out by the new one. The owner then learned of the new life by the next look, dropped all runs of the old one, the new order among them, and started the task elsewhere at once (TWICE). Only what the old life had listed ends with it now; the rest waits for the new life's first look under a higher token. The lease that such an order carries ends on the old clock: the new life may have cut it to the platform's longest, so that is what a silent new life is given.

/sched/reborn-worker demanded that a run which no look had listed be dropped at once, which is the fault. It lists the run first now and demands the same; /sched/started-in-a-new-life demands the opposite for the run not listed. Found by review.

--- a/src/coordination/sched.c
+++ b/src/coordination/sched.c
@@ -83,11 +83,51 @@
 	}
 }
 
+static void lose_run(struct sched *s, struct sched_run *run)
+{
+	struct sched_job *job = run->task->step->round->job;
+
+	s->counts.lapsed++;
+	if (!sched_job_over(job))
+		sched_touch(s, job);
+	sched_run_free(s, run);
+}
+
+/*
+ * What the old life listed has ended with it. An order that it never listed may
+ * have reached the new one; its first look under a higher token tells.
+ */
+static void end_old_life(struct sched *s, struct sched_worker *w,
+			 int64_t now_ms)
+{
+	GList *next;
+
+	if (w->runs.length)
+		s->ops->note(s->priv, "worker lost", NULL, w,
+			     "worker started anew");
+	for (GList *i = w->runs.head; i; i = next) {
+		struct sched_run *run = i->data;
+
+		next = i->next;
+		if (run->listed) {
+			lose_run(s, run);
+			continue;
+		}
+		run->state = SCHED_RUN_UNSURE;
+		run->fence = w->fence;
+	}
+	if (w->runs.length)
+		w->former_lapse_ms =
+			MAX(w->former_lapse_ms,
+			    now_ms + sched_lease_lasts_ms(s->lim.lease_max_ms));
+}
+
 static void new_life(struct sched *s, struct sched_worker *w, int64_t now_ms)
 {
-	sched_worker_lapsed(s, w, now_ms, "worker started anew");
+	end_old_life(s, w, now_ms);
+	w->runs_known |= w->known;
 	w->known = false;
-	w->runs_known = false;
+	w->reborn = true;
 	w->seen_seq = 0;
 	w->durable_seq = 0;
 	w->commit_seq = 0;
@@ -203,15 +243,8 @@
 	(void)now_ms;
 	if (w->runs.length)
 		s->ops->note(s->priv, "worker lost", NULL, w, why);
-	while (w->runs.head) {
-		struct sched_run *run = w->runs.head->data;
-		struct sched_job *job = run->task->step->round->job;
-
-		s->counts.lapsed++;
-		if (!sched_job_over(job))
-			sched_touch(s, job);
-		sched_run_free(s, run);
-	}
+	while (w->runs.head)
+		lose_run(s, w->runs.head->data);
 	w->lease_end_clock_ms = 0;
 }
 
--- a/src/coordination/sched.h
+++ b/src/coordination/sched.h
@@ -110,6 +110,7 @@
 	enum sched_run_state state;
 	int64_t fence; /* the token that its order carried */
 	int64_t started_ms;
+	bool listed; /* by a look at the present life of its worker */
 	int64_t moved_ms; /* when its percentage last rose */
 	int32_t percent;
 	int32_t pace; /* percent of full speed that it was told */
@@ -192,6 +193,7 @@
 	bool listed;
 	bool known; /* looked at under our fence in this life */
 	bool unreachable;
+	bool reborn; /* the look that makes it known is its life's first */
 	bool runs_known; /* `runs` has all that former owners left there */
 	int64_t former_lapse_ms; /* their leases there have ended by then */
 	bool recorded; /* the store's roster has it, so that work may start */
--- a/src/coordination/sched_former.c
+++ b/src/coordination/sched_former.c
@@ -42,9 +42,10 @@
 		const struct sched_worker *w =
 			g_ptr_array_index(s->worker_list, i);
 		int64_t left_ms = sched_lapse_ms(w) - now_ms;
+		bool longer = left_ms > sched_lease_lasts_ms(s->lim.lease_ms);
 		bool runs_known = with_runs && (w->known || w->runs_known);
 
-		if (w->known && !w->unreachable)
+		if (w->known && !w->unreachable && !longer)
 			continue;
 		json_array_append_new(
 			list, json_pack("[s,I,o]", w->row.id,
--- a/src/coordination/sched_run.c
+++ b/src/coordination/sched_run.c
@@ -291,6 +291,7 @@
 	if (run->state != SCHED_RUN_ACTIVE)
 		run->started_ms = now_ms;
 	run->state = SCHED_RUN_ACTIVE;
+	run->listed = true;
 	/* Marks it as listed by this look; see settle(). */
 	run->fence = w->fence;
 	if (a->percent > run->percent)
@@ -352,12 +353,20 @@
 static void make_known(struct sched *s, struct sched_worker *w,
 		       const struct sched_look *look)
 {
+	int64_t granted_ms = 0;
+
 	if (look->fence != w->fence || w->known)
 		return;
 	w->known = true;
 	/* A former owner may have granted this much just before. */
 	if (s->epoch > 1)
-		w->lease_end_clock_ms = look->clock_ms + s->former.lease_ms;
+		granted_ms = s->former.lease_ms;
+	/* The end of a lease on its old clock may be far ahead on this one. */
+	if (w->reborn)
+		granted_ms = s->lim.lease_max_ms;
+	w->reborn = false;
+	if (granted_ms)
+		w->lease_end_clock_ms = look->clock_ms + granted_ms;
 }
 
 void sched_looked(struct sched *s, struct sched_worker *w,
--- a/tests/unit_lives.c
+++ b/tests/unit_lives.c
@@ -74,6 +74,100 @@
 	paper_close(&p);
 }
 
+/* A look at w in a life that began later, on its own clock. */
+static void look_at_new_life(struct paper *p, struct sched_active *a,
+			     int64_t clock_ms, int64_t at_ms)
+{
+	struct sched_worker *w = paper_worker(p, "w");
+	struct sched_look look = { .clock_ms = clock_ms,
+				   .born_ms = 2,
+				   .fence = w->fence,
+				   .sent_ms = at_ms - 5,
+				   .n_active = a ? 1 : 0,
+				   .active = a };
+
+	sched_looked(&p->s, w, &look, at_ms, 1000000 + at_ms);
+}
+
+/*
+ * Guards against a second run (TWICE) of a task whose order the worker's new
+ * life carried out, before the owner knew of that life.
+ */
+static void test_started_in_a_new_life(void)
+{
+	struct paper p;
+	struct sched_active a;
+
+	open_started(&p);
+	paper_add_worker(&p, "v", "r");
+	paper_look_at(&p, "v", NULL, 0, NULL, 0, 25);
+	paper_started(&p, paper_start_at(&p, 0), 30);
+	a = paper_active_of(paper_start_at(&p, 0), 1);
+	look_at_new_life(&p, &a, 500, 35);
+	sched_tick(&p.s, 45, 1000045);
+	sched_place(&p.s, 45);
+	g_assert_cmpuint(p.starts->len, ==, 1);
+	look_at_new_life(&p, &a, 520, 55);
+	sched_place(&p.s, 65);
+	g_assert_cmpuint(p.starts->len, ==, 1);
+	g_assert_cmpuint(paper_worker(&p, "w")->runs.length, ==, 1);
+	paper_close(&p);
+}
+
+/* What the old life had listed ended with it: no wait for the new one. */
+static void test_listed_by_the_old_life(void)
+{
+	struct paper p;
+	struct sched_active a;
+	struct sched_worker_row row;
+
+	open_started(&p);
+	paper_started(&p, paper_start_at(&p, 0), 30);
+	a = paper_active_of(paper_start_at(&p, 0), 1);
+	paper_look_at(&p, "w", &a, 1, NULL, 0, 40);
+	row = paper_worker(&p, "w")->row;
+	row.born_ms = 2;
+	sched_worker_seen(&p.s, &row, 100);
+	g_assert_cmpuint(paper_worker(&p, "w")->runs.length, ==, 0);
+	paper_close(&p);
+}
+
+/*
+ * Guards against a lease thought too short (TWICE): an order for the old life
+ * reached the new one, whose clock began anew, so that the platform cut the
+ * lease to its longest instead of ours.
+ */
+static void test_lease_of_a_new_life(void)
+{
+	static const struct sched_former planned = { 0, PAPER_LEASE_MS };
+	struct paper p;
+	struct sched_active a = { .ref = { "a", 0, 0, 0, 1 }, .percent = 1 };
+	json_t *roster = json_pack("[[s,s,i],[s,s,i]]", "w", "1.2.3.4:5", 1,
+				   "v", "1.2.3.4:6", 1);
+
+	paper_open(&p, 2, NULL);
+	p.s.lim.lease_max_ms = 10000;
+	sched_take_over(&p.s, &planned);
+	sched_roster_restore(&p.s, roster, 0);
+	json_decref(roster);
+	sched_job_add(&p.s, paper_spec_of("a", "short", 1, 1), NULL, 5, true, 0,
+		      1000000);
+	paper_add_worker(&p, "v", "r");
+	paper_look_at(&p, "v", NULL, 0, NULL, 0, 10);
+	look_at_new_life(&p, &a, 1000, 20);
+	look_at_new_life(&p, &a, 1020, 40);
+	g_assert_true(paper_worker(&p, "w")->known);
+	g_assert_cmpuint(paper_worker(&p, "w")->runs.length, ==, 1);
+	sched_unanswered(&p.s, paper_worker(&p, "w"), 700);
+	sched_tick(&p.s, 9900, 1009900);
+	sched_place(&p.s, 9900);
+	g_assert_cmpuint(p.starts->len, ==, 0);
+	sched_tick(&p.s, 10500, 1010500);
+	sched_place(&p.s, 10500);
+	g_assert_cmpuint(p.starts->len, ==, 1);
+	paper_close(&p);
+}
+
 /* As many ends of others' as one answer of a worker holds. */
 static struct sched_end *full_answer(void)
 {
@@ -143,6 +237,11 @@
 
 void unit_add_lives(void)
 {
+	g_test_add_func("/sched/started-in-a-new-life",
+			test_started_in_a_new_life);
+	g_test_add_func("/sched/listed-by-the-old-life",
+			test_listed_by_the_old_life);
+	g_test_add_func("/sched/lease-of-a-new-life", test_lease_of_a_new_life);
 	g_test_add_func("/sched/answer-without-room", test_answer_without_room);
 	g_test_add_func("/sched/first-answer-without-room",
 			test_first_answer_without_room);
--- a/tests/unit_policy.c
+++ b/tests/unit_policy.c
@@ -276,6 +276,7 @@
 {
 	struct paper p;
 	struct sched_worker_row row;
+	struct sched_active a;
 
 	paper_open(&p, 1, NULL);
 	paper_add_worker(&p, "w", "r");
@@ -283,6 +284,8 @@
 	paper_add_job(&p, paper_spec_of("a", "short", 1, 1));
 	sched_place(&p.s, 20);
 	paper_started(&p, paper_start_at(&p, 0), 30);
+	a = paper_active_of(paper_start_at(&p, 0), 1);
+	paper_look_at(&p, "w", &a, 1, NULL, 0, 40);
 	row = paper_worker(&p, "w")->row;
 	row.born_ms = 2;
 	sched_worker_seen(&p.s, &row, 100);
