Hand over that the roster was torn, and leave runs out worker by worker

A successor that could not read the roster whole and stopped as planned wrote it whole and told nobody: the next owner started at once what may run on workers that nobody had listed (TWICE). What is left of that wait is handed over now. Where the runs at silent workers are too many for the row, those that fit are handed over instead of none. Found by review. The calls are new, so /sched/torn-roster-is-handed-over and /sched/ handover-with-little-room could not run before.

--- a/src/coordination/sched.h
+++ b/src/coordination/sched.h
@@ -312,7 +312,8 @@
 	int64_t epoch;
 	int64_t taken_over_ms;
 	struct sched_former former;
-	bool roster_torn; /* the roster could not be read whole */
+	int64_t torn_until_ms; /* the roster could not be read whole, and what
+				  it may have lacked ends by then */
 	guint move_from; /* worker at which the next search for moves begins */
 	int64_t placing_ms; /* when the last pass of placement began */
 	enum sched_trust trust;
@@ -380,10 +381,11 @@
 
 /*
  * For the successor, once no order goes out any more: the workers that were
- * not heard, how long their leases may hold, and `with_runs` what may run
- * there. The caller owns the reference.
+ * not heard, how long their leases may hold, and what may run there, up to
+ * `runs_max` runs in all. The caller owns the reference.
  */
-json_t *sched_hand_over(const struct sched *s, bool with_runs, int64_t now_ms);
+json_t *sched_hand_over(const struct sched *s, int32_t runs_max,
+			int64_t now_ms);
 /* The same from what we were handed, `waited_ms` after we took over. */
 json_t *sched_hand_on(const json_t *handed, int64_t waited_ms);
 /*
--- a/src/coordination/sched_former.c
+++ b/src/coordination/sched_former.c
@@ -7,6 +7,9 @@
 
 #include "coordination/sched_int.h"
 
+/* Stands for workers that a torn roster may lack; no worker has this id. */
+#define UNLISTED_WORKERS ""
+
 void sched_take_over(struct sched *s, const struct sched_former *former)
 {
 	s->former = *former;
@@ -34,23 +37,34 @@
 	return list;
 }
 
-json_t *sched_hand_over(const struct sched *s, bool with_runs, int64_t now_ms)
+static json_t *entry_of(const char *id, int64_t left_ms, json_t *runs)
+{
+	return json_pack("[s,I,o]", id, (json_int_t)(left_ms > 0 ? left_ms : 0),
+			 runs);
+}
+
+json_t *sched_hand_over(const struct sched *s, int32_t runs_max, int64_t now_ms)
 {
 	json_t *list = json_array();
 
+	if (now_ms < s->torn_until_ms)
+		json_array_append_new(list, entry_of(UNLISTED_WORKERS,
+						     s->torn_until_ms - now_ms,
+						     json_null()));
 	for (guint i = 0; i < s->worker_list->len; i++) {
 		const struct sched_worker *w =
 			g_ptr_array_index(s->worker_list, i);
 		int64_t left_ms = sched_lapse_ms(w) - now_ms;
 		bool longer = left_ms > sched_lease_lasts_ms(s->lim.lease_ms);
-		bool runs_known = with_runs && (w->known || w->runs_known);
+		int32_t n = (int32_t)w->runs.length;
+		bool tell = (w->known || w->runs_known) && n <= runs_max;
 
 		if (w->known && !w->unreachable && !longer)
 			continue;
 		json_array_append_new(
-			list, json_pack("[s,I,o]", w->row.id,
-					(json_int_t)(left_ms > 0 ? left_ms : 0),
-					runs_known ? runs_of(w) : json_null()));
+			list, entry_of(w->row.id, left_ms,
+				       tell ? runs_of(w) : json_null()));
+		runs_max -= tell ? n : 0;
 	}
 	return list;
 }
@@ -99,6 +113,8 @@
 	const json_t *j;
 	size_t i;
 
+	if (id && !strcmp(id, UNLISTED_WORKERS))
+		s->torn_until_ms = s->taken_over_ms + json_integer_value(left);
 	if (!w || w->known || !json_is_integer(left))
 		return;
 	w->former_lapse_ms = s->taken_over_ms + json_integer_value(left);
@@ -151,5 +167,5 @@
 		if (!w->known && !w->runs_known && now_ms < w->former_lapse_ms)
 			return true;
 	}
-	return s->roster_torn && now_ms < sched_former_lapse_ms(s);
+	return now_ms < s->torn_until_ms;
 }
--- a/src/coordination/sched_roster.c
+++ b/src/coordination/sched_roster.c
@@ -94,6 +94,7 @@
 
 	json_array_foreach(list, i, entry) whole &=
 		restore_entry(s, entry, now_ms);
-	s->roster_torn |= !whole;
+	if (!whole)
+		s->torn_until_ms = sched_former_lapse_ms(s);
 	return whole;
 }
--- a/src/fleet/lead_commit.c
+++ b/src/fleet/lead_commit.c
@@ -15,6 +15,9 @@
 /* A commit takes no more jobs beyond this; the store allows twice as much. */
 #define COMMIT_BYTES_MAX (512 * 1024)
 
+/* A run that is handed over: ids of 16 characters and four numbers. */
+#define HANDED_RUN_BYTES 50
+
 static const char *keep_text(struct lead *l, char *text)
 {
 	g_ptr_array_add(l->texts, text);
@@ -208,17 +211,17 @@
 	struct lead *l = priv;
 	int64_t now = clk_mono_ms(l->f->clk);
 	int64_t waited = now - l->sched.taken_over_ms;
+	int64_t runs_max;
 	char *text;
 
 	/* Not loaded, we know no more than what we were handed. */
 	if (!l->opened) {
 		text = fitting_text(l, ctx, sched_hand_on(l->handed, waited));
 	} else {
-		text = fitting_text(l, ctx,
-				    sched_hand_over(&l->sched, true, now));
-		if (!text)
-			text = fitting_text(
-				l, ctx, sched_hand_over(&l->sched, false, now));
+		runs_max = l->f->set.row_bytes_max / 4 / HANDED_RUN_BYTES;
+		text = fitting_text(
+			l, ctx,
+			sched_hand_over(&l->sched, (int32_t)runs_max, now));
 	}
 	log_event(LOG_SHARD_HANDED, "shard=%d epoch=%lld bytes=%zu", l->shard,
 		  (long long)l->sched.epoch, text ? strlen(text) : 0);
--- a/tests/unit_handover.c
+++ b/tests/unit_handover.c
@@ -78,7 +78,7 @@
 	paper_add_worker(&p, "v", "r");
 	paper_look_at(&p, "v", NULL, 0, NULL, 0, 40);
 	sched_unanswered(&p.s, w, 1000);
-	handed = sched_hand_over(&p.s, true, 1500);
+	handed = sched_hand_over(&p.s, INT32_MAX, 1500);
 	paper_close(&p);
 	return handed;
 }
@@ -125,7 +125,7 @@
 	for (int32_t i = 0; i < 2; i++) {
 		open_handed(&p, next);
 		g_assert_cmpuint(starts_at(&p, 1000), ==, 0);
-		next = sched_hand_over(&p.s, true, 1000);
+		next = sched_hand_over(&p.s, INT32_MAX, 1000);
 		paper_close(&p);
 	}
 	open_handed(&p, next);
@@ -256,8 +256,48 @@
 	paper_close(&p);
 }
 
+/*
+ * Guards against a torn roster that is whole again for the next owner, which
+ * then starts what runs on workers that nobody has listed (TWICE).
+ */
+static void test_torn_roster_is_handed_over(void)
+{
+	struct paper p;
+	json_t *handed;
+
+	open_successor(&p, &planned);
+	sched_roster_restore(&p.s, NULL, 0);
+	paper_look_at(&p, "w", NULL, 0, NULL, 0, 20);
+	handed = sched_hand_over(&p.s, INT32_MAX, 1000);
+	paper_close(&p);
+	open_handed(&p, handed);
+	paper_look_at(&p, "w", NULL, 0, NULL, 0, 20);
+	g_assert_cmpuint(starts_at(&p, LEASE_SLOW_MS - 1000), ==, 0);
+	g_assert_cmpuint(starts_at(&p, LEASE_SLOW_MS + SLACK_MS - 1000), ==, 1);
+	paper_close(&p);
+}
+
+/* Without room for all runs, workers are named without theirs. */
+static void test_handover_with_little_room(void)
+{
+	struct paper p;
+	json_t *handed;
+
+	open_handed(&p, hand_over_silent());
+	handed = sched_hand_over(&p.s, 0, 1000);
+	g_assert_cmpuint(json_array_size(handed), ==, 1);
+	g_assert_true(
+		json_is_null(json_array_get(json_array_get(handed, 0), 2)));
+	paper_close(&p);
+	json_decref(handed);
+}
+
 void unit_add_handover(void)
 {
+	g_test_add_func("/sched/torn-roster-is-handed-over",
+			test_torn_roster_is_handed_over);
+	g_test_add_func("/sched/handover-with-little-room",
+			test_handover_with_little_room);
 	g_test_add_func("/sched/lease-at-an-idle-worker",
 			test_lease_at_an_idle_worker);
 	g_test_add_func("/sched/torn-roster-holds", test_torn_roster_holds);
