Count a machine's sleep in the steady clock

An owner whose machine was suspended took itself to be as sure as before, since CLOCK_MONOTONIC stands still meanwhile: it could renew leases later than its successors reckon with, at workers that they hadn't looked at yet (TWICE), and it reckoned workers' clocks too far behind. CLOCK_BOOTTIME goes on.

--- a/src/base/clk.c
+++ b/src/base/clk.c
@@ -12,7 +12,8 @@
 static struct timespec sys_mono(void *priv)
 {
 	(void)priv;
-	return sys_get(CLOCK_MONOTONIC);
+	/* Workers' leases run on while this machine sleeps. */
+	return sys_get(CLOCK_BOOTTIME);
 }
 
 static struct timespec sys_wall(void *priv)
