Remove an ended job's progress only once its row is removed

If the store refused to remove the row of a job that had ended, its progress went all the same and nothing was tried again: the next owner found a job without progress and ran it anew (TWICE), at the earliest a minute after callers may ask for it last. The progress goes after the row now, and what was refused is tried again with the part's next turn. Found by review; /lead/progress-outlives-the-job failed before.

--- a/src/fleet/lead.c
+++ b/src/fleet/lead.c
@@ -300,6 +300,7 @@
 					    (GDestroyNotify)json_decref);
 	l->progress_next = NULL;
 	l->cleaned_ms = mono(l);
+	l->cleaning = false;
 	l->ticked_ms = mono(l);
 	l->late_ms = 0;
 	l->learned_ms = mono(l);
--- a/src/fleet/lead_commit.c
+++ b/src/fleet/lead_commit.c
@@ -228,13 +228,54 @@
 	return text;
 }
 
+/* Jobs whose rows are being removed; the shard may be lost meanwhile. */
+struct cleaning {
+	struct fleet *f;
+	int32_t shard;
+	int64_t epoch;
+	GPtrArray *ids;
+};
+
+/* Without its row a job can't come back, so its progress may go. */
+static void drop_jobs(struct lead *l, const GPtrArray *ids)
+{
+	for (guint i = 0; i < ids->len; i++) {
+		const char *id = g_ptr_array_index(ids, i);
+
+		sched_job_drop(&l->sched, id);
+		g_ptr_array_add(l->dropped, talloc_strdup(l->term, id));
+	}
+}
+
 static void on_cleaned(const struct rows_answer *ans, void *priv)
 {
-	(void)priv;
+	struct cleaning *c = priv;
+	struct lead *l = c->f->leads[c->shard];
+
 	if (ans->result != ROWS_OK)
 		log_event(LOG_ROW_UNUSABLE,
 			  "table=jobs key=- why=\"ended jobs not removed; "
 			  "tried again later\"");
+	if (l->leading && l->sched.epoch == c->epoch) {
+		l->cleaning = false;
+		if (ans->result == ROWS_OK)
+			drop_jobs(l, c->ids);
+	}
+	g_ptr_array_free(c->ids, TRUE);
+	free(c);
+}
+
+static void remove_rows(struct lead *l, const struct rows_tx *tx,
+			GPtrArray *ids)
+{
+	struct cleaning *c = calloc(1, sizeof(*c));
+
+	c->f = l->f;
+	c->shard = l->shard;
+	c->epoch = l->sched.epoch;
+	c->ids = ids;
+	l->cleaning = true;
+	l->f->rows.ops->commit(l->f->rows.self, tx, on_cleaned, c);
 }
 
 static bool kept_long_enough(const struct lead *l, const struct sched_job *job)
@@ -255,14 +296,16 @@
 	struct rows_tx tx = { .part = lead_job_part(l->shard, l->clean_part,
 						    part),
 			      .changes = changes };
+	GPtrArray *ids;
 	GHashTableIter it;
 	gpointer value;
 	void *tmp;
 
-	if (now_ms - l->cleaned_ms < CLEAN_EVERY_MS)
+	if (l->cleaning || now_ms - l->cleaned_ms < CLEAN_EVERY_MS)
 		return;
 	l->cleaned_ms = now_ms;
 	tmp = talloc_new(NULL);
+	ids = g_ptr_array_new_with_free_func(g_free);
 	lead_jobs_table(l->shard, table);
 	g_hash_table_iter_init(&it, l->sched.jobs);
 	while (tx.n + 2 <= CLEAN_ROWS_MAX &&
@@ -282,13 +325,12 @@
 					       job->spec->id),
 			.remove = true,
 		};
-		g_ptr_array_add(l->dropped,
-				talloc_strdup(l->term, job->spec->id));
+		g_ptr_array_add(ids, g_strdup(job->spec->id));
 	}
-	for (int32_t i = 0; i < tx.n; i += 2)
-		sched_job_drop(&l->sched, changes[i].key);
 	if (tx.n)
-		l->f->rows.ops->commit(l->f->rows.self, &tx, on_cleaned, NULL);
+		remove_rows(l, &tx, ids);
+	else
+		g_ptr_array_free(ids, TRUE);
 	l->clean_part = (l->clean_part + 1) % LEAD_JOB_PARTS;
 	talloc_free(tmp);
 }
--- a/src/fleet/lead_int.h
+++ b/src/fleet/lead_int.h
@@ -32,6 +32,7 @@
 	int64_t ticked_ms; /* when the last tick came */
 	int64_t late_ms; /* moving mean of how late ticks are */
 	int64_t cleaned_ms;
+	bool cleaning; /* rows are being removed */
 	int32_t clean_part; /* the one whose ended jobs are removed next */
 	GPtrArray *texts; /* of the commit under way */
 	GPtrArray *dropped; /* ids whose rows of progress are to go */
--- a/tests/unit_lead.c
+++ b/tests/unit_lead.c
@@ -203,8 +203,49 @@
 	stage_close();
 }
 
+/*
+ * Guards against an ended job that a successor runs again (TWICE): the store
+ * refused to remove its row, and its progress was removed all the same.
+ */
+static void test_progress_outlives_the_job(void)
+{
+	struct jobspec *spec = paper_spec_of("aaaa", "short", 1, 1);
+	json_t *j = jobspec_pack(spec);
+	char *text = json_dumps(j, JSON_COMPACT);
+	char table[LEAD_NAME_MAX];
+	char part[LEAD_NAME_MAX];
+
+	stage_open();
+	stage->f.set.keep_ended_ms = 0;
+	lead_jobs_table(0, table);
+	lead_job_part(0, lead_job_part_of("aaaa"), part);
+	fake_rows_put(&stage->store, table, part, "aaaa", text);
+	fake_rows_put(&stage->store, LEAD_PROGRESS_TABLE, "s0", "aaaa",
+		      "{\"state\":\"done\",\"ended_ms\":1,"
+		      "\"queue\":\"short\"}");
+	free(text);
+	json_decref(j);
+	talloc_free(spec);
+	stage->store.refused_parts = "j0";
+	stage_begin();
+	await_open();
+	/* Each part is cleaned in turn, once a second. */
+	stage_turn((LEAD_JOB_PARTS + 1) * 1000);
+	g_assert_nonnull(fake_rows_get(&stage->store, table, part, "aaaa"));
+	g_assert_nonnull(fake_rows_get(&stage->store, LEAD_PROGRESS_TABLE, "s0",
+				       "aaaa"));
+	stage->store.refused_parts = NULL;
+	stage_turn((LEAD_JOB_PARTS + 1) * 1000);
+	g_assert_null(fake_rows_get(&stage->store, table, part, "aaaa"));
+	g_assert_null(fake_rows_get(&stage->store, LEAD_PROGRESS_TABLE, "s0",
+				    "aaaa"));
+	stage_close();
+}
+
 void unit_add_lead(void)
 {
+	g_test_add_func("/lead/progress-outlives-the-job",
+			test_progress_outlives_the_job);
 	g_test_add_func("/lead/roster-read-before-written",
 			test_roster_read_before_written);
 	g_test_add_func("/lead/roster-in-pages", test_roster_in_pages);
