--- a/tests/unit_lead.c
+++ b/tests/unit_lead.c
@@ -203,13 +203,26 @@
 	stage_close();
 }
 
+static const char *id_in_part(int32_t part)
+{
+	static char id[16];
+
+	for (int i = 0;; i++) {
+		g_snprintf(id, sizeof(id), "job%d", i);
+		if (lead_job_part_of(id) == part)
+			return id;
+	}
+}
+
 /*
  * Guards against an ended job that a successor runs again (TWICE): the store
  * refused to remove its row, and its progress was removed all the same.
  */
 static void test_progress_outlives_the_job(void)
 {
-	struct jobspec *spec = paper_spec_of("aaaa", "short", 1, 1);
+	/* In the part that is cleaned first. */
+	const char *id = id_in_part(0);
+	struct jobspec *spec = paper_spec_of(id, "short", 1, 1);
 	json_t *j = jobspec_pack(spec);
 	char *text = json_dumps(j, JSON_COMPACT);
 	char table[LEAD_NAME_MAX];
@@ -218,9 +231,9 @@
 	stage_open();
 	stage->f.set.keep_ended_ms = 0;
 	lead_jobs_table(0, table);
-	lead_job_part(0, lead_job_part_of("aaaa"), part);
-	fake_rows_put(&stage->store, table, part, "aaaa", text);
-	fake_rows_put(&stage->store, LEAD_PROGRESS_TABLE, "s0", "aaaa",
+	lead_job_part(0, lead_job_part_of(id), part);
+	fake_rows_put(&stage->store, table, part, id, text);
+	fake_rows_put(&stage->store, LEAD_PROGRESS_TABLE, "s0", id,
 		      "{\"state\":\"done\",\"ended_ms\":1,"
 		      "\"queue\":\"short\"}");
 	free(text);
@@ -229,16 +242,16 @@
 	stage->store.refused_parts = "j0";
 	stage_begin();
 	await_open();
-	/* Each part is cleaned in turn, once a second. */
-	stage_turn((LEAD_JOB_PARTS + 1) * 1000);
-	g_assert_nonnull(fake_rows_get(&stage->store, table, part, "aaaa"));
-	g_assert_nonnull(fake_rows_get(&stage->store, LEAD_PROGRESS_TABLE, "s0",
-				       "aaaa"));
+	stage_turn(1500);
+	g_assert_nonnull(fake_rows_get(&stage->store, table, part, id));
+	g_assert_nonnull(
+		fake_rows_get(&stage->store, LEAD_PROGRESS_TABLE, "s0", id));
 	stage->store.refused_parts = NULL;
-	stage_turn((LEAD_JOB_PARTS + 1) * 1000);
-	g_assert_null(fake_rows_get(&stage->store, table, part, "aaaa"));
-	g_assert_null(fake_rows_get(&stage->store, LEAD_PROGRESS_TABLE, "s0",
-				    "aaaa"));
+	/* Each part is cleaned in turn, once a second. */
+	stage_turn(LEAD_JOB_PARTS * 1000);
+	g_assert_null(fake_rows_get(&stage->store, table, part, id));
+	g_assert_null(
+		fake_rows_get(&stage->store, LEAD_PROGRESS_TABLE, "s0", id));
 	stage_close();
 }
 
