Fuzz the parsers of all that comes from outside

19 targets on libFuzzer: callers' requests at the door and their jobs, answers of the store, of workers, of the policy service and about VMs, rows of operators, workers and our own, settings files, messages, records. Each looks beyond crashes: what is accepted has to be what was sent, and what we write has to read back the same. make fuzz runs them; the corpus, written by hand in the form of our encoders, is replayed by the unit tests.

--- a/Makefile
+++ b/Makefile
@@ -6,6 +6,13 @@
 else ifeq ($(SAN),thread)
 B = build-tsan
 SANFLAGS = -fsanitize=thread
+else ifeq ($(SAN),fuzz)
+# libFuzzer is clang's; the fuzzer's binary alone is linked with it.
+B = build-fuzz
+CC = clang
+SANFLAGS = -fsanitize=fuzzer-no-link,address,undefined,float-cast-overflow \
+	-fno-sanitize-recover=undefined,float-cast-overflow \
+	-Wno-unknown-warning-option
 else
 B = build-san
 SANFLAGS = -fsanitize=address,undefined -fno-sanitize-recover=undefined
@@ -17,7 +24,9 @@
 MODULES = talloc tevent msgpack libmicrohttpd libcurl jansson liburcu-memb \
 	glib-2.0 libxxhash
 
+ifneq ($(SAN),fuzz)
 CC = gcc
+endif
 CFLAGS = -std=gnu11 -O2 -g -Wall -Wextra -Werror -Wno-format-truncation -Isrc -I. -Iplatform \
 	$(SANFLAGS) \
 	-D_GNU_SOURCE $(shell pkg-config --cflags $(MODULES))
@@ -29,13 +38,14 @@
 ENTRY_SRC = $(wildcard src/entry/*.c) $(DAEMON_SRC)
 SCHED_SRC = $(wildcard src/sched/*.c) $(DAEMON_SRC)
 STANDIN_SRC = $(wildcard standins/*.c)
-UNIT_SRC = $(wildcard tests/unit*.c) tests/paper.c \
-	tests/fake_rows.c
+FUZZ_SRC = tests/fuzz_calls.c tests/fuzz_rows.c tests/paper.c
+UNIT_SRC = $(wildcard tests/unit*.c) $(FUZZ_SRC) tests/fake_rows.c
 HARNESS = $(call obj,$(wildcard tests/harness*.c)) $(B)/libgd.a
 obj = $(patsubst %.c,$(B)/%.o,$(1))
 
 FLEET_SRC = $(wildcard src/fleet/*.c)
 PLATFORM_SRC = $(wildcard platform/*.c)
+PARSER_SRC = $(filter-out platform/main.c,$(PLATFORM_SRC))
 
 DAEMONS = $(B)/gd-fleet $(B)/gd-entry $(B)/gd-sched $(B)/gdctl $(B)/gd-load
 STANDINS = $(B)/gd-platform $(B)/gd-worker $(B)/gd-target $(B)/gd-faultproxy \
@@ -62,8 +72,10 @@
 $(B)/gd-target: $(B)/standins/target.o $(B)/libgd.a
 $(B)/gd-faultproxy: $(B)/standins/faultproxy.o $(B)/libgd.a
 $(B)/gd-site: $(call obj,$(wildcard standins/site*.c)) $(B)/libgd.a
-$(B)/unit-tests: $(call obj,$(UNIT_SRC) $(FLEET_SRC) platform/pf_boot.c platform/pf_ops.c \
-	platform/pf_rows.c platform/pf_vms.c platform/pf_worker.c) $(B)/libgd.a
+$(B)/unit-tests: $(call obj,$(UNIT_SRC) $(FLEET_SRC) $(PARSER_SRC)) $(B)/libgd.a
+$(B)/fuzz: $(call obj,tests/fuzz_main.c $(FUZZ_SRC) $(FLEET_SRC) $(PARSER_SRC)) \
+	$(B)/libgd.a
+	$(CC) $(SANFLAGS) -fsanitize=fuzzer -o $@ $^ $(LDLIBS)
 $(B)/path-tests: $(B)/tests/path_tests.o $(HARNESS)
 $(B)/fleet-tests: $(B)/tests/fleet_tests.o $(HARNESS)
 $(B)/gd-matrix: $(call obj,tests/matrix.c tests/cell.c \
@@ -101,6 +113,14 @@
 	$(MAKE) SAN=thread all
 	GD_BIN=build-tsan build-tsan/path-tests
 
+# Each target for FUZZ_S seconds, or FUZZ_RUNS inputs, from SEED on.
+FUZZ_S = 20
+FUZZ_RUNS = -1
+SEED = 1
+fuzz: deps
+	$(MAKE) SAN=fuzz build-fuzz/fuzz
+	sh tests/fuzz.sh $(SEED) $(FUZZ_S) $(FUZZ_RUNS)
+
 matrix: deps
 	$(MAKE) all
 	GD_BIN=$(B) $(B)/gd-matrix $(CELL)
@@ -120,7 +140,7 @@
 		-Wno-unknown-warning-option
 
 clean:
-	rm -rf build build-san build-tsan
+	rm -rf build build-san build-tsan build-fuzz
 
-.PHONY: all deploy deps deps-present demo test tsan matrix bench format lint clean
+.PHONY: all deploy deps deps-present demo test tsan fuzz matrix bench format lint clean
 -include $(shell find $(B) -name '*.d' 2>/dev/null)
--- /dev/null
+++ b/tests/fuzz_calls.c
@@ -0,0 +1,462 @@
+/* Callers' requests and answers of the platform, without a network. */
+#include <glib.h>
+#include <jansson.h>
+#include <math.h>
+#include <stdlib.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "fleet/door.h"
+#include "pf_door.h"
+#include "pf_ops.h"
+#include "pf_rows.h"
+#include "pf_vms.h"
+#include "pf_worker.h"
+#include "tests/fuzz.h"
+#include "tests/paper.h"
+#include "transport/htc.h"
+#include "transport/hts.h"
+
+#define PAGES_MAX 4
+#define ROW_BYTES_MAX 65536
+#define JOB "0123456789abcdef"
+
+/* The one request or call that waits for its answer. */
+static struct {
+	htc_done call;
+	rows_done rows;
+	void *priv;
+	hts_handler door;
+	void *door_priv;
+	const char *headers[2];
+	int replied;
+} pending;
+
+struct hts *hts_start(void *ctx, struct tevent_context *ev,
+		      const struct hts_options *opt, hts_handler handler,
+		      void *priv, struct err *e)
+{
+	(void)ev;
+	(void)opt;
+	(void)e;
+	pending.door = handler;
+	pending.door_priv = priv;
+	return talloc_named_const(ctx, 1, "server");
+}
+
+void hts_reply(struct hts_req *req, unsigned int status, const char *type,
+	       const void *body, size_t len)
+{
+	json_t *j = json_loadb(body, len, 0, NULL);
+
+	(void)req;
+	(void)type;
+	g_assert_cmpint(++pending.replied, ==, 1);
+	g_assert_cmpuint(status, >=, 200);
+	g_assert_true(json_is_object(j));
+	json_decref(j);
+}
+
+void hts_reply_header(struct hts_req *req, const char *name, const char *value)
+{
+	(void)req;
+	g_assert_true(*name && *value);
+}
+
+const char *hts_header(struct hts_req *req, const char *name)
+{
+	(void)req;
+	return pending.headers[!strcmp(name, "Deadline-Ms")];
+}
+
+uint32_t hts_active(const struct hts *s)
+{
+	(void)s;
+	return 0;
+}
+
+void htc_send(struct htc *c, const struct htc_request *req, htc_done done,
+	      void *priv)
+{
+	(void)c;
+	(void)req;
+	g_assert_null(pending.call);
+	pending.call = done;
+	pending.priv = priv;
+}
+
+/* The status is 200 unless the text begins with another and a space. */
+static void answer(const char *text, size_t len)
+{
+	struct htc_answer ans = { .status = 200, .request_id = "" };
+	htc_done done = pending.call;
+
+	if (len > 4 && text[3] == ' ' && g_ascii_isdigit(*text)) {
+		ans.status = atoi(text);
+		text += 4;
+		len -= 4;
+	}
+	ans.body = text;
+	ans.body_len = len;
+	pending.call = NULL;
+	done(&ans, pending.priv);
+}
+
+static void commit(void *self, const struct rows_tx *tx, rows_done done,
+		   void *priv)
+{
+	(void)self;
+	for (int32_t i = 0; i < tx->n; i++)
+		g_assert_cmpuint(strlen(tx->changes[i].value), <=,
+				 ROW_BYTES_MAX);
+	pending.rows = done;
+	pending.priv = priv;
+}
+
+static void read_rows(void *self, const struct rows_range *range,
+		      rows_done done, void *priv)
+{
+	(void)self;
+	(void)range;
+	pending.rows = done;
+	pending.priv = priv;
+}
+
+static int64_t never_silent(const void *self)
+{
+	(void)self;
+	return 0;
+}
+
+static const struct rows_ops rows_ops = { commit, read_rows, NULL,
+					  never_silent };
+
+static void follow_nothing(void *self, bool on)
+{
+	(void)self;
+	(void)on;
+}
+
+static bool never_ready(void *priv)
+{
+	(void)priv;
+	return false;
+}
+
+static struct fleet *open_door(void)
+{
+	static const struct fleet_directory_ops directory = { follow_nothing };
+	static const struct pf_boot boot;
+	static struct fleet f;
+	struct fleet_settings set = { .row_bytes_max = ROW_BYTES_MAX };
+	struct fleet_tables tables = { .rows = { &rows_ops, NULL },
+				       .directory = { &directory, NULL } };
+	struct tevent_context *ev = tevent_context_init(NULL);
+	struct err e;
+
+	/* Without shards, so without their owners; jobs go to the first. */
+	fleet_init(&f, &set, ev, tmr_set_start(ev, ev), &clk_system, &tables);
+	f.door = door_start(&f);
+	f.set.shards = 1;
+	f.catalog = pf_ops_catalog(ev,
+				   "{\"routes\":[{\"name\":\"r\",\"host\":\"h\""
+				   ",\"prefix\":\"/r/\"}],\"services\":[]}",
+				   &e);
+	g_assert_nonnull(pf_door_start(ev, &f, &boot, never_ready, NULL, &e));
+	return &f;
+}
+
+/* Lines: method, host, path, deadline, and the body in what is left. */
+static void run_door(const char *text, size_t len)
+{
+	static struct fleet *f;
+	g_auto(GStrv) part = g_strsplit(text, "\n", 5);
+	struct rows_row row = { "", JOB, "", 1, false };
+	struct rows_answer ans = { .n = 1, .rows = &row };
+	struct hts_req req = { 0 };
+
+	if (!f)
+		f = open_door();
+	/* The number of waiting jobs is asked of owners. */
+	if (g_strv_length(part) < 5 || !strcmp(part[2], "/r/"))
+		return;
+	req = (struct hts_req){ .method = part[0],
+				.path = part[2],
+				.body = part[4],
+				.body_len = strlen(part[4]) };
+	row.value = part[4];
+	pending.headers[0] = part[1];
+	pending.headers[1] = part[3];
+	pending.replied = 0;
+	(void)len;
+	pending.door(&req, pending.door_priv);
+	while (!pending.replied) {
+		rows_done done = pending.rows;
+
+		pending.rows = NULL;
+		if (done)
+			done(&ans, pending.priv);
+		else
+			tevent_loop_once(f->ev);
+	}
+	g_assert_cmpint(door_active(f->door), ==, 0);
+}
+
+/* What was accepted is what was asked for; fractions may be rounded. */
+static void same_number(const json_t *row, const char *key, int64_t got,
+			int64_t absent)
+{
+	const json_t *v = json_object_get(row, key);
+
+	if (!v || json_is_null(v)) {
+		g_assert_cmpint(got, ==, absent);
+		return;
+	}
+	g_assert_true(json_is_number(v));
+	if (fabs(json_number_value(v)) < 1e11)
+		g_assert_cmpfloat(fabs((double)got - json_number_value(v)), <,
+				  1);
+}
+
+static void same_text(const json_t *row, const char *key, const char *got)
+{
+	const json_t *v = json_object_get(row, key);
+
+	if (!v || json_is_null(v))
+		g_assert_cmpstr(got, ==, "");
+	else
+		g_assert_cmpstr(got, ==, json_string_value(v));
+}
+
+static void same_step(const json_t *row, const struct jobspec_step *s)
+{
+	const json_t *after = json_object_get(row, "after");
+	const json_t *gang = json_object_get(row, "gang");
+
+	same_number(row, "count", s->tasks, 0);
+	same_number(row, "cpu", s->cpu_milli, 0);
+	same_number(row, "mem_mb", s->mem_mib, 0);
+	same_number(row, "gpu", s->accelerators, 0);
+	same_number(row, "estimate_ms", s->expected_ms, 0);
+	same_number(row, "max_per_server", s->spread_max, 0);
+	same_number(row, "max_unavailable", s->unavailable_max, -1);
+	same_text(row, "requires", s->label);
+	same_text(row, "affinity", s->data_rack);
+	same_text(row, "image", s->image);
+	g_assert_true(!gang || json_is_null(gang) || json_is_boolean(gang));
+	g_assert_cmpint(s->gang, ==, json_is_true(gang));
+	g_assert_cmpint(s->n_after, ==, json_array_size(after));
+	for (int32_t i = 0; i < s->n_after; i++) {
+		json_t *v = json_array_get(after, (size_t)i);
+
+		g_assert_true(json_number_value(v) == s->after[i] &&
+			      json_is_number(v));
+	}
+}
+
+/* Also for a scheduler, and for one that follows it. */
+static void run_job(const char *text, size_t len)
+{
+	struct err e = { 0 };
+	struct jobspec *spec = pf_ops_job(NULL, JOB, "short", text, len, &e);
+	struct jobspec *back;
+	struct paper p;
+	json_t *row;
+
+	if (!spec) {
+		g_assert_cmpint(e.kind, ==, ERR_RECORD);
+		return;
+	}
+	row = json_loadb(text, len, 0, NULL);
+	same_number(row, "times", spec->rounds, 0);
+	for (int32_t i = 0; i < spec->n_steps; i++)
+		same_step(json_array_get(json_object_get(row, "steps"),
+					 (size_t)i),
+			  &spec->steps[i]);
+	json_decref(row);
+	row = jobspec_pack(spec);
+	back = jobspec_unpack(NULL, JOB, row, &e);
+	g_assert_nonnull(back);
+	g_assert_cmpmem(
+		back->steps, (size_t)back->n_steps * sizeof(*back->steps),
+		spec->steps, (size_t)spec->n_steps * sizeof(*spec->steps));
+	talloc_free(back);
+	json_decref(row);
+	paper_open(&p, 1, NULL);
+	paper_add_worker(&p, "w", "r");
+	paper_look_at(&p, "w", NULL, 0, NULL, 0, 10);
+	paper_add_job(&p, spec);
+	sched_place(&p.s, 20);
+	sched_tick(&p.s, 30, 1000000);
+	paper_close(&p);
+}
+
+static void on_rows(const struct rows_answer *ans, void *priv)
+{
+	(void)priv;
+	for (int32_t i = 0; i < ans->n; i++) {
+		g_assert_true(*ans->rows[i].key);
+		g_assert_nonnull(ans->rows[i].part);
+	}
+}
+
+static void on_clock(int64_t now_ms, void *priv)
+{
+	struct fleet f = { .clk = &clk_system };
+
+	(void)priv;
+	fleet_store_clock(&f, now_ms);
+}
+
+static void run_answer(const char *text, size_t len)
+{
+	static const struct pf_rows_ops ops = { on_clock };
+	struct rows_range range = { .table = "t", .part = "" };
+	struct pf_rows *p =
+		pf_rows_start(NULL, NULL, &clk_system, "", &ops, NULL);
+	struct rows rows = pf_rows_table(p);
+
+	rows.ops->read(rows.self, &range, on_rows, NULL);
+	answer(text, len);
+	talloc_free(p);
+}
+
+static void on_looked(const struct sched_look *look, void *priv)
+{
+	struct paper *p = priv;
+	struct sched_worker *w = paper_worker(p, "w");
+	struct sched_look mine;
+
+	if (!look)
+		return;
+	mine = *look;
+	mine.fence = w->fence;
+	for (int i = 0; i < 3; i++) {
+		sched_looked(&p->s, w, &mine, 100 + i, 1000000);
+		sched_tick(&p->s, 110 + i, 1000000);
+		sched_place(&p->s, 120 + i);
+	}
+}
+
+static void on_advised(const char *const *ids, const char *const *tickets,
+		       int32_t n, int64_t valid_ms, void *priv)
+{
+	struct sched_ref ref = { .job = JOB };
+	struct paper *p = priv;
+
+	sched_advised(&p->s, &ref, ids, tickets, n, valid_ms, 100);
+	sched_place(&p->s, 110);
+}
+
+static void on_started(enum sched_start_result res, void *priv)
+{
+	struct paper *p = priv;
+
+	if (p->starts->len)
+		sched_start_answered(&p->s, &paper_start_at(p, 0)->ref, "w",
+				     res, 100);
+	sched_place(&p->s, 110);
+}
+
+enum worker_call { LOOK, ADVISE, START };
+
+static void answer_of(enum worker_call call, const char *text, size_t len)
+{
+	struct sched_ref ref = { .job = JOB };
+	struct wkr_start order = { .ref = &ref, .payload = "" };
+	struct wkr_target to = { .id = "w", .address = "" };
+	struct pf_worker *w = pf_worker_start(NULL, NULL, "");
+	struct wkr t = pf_worker_table(w);
+	struct paper p;
+
+	paper_open(&p, 1, NULL);
+	paper_add_worker(&p, "w", "r");
+	paper_look_at(&p, "w", NULL, 0, NULL, 0, 10);
+	paper_add_job(&p, paper_spec_of(JOB, call == ADVISE ? "ruled" : "short",
+					2, 2));
+	sched_place(&p.s, 20);
+	if (call == LOOK)
+		t.ops->look(t.self, &to, 0, 0, on_looked, &p);
+	else if (call == ADVISE)
+		t.ops->advise(t.self, &ref, NULL, 0, on_advised, &p);
+	else
+		t.ops->start(t.self, &to, &order, on_started, &p);
+	answer(text, len);
+	paper_close(&p);
+	talloc_free(w);
+}
+
+static void run_look(const char *text, size_t len)
+{
+	answer_of(LOOK, text, len);
+}
+
+static void run_advice(const char *text, size_t len)
+{
+	answer_of(ADVISE, text, len);
+}
+
+static void run_start(const char *text, size_t len)
+{
+	answer_of(START, text, len);
+}
+
+/* No two names stand for one task. */
+static void run_task(const char *text, size_t len)
+{
+	struct sched_ref ref;
+	g_autofree char *name = NULL;
+
+	(void)len;
+	if (!pf_worker_task(text, &ref))
+		return;
+	name = g_strdup_printf("%s.%lld.%d.%d", ref.job, (long long)ref.round,
+			       ref.step, ref.index);
+	g_assert_cmpstr(name, ==, text);
+}
+
+static void on_vm(const char *vm, enum upkeep_state state, const char *worker,
+		  void *priv)
+{
+	upkeep_listed(priv, vm, state, worker);
+}
+
+static void on_list_ended(bool good, void *priv)
+{
+	upkeep_list_ends(priv, good);
+}
+
+static void on_ordered(enum upkeep_result res, void *priv)
+{
+	(void)res;
+	(void)priv;
+}
+
+static void run_machines(const char *text, size_t len)
+{
+	static const struct rows rows = { &rows_ops, NULL };
+	struct pf_vms *p = pf_vms_start(NULL, NULL, "", &rows);
+	struct vms vms = pf_vms_table(p);
+	struct vms_giver giver = { "vm", 1 };
+	struct upkeep u;
+
+	upkeep_init(&u, NULL, NULL, 0);
+	vms.ops->list(vms.self, on_vm, on_list_ended, &u);
+	/* A list whose pages don't end is not our concern here. */
+	for (int i = 0; pending.call && i < PAGES_MAX; i++)
+		answer(text, len);
+	if (pending.call)
+		answer("", 0);
+	vms.ops->upkeep(vms.self, &giver, 1, "vm", on_ordered, NULL);
+	answer(text, len);
+	upkeep_finish(&u);
+	talloc_free(p);
+}
+
+const struct fuzz_target fuzz_calls[] = {
+	{ "door", run_door },	  { "job", run_job },
+	{ "answer", run_answer }, { "look", run_look },
+	{ "advice", run_advice }, { "start", run_start },
+	{ "task", run_task },	  { "machines", run_machines },
+	{ NULL, NULL },
+};
--- /dev/null
+++ b/tests/fuzz_rows.c
@@ -0,0 +1,457 @@
+/* Rows of the store, settings files, and messages of our own processes. */
+#include <glib.h>
+#include <jansson.h>
+#include <math.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/mman.h>
+#include <talloc.h>
+#include <unistd.h>
+
+#include "fleet/lead_int.h"
+#include "pf_boot.h"
+#include "pf_ops.h"
+#include "pf_vms.h"
+#include "protocol/msg.h"
+#include "protocol/rec.h"
+#include "protocol/settings.h"
+#include "tests/fuzz.h"
+#include "tests/paper.h"
+
+#define JOB "0123456789abcdef"
+#define VM "m1"
+
+/* Puts the text into a file that is there until the next call. */
+static const char *file_of(const char *text, size_t len)
+{
+	static char path[32];
+	static int fd = -1;
+
+	if (fd < 0)
+		fd = memfd_create("fuzz", 0);
+	snprintf(path, sizeof(path), "/proc/self/fd/%d", fd);
+	g_assert_cmpint(ftruncate(fd, 0), ==, 0);
+	g_assert_cmpint(pwrite(fd, text, len, 0), ==, len);
+	return path;
+}
+
+static void ignore_empty(void *priv, const char *vm, bool on)
+{
+	(void)priv;
+	(void)vm;
+	(void)on;
+}
+
+static bool always_ends(void *priv, const char *vm, bool late)
+{
+	(void)priv;
+	(void)vm;
+	(void)late;
+	return true;
+}
+
+/* Each order is carried out. */
+static void begin(void *priv, int64_t wave, const char *vm)
+{
+	upkeep_answered(priv, wave, vm, UPKEEP_BEGUN, 0);
+}
+
+static void ignore_touched(void *priv, int64_t wave)
+{
+	(void)priv;
+	(void)wave;
+}
+
+static void ignore_note(void *priv, const char *what, int64_t wave,
+			const char *vm)
+{
+	(void)priv;
+	(void)what;
+	(void)wave;
+	(void)vm;
+}
+
+static const struct upkeep_ops upkeep_ops = { ignore_empty, always_ends, begin,
+					      ignore_touched, ignore_note };
+
+/* A wave comes to its end, whatever was asked for. */
+static void run_wave(const char *text, size_t len)
+{
+	struct upkeep u;
+	struct upkeep_wave w;
+	void *tmp = talloc_new(NULL);
+
+	(void)len;
+	if (!pf_vms_wave(tmp, text, &w)) {
+		talloc_free(tmp);
+		return;
+	}
+	upkeep_init(&u, &upkeep_ops, &u, 0);
+	upkeep_add(&u, &w, 100000);
+	for (int32_t i = 0; i <= w.n_vms && upkeep_active(&u); i++) {
+		int64_t now = 100000 + i;
+
+		upkeep_list_begins(&u);
+		for (int32_t k = 0; k < w.n_vms; k++) {
+			g_autofree char *life = g_strdup_printf("%d", i);
+
+			upkeep_listed(&u, w.vms[k], UPKEEP_UP, life);
+		}
+		upkeep_list_ends(&u, now);
+		upkeep_step(&u, true, now);
+	}
+	if (w.at_once > 0)
+		g_assert_false(upkeep_active(&u));
+	upkeep_finish(&u);
+	talloc_free(tmp);
+}
+
+static bool cut(const json_t *list, size_t i, const char *key, const char *got)
+{
+	const char *s = json_string_value(
+		json_object_get(json_array_get(list, i), key));
+
+	return s && strcmp(s, got) != 0;
+}
+
+/* No name is cut: it could then be another's. */
+static void run_catalog(const char *text, size_t len)
+{
+	struct err e = { 0 };
+	struct catalog *c = pf_ops_catalog(NULL, text, &e);
+	json_t *j = json_loadb(text, len, 0, NULL);
+	const json_t *routes = json_object_get(j, "routes");
+
+	for (int32_t i = 0; c && i < c->n_queues; i++) {
+		const struct catalog_queue *q = &c->queues[i];
+		bool found = false;
+
+		for (size_t k = 0; !found && k < json_array_size(routes); k++)
+			found = !cut(routes, k, "name", q->name) &&
+				!cut(routes, k, "host", q->host) &&
+				!cut(routes, k, "prefix", q->prefix) &&
+				!cut(routes, k, "service", q->pool);
+		g_assert_true(found);
+		g_assert_cmpint(q->attempts, >, 0);
+		catalog_match(c, q->host, q->prefix);
+	}
+	json_decref(j);
+	talloc_free(c);
+}
+
+static void run_worker(const char *text, size_t len)
+{
+	struct sched_worker_row row;
+	struct err e = { 0 };
+	struct paper p;
+	json_t *j;
+
+	if (!pf_ops_worker("w", text, &row, &e)) {
+		g_assert_cmpint(e.kind, ==, ERR_PROTOCOL);
+		return;
+	}
+	j = json_loadb(text, len, 0, NULL);
+	g_assert_cmpstr(row.pool, ==,
+			json_string_value(json_object_get(j, "service")));
+	g_assert_cmpstr(row.address, ==,
+			json_string_value(json_object_get(j, "addr")));
+	g_assert_cmpstr(row.domain, ==,
+			json_string_value(json_object_get(j, "zone")));
+	for (int32_t i = 0; i < row.n_labels; i++)
+		g_assert_cmpstr(
+			row.labels[i], ==,
+			json_string_value(json_array_get(
+				json_object_get(j, "labels"), (size_t)i)));
+	g_assert_cmpint(row.total.cpu_milli, >=, 0);
+	g_assert_cmpint(row.total.mem_mib, >=, 0);
+	g_assert_cmpint(row.total.accelerators, >=, 0);
+	json_decref(j);
+	paper_open(&p, 1, NULL);
+	sched_worker_seen(&p.s, &row, 10);
+	paper_store_roster(&p);
+	paper_look_at(&p, "w", NULL, 0, NULL, 0, 10);
+	paper_add_job(&p, paper_spec_of(JOB, "short", 1, 3));
+	sched_place(&p.s, 20);
+	sched_tick(&p.s, 30, 1000000);
+	paper_close(&p);
+}
+
+static void run_boot(const char *text, size_t len)
+{
+	struct pf_boot b;
+	struct err e = { 0 };
+
+	if (!pf_boot_load(file_of(text, len), &b, &e)) {
+		g_assert_cmpint(e.kind, ==, ERR_SETTING);
+		return;
+	}
+	g_assert_false(isnan(b.processor_share));
+	g_assert_cmpint(b.open_files, >=, 300);
+	g_assert_cmpint(b.fleet.row_bytes_max, >=, 1024);
+	fleet_default_limits(&b.fleet, b.processor_share);
+	g_assert_cmpint(b.fleet.sched.lease_ms, >, 0);
+}
+
+static char *progress_of(const struct sched_job *job)
+{
+	json_t *j = sched_job_progress(job, true);
+	char *text = json_dumps(j, JSON_COMPACT | JSON_SORT_KEYS);
+
+	json_decref(j);
+	return text;
+}
+
+static struct sched_job *add_again(struct paper *p, const struct jobspec *of,
+				   const char *progress)
+{
+	json_t *row = jobspec_pack(of);
+	json_t *j = json_loads(progress, 0, NULL);
+	struct err e;
+	struct jobspec *spec = jobspec_unpack(NULL, JOB, row, &e);
+	struct sched_job *job;
+
+	g_assert_nonnull(spec);
+	job = sched_job_add(&p->s, spec, j, 1, true, 0, 1000000);
+	json_decref(row);
+	json_decref(j);
+	return job;
+}
+
+/* A job's row, and on the next line its progress: what a scheduler makes of
+ * it, one that follows understands in the same way. */
+static void run_job_row(const char *text, size_t len)
+{
+	const char *eol = memchr(text, '\n', len);
+	size_t n = eol ? (size_t)(eol - text) : len;
+	json_t *row = json_loadb(text, n, 0, NULL);
+	json_t *progress = eol ? json_loads(eol, 0, NULL) : NULL;
+	struct err e = { 0 };
+	struct jobspec *spec = jobspec_unpack(NULL, JOB, row, &e);
+	struct sched_job *job;
+	struct paper p;
+	struct paper next;
+
+	if (spec) {
+		g_autofree char *first = NULL;
+		g_autofree char *second = NULL;
+
+		paper_open(&p, 1, NULL);
+		paper_open(&next, 2, NULL);
+		paper_add_worker(&p, "w", "r");
+		paper_look_at(&p, "w", NULL, 0, NULL, 0, 10);
+		job = sched_job_add(&p.s, spec, progress, 1, true, 0, 1000000);
+		first = progress_of(job);
+		second = progress_of(add_again(&next, spec, first));
+		g_assert_cmpstr(first, ==, second);
+		sched_place(&p.s, 20);
+		sched_tick(&p.s, 30, 1000000);
+		paper_close(&next);
+		paper_close(&p);
+	}
+	json_decref(row);
+	json_decref(progress);
+}
+
+static void run_roster(const char *text, size_t len)
+{
+	json_t *j = json_loadb(text, len, 0, NULL);
+	struct paper p;
+
+	paper_open(&p, 2, NULL);
+	sched_roster_restore(&p.s, j, 10);
+	sched_tick(&p.s, 20, 1000000);
+	sched_tick(&p.s, 1000000, 2000000);
+	paper_store_roster(&p);
+	paper_close(&p);
+	json_decref(j);
+}
+
+static void run_learned(const char *text, size_t len)
+{
+	json_t *j = json_loadb(text, len, 0, NULL);
+	struct interfere m;
+	struct interfere next;
+	struct interfere_load load = { 1, 0.5 };
+	struct interfere_change change = { 1, 1, &load, 1 };
+
+	interfere_init(&m);
+	interfere_init(&next);
+	interfere_unpack(&m, j);
+	json_decref(j);
+	if (m.n)
+		interfere_observe(&m, m.n, &change);
+	for (int32_t i = 1; i <= m.n; i++) {
+		g_assert_true(isfinite(interfere_alone(&m, i)));
+		g_assert_true(isfinite(interfere_weight(&m, i, 1)));
+		g_assert_cmpfloat(interfere_weight(&m, i, 1), >=, 0);
+	}
+	j = interfere_pack(&m);
+	interfere_unpack(&next, j);
+	g_assert_cmpint(next.n, <=, m.n);
+	json_decref(j);
+	interfere_finish(&m);
+	interfere_finish(&next);
+}
+
+static struct {
+	const char *row;
+	rows_done done;
+	void *priv;
+} reading;
+
+static void keep_read(void *self, const struct rows_range *range,
+		      rows_done done, void *priv)
+{
+	(void)self;
+	(void)range;
+	reading.done = done;
+	reading.priv = priv;
+}
+
+static void list_nothing(void *self, vms_listed each, vms_list_ended ended,
+			 void *priv)
+{
+	(void)self;
+	each(VM, UPKEEP_UP, "w", priv);
+	ended(true, priv);
+}
+
+static void order_nothing(void *self, const struct vms_giver *giver,
+			  int64_t wave, const char *vm, vms_ordered done,
+			  void *priv)
+{
+	(void)self;
+	(void)giver;
+	(void)wave;
+	g_assert_cmpstr(vm, ==, VM);
+	done(UPKEEP_BUSY, priv);
+}
+
+static void tell_nobody(void *self, int64_t wave, bool over, vms_told done,
+			void *priv)
+{
+	(void)self;
+	(void)wave;
+	(void)over;
+	done(true, priv);
+}
+
+static void keep_go_on(struct keep *k, const char *value)
+{
+	struct rows_row row = { "s0", "wave/1", value, 1, false };
+	struct rows_answer ans = { .n = 1, .rows = &row };
+
+	keep_step(k, true, 1000);
+	reading.done(&ans, reading.priv);
+	keep_step(k, true, 2000);
+	keep_step(k, true, 9000);
+}
+
+/* How far a former owner came with wave 1. */
+static void run_upkeep(const char *text, size_t len)
+{
+	static const struct rows_ops rows = { .read = keep_read };
+	static const struct vms_ops vms = { list_nothing, order_nothing,
+					    tell_nobody };
+	const char *const names[] = { VM };
+	struct fleet f = { .clk = &clk_system,
+			   .rows = { &rows, NULL },
+			   .vms = { &vms, NULL } };
+	struct fleet_wave wave = { { 1, 1, 5000, 1, names }, 0 };
+	struct lead lead = { .f = &f, .leading = true };
+	GPtrArray *texts = g_ptr_array_new_with_free_func(free);
+	struct rows_change change;
+	struct paper p;
+
+	(void)len;
+	paper_open(&p, 2, NULL);
+	f.leads[0] = &lead;
+	f.waves = g_hash_table_new(g_int64_hash, g_int64_equal);
+	g_hash_table_insert(f.waves, &wave.wave.number, &wave);
+	lead.keep = keep_start(NULL, &f, &p.s, 0, 2);
+	keep_go_on(lead.keep, text);
+	keep_collect(lead.keep, texts, &change, 1);
+	keep_committed(lead.keep);
+	talloc_free(lead.keep);
+	g_hash_table_destroy(f.waves);
+	g_ptr_array_free(texts, TRUE);
+	paper_close(&p);
+}
+
+static void run_message(const char *text, size_t len)
+{
+	struct msg *m = msg_unpack(NULL, text, len);
+	struct msg *again;
+	size_t n;
+	void *data;
+
+	if (!m)
+		return;
+	data = msg_pack(NULL, m, &n);
+	again = msg_unpack(NULL, data, n);
+	g_assert_nonnull(again);
+	g_assert_cmpint(again->kind, ==, m->kind);
+	g_assert_cmpmem(again->body, again->body_len, m->body, m->body_len);
+	talloc_free(data);
+	talloc_free(again);
+	talloc_free(m);
+}
+
+/* A record of either schema means the same in the newest. */
+static void run_record(const char *text, size_t len)
+{
+	struct err e = { 0 };
+	struct rec r;
+	struct rec again;
+	json_t *first;
+	json_t *second;
+
+	(void)len;
+	if (!rec_parse_text(text, &r, &e)) {
+		g_assert_cmpint(e.kind, ==, ERR_RECORD);
+		return;
+	}
+	first = rec_to_json(&r);
+	g_assert_true(rec_parse(first, &again, &e));
+	second = rec_to_json(&again);
+	g_assert_true(json_equal(first, second));
+	json_decref(first);
+	json_decref(second);
+}
+
+static void run_settings(const char *text, size_t len)
+{
+	const char *path = file_of(text, len);
+	struct settings s;
+	struct err e = { 0 };
+
+	for (int kind = SETTINGS_ENTRY; kind <= SETTINGS_SCHED; kind++) {
+		if (!settings_load(path, (enum settings_kind)kind, &s, &e))
+			continue;
+		g_assert_cmpint(s.http_port, >, 0);
+		g_assert_cmpint(s.shards, >, 0);
+		g_assert_true(*s.id);
+	}
+}
+
+const struct fuzz_target fuzz_rows[] = {
+	{ "wave", run_wave },	      { "catalog", run_catalog },
+	{ "worker", run_worker },     { "boot", run_boot },
+	{ "job-row", run_job_row },   { "roster", run_roster },
+	{ "learned", run_learned },   { "upkeep", run_upkeep },
+	{ "message", run_message },   { "record", run_record },
+	{ "settings", run_settings }, { NULL, NULL },
+};
+
+const struct fuzz_target *fuzz_find(const char *name)
+{
+	const struct fuzz_target *const lists[] = { fuzz_calls, fuzz_rows };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(lists); i++) {
+		for (const struct fuzz_target *t = lists[i]; t->name; t++) {
+			if (!strcmp(t->name, name))
+				return t;
+		}
+	}
+	return NULL;
+}
--- a/tests/unit.h
+++ b/tests/unit.h
@@ -7,6 +7,7 @@
 void unit_add_shard(void);
 void unit_add_door(void);
 void unit_add_platform(void);
+void unit_add_fuzz(void);
 void unit_add_policy(void);
 void unit_add_pace(void);
 void unit_add_sched(void);
--- a/tests/unit_tests.c
+++ b/tests/unit_tests.c
@@ -17,6 +17,7 @@
 	unit_add_shard();
 	unit_add_door();
 	unit_add_platform();
+	unit_add_fuzz();
 	unit_add_policy();
 	unit_add_pace();
 	unit_add_sched();
