Refuse jobs whose values would be taken for others

Numbers were cast and texts copied with no look at type, range and length. Now a table says for each field what it may be, and what is not that is refused with 400 and the field's name. Estimates that are too long count as three years instead, since they are rough anyway; whole numbers may be written as reals, and fractions of sizes are rounded up. One job has at most 5000 tasks in all its steps. Rows of jobs are read as strictly, except that the number of all tasks is left alone: what was accepted stays accepted.

--- a/src/protocol/jobspec.c
+++ b/src/protocol/jobspec.c
@@ -7,8 +7,10 @@
 #include <string.h>
 #include <talloc.h>
 
+#include "protocol/num.h"
+
 /* LIMIT: a NUM32 whose absence is told apart from 0. */
-enum kind { NUM32, NUM64, FLAG, TEXT, LIMIT };
+enum kind { NUM32, NUM64, ESTIMATE, FLAG, TEXT, LIMIT };
 
 struct column {
 	const char *key;
@@ -26,7 +28,7 @@
 	COL("cpu_milli", NUM64, cpu_milli),
 	COL("mem_mib", NUM64, mem_mib),
 	COL("accelerators", NUM64, accelerators),
-	COL("expected_ms", NUM64, expected_ms),
+	COL("expected_ms", ESTIMATE, expected_ms),
 	COL("checkpoints", FLAG, checkpoints),
 	COL("gang", FLAG, gang),
 	COL("one_rack", FLAG, one_rack),
@@ -35,7 +37,7 @@
 	COL("best_effort", FLAG, best_effort),
 	COL("spread_max", NUM32, spread_max),
 	COL("unavailable_max", LIMIT, unavailable_max),
-	COL("tail_goal_ms", NUM64, tail_goal_ms),
+	COL("tail_goal_ms", ESTIMATE, tail_goal_ms),
 	COL("label", TEXT, label),
 	COL("data_rack", TEXT, data_rack),
 	COL("image", TEXT, image),
@@ -54,6 +56,11 @@
 	return spec;
 }
 
+static bool good_size(int64_t size)
+{
+	return size >= 0 && size <= JOBSPEC_SIZE_MAX;
+}
+
 static bool check_step(const struct jobspec *spec, int32_t i, struct err *e)
 {
 	const struct jobspec_step *s = &spec->steps[i];
@@ -62,11 +69,12 @@
 		return err_set(e, ERR_RECORD,
 			       "step %d has %d tasks: give 1 to %d", i,
 			       s->tasks, JOBSPEC_TASKS_MAX);
-	if (s->cpu_milli < 0 || s->mem_mib < 0 || s->accelerators < 0)
+	if (!good_size(s->cpu_milli) || !good_size(s->mem_mib) ||
+	    !good_size(s->accelerators))
 		return err_set(e, ERR_RECORD,
-			       "step %d asks for less than nothing: give sizes "
-			       "of 0 or more",
-			       i);
+			       "step %d asks for less than nothing, or too "
+			       "much: give sizes from 0 to %lld",
+			       i, JOBSPEC_SIZE_MAX);
 	for (int32_t k = 0; k < s->n_after; k++) {
 		if (s->after[k] < 0 || s->after[k] >= i)
 			return err_set(e, ERR_RECORD,
@@ -86,6 +94,13 @@
 	if (spec->rounds < 0 || spec->interval_ms < 0)
 		return err_set(e, ERR_RECORD,
 			       "the schedule is negative: give 0 or more");
+	if (spec->rounds > JOBSPEC_ROUNDS_MAX ||
+	    spec->interval_ms > JOBSPEC_ESTIMATE_MAX_MS ||
+	    spec->first_due_ms < -NUM_MOST || spec->first_due_ms > NUM_MOST)
+		return err_set(e, ERR_RECORD,
+			       "the schedule goes on for thousands of years: "
+			       "give at most %d times, %lld ms apart",
+			       JOBSPEC_ROUNDS_MAX, JOBSPEC_ESTIMATE_MAX_MS);
 	for (int32_t i = 0; i < spec->n_steps; i++) {
 		if (!check_step(spec, i, e))
 			return false;
@@ -102,7 +117,7 @@
 
 	if (c->kind == NUM32 || c->kind == LIMIT)
 		n = *(const int32_t *)at;
-	else if (c->kind == NUM64)
+	else if (c->kind == NUM64 || c->kind == ESTIMATE)
 		n = *(const int64_t *)at;
 	else if (c->kind == FLAG)
 		n = *(const bool *)at;
@@ -159,35 +174,79 @@
 	return row;
 }
 
-static void unpack_column(const json_t *row, struct jobspec_step *s,
+/* False if the value isn't one that jobspec_pack writes. */
+static bool unpack_column(const json_t *row, struct jobspec_step *s,
 			  const struct column *c)
 {
 	const json_t *v = json_object_get(row, c->key);
 	char *at = (char *)s + c->offset;
-	int64_t n = json_integer_value(v);
+	int64_t n = 0;
 
 	if (!v)
-		return;
-	if (c->kind == NUM32 || c->kind == LIMIT)
+		return true;
+	switch (c->kind) {
+	case NUM32:
+	case LIMIT:
+		if (!num_whole(v, INT32_MIN, INT32_MAX, &n))
+			return false;
 		*(int32_t *)at = (int32_t)n;
-	else if (c->kind == NUM64)
-		*(int64_t *)at = n;
-	else if (c->kind == FLAG)
+		return true;
+	case NUM64:
+		return num_whole(v, 0, JOBSPEC_SIZE_MAX, (int64_t *)at);
+	case ESTIMATE:
+		*(int64_t *)at = num_near(v, 0, JOBSPEC_ESTIMATE_MAX_MS, 0);
+		return true;
+	case FLAG:
 		*(bool *)at = json_is_true(v);
-	else if (json_is_string(v))
-		snprintf(at, JOBSPEC_NAME_MAX, "%s", json_string_value(v));
+		return true;
+	case TEXT:
+		if (!json_is_string(v) ||
+		    json_string_length(v) >= JOBSPEC_NAME_MAX)
+			return false;
+		memcpy(at, json_string_value(v), json_string_length(v) + 1);
+		return true;
+	}
+	return false;
 }
 
-static void unpack_step(const json_t *row, struct jobspec_step *s)
+bool jobspec_after(struct jobspec_step *s, const json_t *list)
 {
-	const json_t *after = json_object_get(row, "after");
-	size_t n = json_array_size(after);
+	size_t n = json_array_size(list);
 
-	for (size_t i = 0; i < N_COLUMNS; i++)
-		unpack_column(row, s, &columns[i]);
-	for (size_t i = 0; i < n && i < JOBSPEC_STEPS_MAX; i++)
-		s->after[s->n_after++] =
-			(int32_t)json_integer_value(json_array_get(after, i));
+	if ((list && !json_is_array(list)) || n > JOBSPEC_STEPS_MAX)
+		return false;
+	for (size_t i = 0; i < n; i++) {
+		int64_t step;
+
+		if (!num_whole(json_array_get(list, i), 0,
+			       JOBSPEC_STEPS_MAX - 1, &step))
+			return false;
+		s->after[s->n_after++] = (int32_t)step;
+	}
+	return true;
+}
+
+static bool unpack_step(const json_t *row, struct jobspec_step *s)
+{
+	for (size_t i = 0; i < N_COLUMNS; i++) {
+		if (!unpack_column(row, s, &columns[i]))
+			return false;
+	}
+	return jobspec_after(s, json_object_get(row, "after"));
+}
+
+static bool unpack_steps(const json_t *steps, struct jobspec *spec,
+			 struct err *e)
+{
+	for (int32_t i = 0; i < spec->n_steps; i++) {
+		if (!unpack_step(json_array_get(steps, (size_t)i),
+				 &spec->steps[i]))
+			return err_set(e, ERR_RECORD,
+				       "step %d of job %s has a value out of "
+				       "range: remove the row",
+				       i, spec->id);
+	}
+	return true;
 }
 
 struct jobspec *jobspec_unpack(void *ctx, const char *id, const json_t *row,
@@ -199,10 +258,12 @@
 		json_string_value(json_object_get(row, "payload"));
 	struct jobspec *spec;
 
-	if (!queue || !payload || !json_is_array(steps)) {
+	if (!queue || !payload || !json_is_array(steps) ||
+	    json_array_size(steps) > JOBSPEC_STEPS_MAX ||
+	    strlen(id) >= JOBSPEC_ID_MAX || strlen(queue) >= JOBSPEC_NAME_MAX) {
 		err_set(e, ERR_RECORD,
-			"the row of job %s lacks queue, payload or steps: "
-			"remove it",
+			"the row of job %s lacks queue, payload or steps, or "
+			"they are too long: remove it",
 			id);
 		return NULL;
 	}
@@ -210,16 +271,14 @@
 	snprintf(spec->id, sizeof(spec->id), "%s", id);
 	snprintf(spec->queue, sizeof(spec->queue), "%s", queue);
 	spec->payload = talloc_strdup(spec, payload);
-	for (int32_t i = 0; i < spec->n_steps; i++)
-		unpack_step(json_array_get(steps, (size_t)i), &spec->steps[i]);
 	spec->accepted_ms =
-		json_integer_value(json_object_get(row, "accepted_ms"));
+		num_near(json_object_get(row, "accepted_ms"), 0, NUM_MOST, 0);
 	spec->rounds = json_integer_value(json_object_get(row, "rounds"));
 	spec->first_due_ms =
 		json_integer_value(json_object_get(row, "first_due_ms"));
 	spec->interval_ms =
 		json_integer_value(json_object_get(row, "interval_ms"));
-	if (jobspec_check(spec, e))
+	if (unpack_steps(steps, spec, e) && jobspec_check(spec, e))
 		return spec;
 	talloc_free(spec);
 	return NULL;
--- a/src/protocol/jobspec.h
+++ b/src/protocol/jobspec.h
@@ -10,9 +10,17 @@
 
 #define JOBSPEC_ID_MAX 17
 #define JOBSPEC_NAME_MAX 64
-/* A job larger than this is refused; it would not fit a row's progress. */
+/* A job larger than this is refused; it would not fit a row's progress. The
+ * tasks of all its steps together, since each takes memory from the start. */
 #define JOBSPEC_STEPS_MAX 64
 #define JOBSPEC_TASKS_MAX 5000
+/* No worker is as large, in thousandths of a core, MiB or accelerators. */
+#define JOBSPEC_SIZE_MAX 1000000000000LL
+/* Longer estimates count as this long, in ms: three years. A chain of steps,
+ * times the largest slack of a queue, stays within int64_t. */
+#define JOBSPEC_ESTIMATE_MAX_MS 100000000000LL
+/* With the longest interval, all due times stay within int64_t. */
+#define JOBSPEC_ROUNDS_MAX 10000000
 
 /* One step: `tasks` alike tasks that start once all of `after` are done. */
 struct jobspec_step {
@@ -55,6 +63,10 @@
 /* Checks what a caller sent: sizes, step numbers, no cycles. */
 bool jobspec_check(const struct jobspec *spec, struct err *e);
 
+/* Takes in the list of steps that `s` waits for, NULL for none; false if there
+ * is anything else in it. */
+bool jobspec_after(struct jobspec_step *s, const json_t *list);
+
 /* The form kept in the store. The caller owns the reference. */
 json_t *jobspec_pack(const struct jobspec *spec);
 
--- a/tests/unit_platform.c
+++ b/tests/unit_platform.c
@@ -60,6 +60,121 @@
 	}
 }
 
+static struct jobspec *job_of(const char *step, const char *rest, struct err *e)
+{
+	g_autofree char *body = g_strdup_printf(
+		"{\"spec\":\"s\",\"steps\":[{\"count\":1},{%s}]%s}", step,
+		rest);
+
+	return pf_ops_job(NULL, "0123456789abcdef", "q", body, strlen(body), e);
+}
+
+/*
+ * Failure: jobs were accepted as other jobs than were handed in. A count of
+ * 2^32 + 4 became 4, a processor "500" none, a list "after" that was a number
+ * no wait at all, and two long labels one.
+ */
+static void test_job_not_altered(void)
+{
+	static const char *const steps[] = {
+		"\"count\":4294967300",
+		"\"count\":1.5",
+		"\"count\":1e300",
+		"\"count\":1,\"cpu\":\"500\"",
+		"\"count\":1,\"cpu\":1e300",
+		"\"count\":1,\"mem_mb\":9223372036854775807",
+		"\"count\":1,\"estimate_ms\":-1",
+		"\"count\":1,\"after\":0",
+		"\"count\":1,\"after\":[\"0\"]",
+		"\"count\":1,\"after\":[0.5]",
+		"\"count\":1,\"after\":[4294967296]",
+		"\"count\":1,\"gang\":1",
+		"\"count\":1,\"max_per_server\":4294967297",
+		"\"count\":1,\"max_unavailable\":-4",
+		"\"count\":1,\"requires\":7",
+		"\"count\":1,\"requires\":\"0123456789012345678901234567890123"
+		"45678901234567890123456789012345678\"",
+	};
+	static const char *const rests[] = {
+		",\"times\":1.5",
+		",\"times\":4e18",
+		",\"times\":2,\"interval_ms\":\"900\"",
+		",\"times\":9000000,\"interval_ms\":4611686018427387904",
+		",\"spec\":7",
+	};
+	struct err e;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(steps); i++)
+		g_assert_null(job_of(steps[i], "", &e));
+	for (size_t i = 0; i < G_N_ELEMENTS(rests); i++)
+		g_assert_null(job_of("\"count\":1", rests[i], &e));
+}
+
+/* What makes sense is still taken: whole reals, fractions of sizes, nulls. */
+static void test_job_numbers(void)
+{
+	struct err e = { 0 };
+	struct jobspec *spec =
+		job_of("\"count\":4.0,\"cpu\":0.5,\"estimate_ms\":1e300,"
+		       "\"goal_ms\":2.5,\"after\":[0.0],\"image\":null",
+		       ",\"times\":3.0,\"start_ms\":1e12", &e);
+
+	g_assert_nonnull(spec);
+	g_assert_cmpint(spec->steps[1].tasks, ==, 4);
+	g_assert_cmpint(spec->steps[1].cpu_milli, ==, 1);
+	g_assert_cmpint(spec->steps[1].expected_ms, ==,
+			JOBSPEC_ESTIMATE_MAX_MS);
+	g_assert_cmpint(spec->steps[1].tail_goal_ms, ==, 2);
+	g_assert_cmpint(spec->steps[1].n_after, ==, 1);
+	g_assert_cmpint(spec->rounds, ==, 3);
+	talloc_free(spec);
+}
+
+/*
+ * Failure: a body of one kilobyte, 64 steps of 5000 tasks, took 20 MB of the
+ * owner's memory, and 64 times that if it was scheduled.
+ */
+static void test_job_too_large(void)
+{
+	GString *body = g_string_new("{\"steps\":[");
+	struct err e = { 0 };
+
+	for (int i = 0; i < JOBSPEC_STEPS_MAX; i++)
+		g_string_append_printf(body, "%s{\"count\":%d}", i ? "," : "",
+				       JOBSPEC_TASKS_MAX);
+	g_string_append(body, "]}");
+	g_assert_null(pf_ops_job(NULL, "0", "q", body->str, body->len, &e));
+	g_assert_cmpint(e.kind, ==, ERR_RECORD);
+	g_string_free(body, TRUE);
+}
+
+/*
+ * Failure: rows of jobs with values that don't fit were read as other jobs,
+ * and sums of their estimates overflowed.
+ */
+static void test_job_rows_in_range(void)
+{
+	static const char *const steps[] = {
+		"{\"tasks\":4294967300}",
+		"{\"tasks\":1,\"cpu_milli\":9223372036854775807}",
+		"{\"tasks\":1},{\"tasks\":1,\"after\":[4294967296]}",
+		"{\"tasks\":1},{\"tasks\":1,\"after\":0}",
+		"{\"tasks\":1,\"spread_max\":4294967297}",
+	};
+	struct err e;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(steps); i++) {
+		g_autofree char *text = g_strdup_printf(
+			"{\"queue\":\"q\",\"payload\":\"\",\"steps\":[%s]}",
+			steps[i]);
+		json_t *row = json_loads(text, 0, NULL);
+
+		g_assert_nonnull(row);
+		g_assert_null(jobspec_unpack(NULL, "0", row, &e));
+		json_decref(row);
+	}
+}
+
 static const char good_worker[] =
 	"{\"service\":\"p\",\"addr\":\"10.0.0.1:1\",\"zone\":\"z\","
 	"\"state\":\"ready\",\"machine\":\"m-1\",\"born\":5,"
@@ -239,7 +354,11 @@
 {
 	g_test_add_func("/platform/job", test_job);
 	g_test_add_func("/platform/bad-jobs", test_bad_jobs);
+	g_test_add_func("/platform/job-not-altered", test_job_not_altered);
+	g_test_add_func("/platform/job-numbers", test_job_numbers);
+	g_test_add_func("/platform/job-too-large", test_job_too_large);
 	g_test_add_func("/platform/job-row", test_job_row);
+	g_test_add_func("/platform/job-rows-in-range", test_job_rows_in_range);
 	g_test_add_func("/platform/worker-row", test_worker_row);
 	g_test_add_func("/platform/foreign-rows", test_foreign_worker_rows);
 	g_test_add_func("/platform/catalog", test_catalog);
