Take nothing in a worker's look for something else

A clock of 1e300 was cast (undefined) and, where it came out large, all later looks counted as older. Gauges likewise (found by the fuzzer's target look).

A task's name now has to be the one that we would write, numbers have to fit, and a look that breaks this is no answer, as before for other broken looks. Percentages and gauges are advice and are brought into range; a checkpoint that is too long is logged and left out, so that the task begins anew. /answers/look-numbers, look-gauges and checkpoint-not-cut fail on the code before.

--- a/tests/unit_answers.c
+++ b/tests/unit_answers.c
@@ -59,7 +59,104 @@
 		g_assert_cmpint(read_answered(broken[i]), ==, ROWS_UNKNOWN);
 }
 
+struct looked {
+	bool good;
+	int32_t n_active;
+	struct sched_active active;
+};
+
+static void copy_look(const struct sched_look *look, void *priv)
+{
+	struct looked *l = priv;
+
+	l->good = look;
+	l->n_active = look ? look->n_active : 0;
+	if (l->n_active)
+		l->active = look->active[0];
+}
+
+static struct looked look_answered(const char *clock, const char *active,
+				   const char *ends)
+{
+	g_autofree char *text = g_strdup_printf(
+		"{\"clock_ms\":%s,\"active\":[%s],\"finished\":[%s]}", clock,
+		active, ends);
+	struct wkr_target to = { .id = "w", .address = "" };
+	struct pf_worker *p = pf_worker_start(NULL, NULL, "");
+	struct wkr wkr = pf_worker_table(p);
+	struct looked l = { 0 };
+
+	wkr.ops->look(wkr.self, &to, 0, 0, copy_look, &l);
+	fuzz_answer(text, strlen(text));
+	talloc_free(p);
+	return l;
+}
+
+/*
+ * Failure: runs and tasks whose numbers go beyond 32 bits were taken for
+ * others, and a clock beyond 64 made a worker's later looks count as old.
+ */
+static void test_look_numbers(void)
+{
+	static const char *const active[] = {
+		"[\"a.0.0.4294967296\",1,\"\",0]",
+		"[\"a.0.0.00\",1,\"\",0]",
+		"[\"a.0.0.-1\",1,\"\",0]",
+		"[\"a.+1.0.0\",1,\"\",0]",
+		"[\"a.0.0.0\",4294967297,\"\",0]",
+		"[\"a.0.0.0\",2147483647,\"\",0]",
+		"[\"a.0.0.0\",1.5,\"\",0]",
+	};
+	static const char *const ends[] = {
+		"[1e300,\"a.0.0.0\",1,\"done\",\"\"]",
+		"[\"1\",\"a.0.0.0\",1,\"done\",\"\"]",
+		"[1,\"a.0.0.0\",4294967297,\"done\",\"\"]",
+	};
+
+	g_assert_true(look_answered("5", "[\"a.0.0.0\",1,\"\",0]", "").good);
+	g_assert_false(look_answered("1e300", "", "").good);
+	g_assert_false(look_answered("-5", "", "").good);
+	for (size_t i = 0; i < G_N_ELEMENTS(active); i++)
+		g_assert_false(look_answered("5", active[i], "").good);
+	for (size_t i = 0; i < G_N_ELEMENTS(ends); i++)
+		g_assert_false(look_answered("5", "", ends[i]).good);
+}
+
+/* Failure: gauges beyond 64 bits were cast, which is undefined. */
+static void test_look_gauges(void)
+{
+	struct looked l =
+		look_answered("5", "[\"a.0.0.0\",1,\"\",1e300,-1e300]", "");
+
+	g_assert_true(l.good);
+	g_assert_cmpint(l.active.percent, ==, 100);
+	g_assert_cmpint(l.active.gauge, ==, 0);
+}
+
+/*
+ * Failure: a long checkpoint was cut, and the next start would have carried
+ * one that is not the task's.
+ */
+static void test_checkpoint_not_cut(void)
+{
+	g_autofree char *saved = g_strnfill(SCHED_CHECKPOINT_MAX, 'c');
+	g_autofree char *row =
+		g_strdup_printf("[\"a.0.0.0\",1,\"%s\",0]", saved);
+	struct looked l = look_answered("5", row, "");
+
+	g_assert_true(l.good);
+	g_assert_cmpstr(l.active.checkpoint, ==, "");
+	saved[SCHED_CHECKPOINT_MAX - 1] = '\0';
+	g_free(row);
+	row = g_strdup_printf("[\"a.0.0.0\",1,\"%s\",0]", saved);
+	l = look_answered("5", row, "");
+	g_assert_cmpstr(l.active.checkpoint, ==, saved);
+}
+
 void unit_add_answers(void)
 {
+	g_test_add_func("/answers/look-numbers", test_look_numbers);
+	g_test_add_func("/answers/look-gauges", test_look_gauges);
+	g_test_add_func("/answers/checkpoint-not-cut", test_checkpoint_not_cut);
 	g_test_add_func("/answers/read-without-rows", test_read_without_rows);
 }
