--- a/src/coordination/sched.h
+++ b/src/coordination/sched.h
@@ -18,6 +18,7 @@
 #define SCHED_ID_MAX 72
 #define SCHED_LABELS_MAX 6
 #define SCHED_CHECKPOINT_MAX 200
+#define SCHED_TICKET_MAX 64
 /* Images of best-effort work told apart at one worker. */
 #define SCHED_LOADS_MAX 16
 
@@ -223,7 +224,7 @@
 };
 
 struct sched_ticket {
-	char text[64];
+	char text[SCHED_TICKET_MAX];
 	int64_t valid_until_ms;
 	int64_t born_ms;
 };
--- a/tests/unit_answers.c
+++ b/tests/unit_answers.c
@@ -153,10 +153,47 @@
 	g_assert_cmpstr(l.active.checkpoint, ==, saved);
 }
 
+struct advised {
+	int32_t n;
+	int64_t valid_ms;
+};
+
+static void copy_advice(const char *const *ids, const char *const *tickets,
+			int32_t n, int64_t valid_ms, void *priv)
+{
+	struct advised *a = priv;
+
+	(void)ids;
+	(void)tickets;
+	a->n = n;
+	a->valid_ms = valid_ms;
+}
+
+/* Failure: long tickets were cut, and the end of their time overflowed. */
+static void test_advice(void)
+{
+	g_autofree char *ticket = g_strnfill(SCHED_TICKET_MAX, 't');
+	g_autofree char *text =
+		g_strdup_printf("{\"allowed\":[[\"w\",\"%s\"],[\"v\",\"t\"]],"
+				"\"valid_ms\":9223372036854775807}",
+				ticket);
+	struct sched_ref ref = { .job = "a" };
+	struct pf_worker *p = pf_worker_start(NULL, NULL, "");
+	struct wkr wkr = pf_worker_table(p);
+	struct advised a = { 0 };
+
+	wkr.ops->advise(wkr.self, &ref, NULL, 0, copy_advice, &a);
+	fuzz_answer(text, strlen(text));
+	g_assert_cmpint(a.n, ==, 1);
+	g_assert_cmpint(a.valid_ms, <, INT64_MAX / 1000);
+	talloc_free(p);
+}
+
 void unit_add_answers(void)
 {
 	g_test_add_func("/answers/look-numbers", test_look_numbers);
 	g_test_add_func("/answers/look-gauges", test_look_gauges);
 	g_test_add_func("/answers/checkpoint-not-cut", test_checkpoint_not_cut);
+	g_test_add_func("/answers/advice", test_advice);
 	g_test_add_func("/answers/read-without-rows", test_read_without_rows);
 }
