Leave out routes whose names don't fit

Operators could name a prefix of 128 bytes or more, or a host, queue or pool of 64: each was cut, so that a route took other paths than its own, or none, and two could become one. attempts 0 or 2^32 failed a job at its first end, and numbers like 1e300 were cast (undefined; found by the fuzzer's target catalog).

--- a/tests/unit_platform.c
+++ b/tests/unit_platform.c
@@ -247,6 +247,36 @@
 	g_assert_null(pf_ops_catalog(NULL, NULL, &e));
 }
 
+/*
+ * Failure: a prefix of 128 bytes or more was cut and took other paths too, 0
+ * attempts failed jobs at once, and numbers beyond their range were cast.
+ */
+static void test_catalog_not_cut(void)
+{
+	g_autofree char *prefix = g_strnfill(CATALOG_PATH_MAX, 'a');
+	g_autofree char *text = g_strdup_printf(
+		"{\"version\":1e300,\"routes\":[{\"name\":\"cut\",\"host\":"
+		"\"h\",\"prefix\":\"%s\",\"prio\":3},{\"name\":\"r\","
+		"\"prefix\":"
+		"\"/"
+		"\",\"attempts\":0,\"slack_factor\":1e300,\"aim_ms\":-1e300}],"
+		"\"services\":[{\"name\":7},{\"name\":\"p\"}]}",
+		prefix);
+	struct err e;
+	struct catalog *c = pf_ops_catalog(NULL, text, &e);
+
+	g_assert_nonnull(c);
+	g_assert_cmpint(c->n_queues, ==, 1);
+	g_assert_cmpint(c->n_pools, ==, 1);
+	g_assert_cmpstr(c->queues[0].name, ==, "r");
+	g_assert_cmpstr(c->queues[0].host, ==, "");
+	g_assert_cmpint(c->queues[0].priority, ==, 0);
+	g_assert_cmpint(c->queues[0].attempts, ==, 1);
+	g_assert_cmpint(c->queues[0].slack_milli, ==, 1000000);
+	g_assert_cmpint(c->queues[0].aim_ms, ==, 0);
+	talloc_free(c);
+}
+
 static void test_task_names(void)
 {
 	struct sched_ref ref;
@@ -362,6 +392,7 @@
 	g_test_add_func("/platform/worker-row", test_worker_row);
 	g_test_add_func("/platform/foreign-rows", test_foreign_worker_rows);
 	g_test_add_func("/platform/catalog", test_catalog);
+	g_test_add_func("/platform/catalog-not-cut", test_catalog_not_cut);
 	g_test_add_func("/platform/task-names", test_task_names);
 	g_test_add_func("/platform/boot", test_boot);
 	g_test_add_func("/platform/bad-boot", test_bad_boot);
