--- a/tests/unit_platform.c
+++ b/tests/unit_platform.c
@@ -221,6 +221,40 @@
 	}
 }
 
+/*
+ * Failure: labels, addresses and zones were cut, so that they could be those
+ * of another, and capacities were cast or taken from other types as 0.
+ */
+static void test_worker_not_altered(void)
+{
+	static const char *const changes[][2] = {
+		{ "16000", "1e300" },
+		{ "16000", "-1" },
+		{ "16000", "9223372036854775807" },
+		{ "32768", "\"32768\"" },
+		{ "\"r1-3\"", "7" },
+		{ "\"r1-3\"", "\"0123456789012345678901234567890123456789012345"
+			      "6789012345678901234\"" },
+		{ "[\"a\",\"r1-3\"]", "\"a\"" },
+		{ "10.0.0.1:1",
+		  "0123456789012345678901234567890123456789.0.0.0:12" },
+		{ "\"z\"", "\"0123456789012345678901234567890123456789012345678"
+			   "901234567890123\"" },
+		{ "\"m-1\"", "{}" },
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(changes); i++) {
+		g_auto(GStrv) parts = g_strsplit(good_worker, changes[i][0], 2);
+		g_autofree char *text = g_strjoinv(changes[i][1], parts);
+		struct sched_worker_row row;
+		struct err e = { 0 };
+
+		g_assert_cmpint(g_strv_length(parts), ==, 2);
+		g_assert_false(pf_ops_worker("i-1", text, &row, &e));
+		g_assert_cmpint(e.kind, ==, ERR_PROTOCOL);
+	}
+}
+
 static void test_catalog(void)
 {
 	static const char text[] =
@@ -391,6 +425,8 @@
 	g_test_add_func("/platform/job-rows-in-range", test_job_rows_in_range);
 	g_test_add_func("/platform/worker-row", test_worker_row);
 	g_test_add_func("/platform/foreign-rows", test_foreign_worker_rows);
+	g_test_add_func("/platform/worker-not-altered",
+			test_worker_not_altered);
 	g_test_add_func("/platform/catalog", test_catalog);
 	g_test_add_func("/platform/catalog-not-cut", test_catalog_not_cut);
 	g_test_add_func("/platform/task-names", test_task_names);
