--- a/tests/unit_upkeep.c
+++ b/tests/unit_upkeep.c
@@ -290,6 +290,36 @@
 	talloc_free(tmp);
 }
 
+/*
+ * Failure: a wave that named a VM twice never came to its end, since answers
+ * about it were always taken for the first; names that were cut could be those
+ * of other VMs, and numbers beyond their range were cast.
+ */
+static void test_wave_row_broken(void)
+{
+	g_autofree char *vm = g_strnfill(UPKEEP_NAME_MAX, 'm');
+	g_autofree char *cut = g_strdup_printf(
+		"{\"wave\":3,\"machines\":[\"%s\"],\"cap\":1}", vm);
+	struct upkeep_wave w;
+	void *tmp = talloc_new(NULL);
+
+	g_assert_true(pf_vms_wave(tmp,
+				  "{\"wave\":3,\"machines\":[\"m1\",\"m2\","
+				  "\"m1\"],\"complete_by_s\":1e300,"
+				  "\"cap\":4294967295}",
+				  &w));
+	g_assert_cmpint(w.n_vms, ==, 2);
+	g_assert_cmpint(w.at_once, >, 1);
+	g_assert_cmpint(w.within_ms, >, 0);
+	g_assert_cmpint(w.within_ms, <, INT64_MAX / 1000);
+	g_assert_false(pf_vms_wave(tmp, cut, &w));
+	g_assert_false(pf_vms_wave(tmp, "{\"wave\":3,\"machines\":[7]}", &w));
+	g_assert_false(
+		pf_vms_wave(tmp, "{\"wave\":1e300,\"machines\":[]}", &w));
+	g_assert_false(pf_vms_wave(tmp, "{\"wave\":2.5,\"machines\":[]}", &w));
+	talloc_free(tmp);
+}
+
 void unit_add_upkeep(void)
 {
 	g_test_add_func("/upkeep/wave", test_wave);
@@ -301,4 +331,5 @@
 	g_test_add_func("/upkeep/empties-without-budget",
 			test_empties_without_budget);
 	g_test_add_func("/upkeep/row", test_wave_row);
+	g_test_add_func("/upkeep/row-broken", test_wave_row_broken);
 }
