--- a/tests/unit_platform.c
+++ b/tests/unit_platform.c
@@ -341,17 +341,18 @@
 	return good;
 }
 
+static const char good_boot[] =
+	"node=edge-1\nzone=z\nregion=r\nlisten.front=10.0.0.1:8161\n"
+	"listen.ready=10.0.0.1:8167\nnew.field=7\n"
+	"platform.addr=10.0.0.9:80\nlimits.cpu_share=0.25\n"
+	"bounds.grace_s=6\nbounds.cross_rack_factor=1.5\n";
+
 static void test_boot(void)
 {
 	struct pf_boot b;
 	struct err e = { 0 };
 
-	g_assert_true(load("node=edge-1\nzone=z\nregion=r\n"
-			   "listen.front=10.0.0.1:8161\n"
-			   "listen.ready=10.0.0.1:8167\nnew.field=7\n"
-			   "platform.addr=10.0.0.9:80\nlimits.cpu_share=0.25\n"
-			   "bounds.grace_s=6\nbounds.cross_rack_factor=1.5\n",
-			   &b, &e));
+	g_assert_true(load(good_boot, &b, &e));
 	g_assert_cmpstr(b.fleet.vm, ==, "edge-1");
 	g_assert_cmpint(b.door.port, ==, 8161);
 	g_assert_cmpint(b.grace_ms, ==, 6000);
@@ -377,6 +378,38 @@
 	g_assert_false(pf_boot_load("/nonexistent/x", &b, &e));
 }
 
+/*
+ * Failure: "nan" passed each check of a range and was cast to any number of
+ * descriptors or ms; what stood after a NUL was left at its default.
+ */
+static void test_boot_no_numbers(void)
+{
+	static const char *const lines[] = {
+		"limits.max_fds=nan",	 "limits.cpu_share=nan",
+		"limits.cpu_share=-nan", "bounds.hold_max_ms=inf",
+		"bounds.grace_s=1e300",
+	};
+	g_autofree char *path = NULL;
+	int fd = g_file_open_tmp("gd-boot-XXXXXX", &path, NULL);
+	struct pf_boot b;
+	struct err e;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(lines); i++) {
+		g_autofree char *text = g_strdup_printf(
+			"node=n\nzone=z\nregion=r\nlisten.front=10.0.0.1:1\n"
+			"platform.addr=10.0.0.9:80\n%s\n",
+			lines[i]);
+
+		g_assert_false(load(text, &b, &e));
+	}
+	g_assert_cmpint(write(fd, good_boot, sizeof(good_boot)), ==,
+			sizeof(good_boot));
+	close(fd);
+	g_assert_true(load(good_boot, &b, &e));
+	g_assert_false(pf_boot_load(path, &b, &e));
+	unlink(path);
+}
+
 /* What a job's row holds is what was handed in. */
 static void test_job_row(void)
 {
@@ -432,4 +465,5 @@
 	g_test_add_func("/platform/task-names", test_task_names);
 	g_test_add_func("/platform/boot", test_boot);
 	g_test_add_func("/platform/bad-boot", test_bad_boot);
+	g_test_add_func("/platform/boot-no-numbers", test_boot_no_numbers);
 }
