Keep what was learned within what a row can hold

A row of what a former owner learned could hold numbers beyond 32 bits. They were taken as they were and cast to int when the next row was written, which is undefined (found by the fuzzer's target learned): the owner after that got any number. They are brought into range when read and when written. /sched/learned-in-range fails on the code before, /fuzz/learned does under make fuzz.

--- a/src/coordination/interfere.c
+++ b/src/coordination/interfere.c
@@ -7,6 +7,8 @@
 #include <math.h>
 #include <string.h>
 
+#include "protocol/num.h"
+
 /* Belief about a pair before it was seen, and its variance: most pairs don't
  * disturb each other, some take all slack with a tenth of the processors. */
 #define WEIGHT_PRIOR 3.0
@@ -35,6 +37,9 @@
 #define NOISE 0.15
 #define DRIFT_A_SECOND 0.5
 
+/* No weight, variance or slack that makes sense is larger, in hundredths. */
+#define HUNDREDTHS_MOST 100000000
+
 /* Recursive least squares over the images with what they use. */
 struct interfere_model {
 	double alone;
@@ -233,6 +238,12 @@
 	return slack < INTERFERE_SLACK_MAX ? slack : INTERFERE_SLACK_MAX;
 }
 
+static json_int_t to_hundredths(double v)
+{
+	return (json_int_t)fmin(fmax(v * 100, -HUNDREDTHS_MOST),
+				HUNDREDTHS_MOST);
+}
+
 /* [image, weight, variance], the last two in hundredths */
 static json_t *pack_weights(const struct interfere *m,
 			    const struct interfere_model *model)
@@ -244,8 +255,8 @@
 			continue;
 		json_array_append_new(
 			list,
-			json_pack("[i,i,i]", i, (int)(model->weight[i] * 100),
-				  (int)(model->variance[i][i] * 100)));
+			json_pack("[i,I,I]", i, to_hundredths(model->weight[i]),
+				  to_hundredths(model->variance[i][i])));
 	}
 	return list;
 }
@@ -270,9 +281,9 @@
 		if (!model)
 			continue;
 		json_array_append_new(models,
-				      json_pack("[i,i,i,o]", i,
-						(int)(model->alone * 100),
-						(int)(model->floor * 100),
+				      json_pack("[i,I,I,o]", i,
+						to_hundredths(model->alone),
+						to_hundredths(model->floor),
 						pack_weights(m, model)));
 	}
 	return json_pack("{s:o,s:o}", "images", names, "models", models);
@@ -292,7 +303,9 @@
 
 static double hundredths(const json_t *row, size_t i)
 {
-	return (double)json_integer_value(json_array_get(row, i)) / 100;
+	return (double)num_near(json_array_get(row, i), -HUNDREDTHS_MOST,
+				HUNDREDTHS_MOST, 0) /
+	       100;
 }
 
 static void unpack_weights(struct interfere *m, struct interfere_model *model,
--- a/tests/unit_pace.c
+++ b/tests/unit_pace.c
@@ -164,6 +164,35 @@
 	interfere_finish(&to);
 }
 
+/*
+ * Failure: what a row said was learned went beyond what the next row can hold,
+ * and was cast to any number for the owner after the next.
+ */
+static void test_learned_in_range(void)
+{
+	json_t *row = json_pack("{s:[s],s:[[i,I,I,[[i,I,I]]]]}", "images", "s",
+				"models", 1, (json_int_t)INT64_MAX,
+				(json_int_t)INT64_MIN, 1, (json_int_t)INT64_MAX,
+				(json_int_t)INT64_MAX);
+	struct interfere first;
+	struct interfere next;
+
+	interfere_init(&first);
+	interfere_init(&next);
+	interfere_unpack(&first, row);
+	json_decref(row);
+	row = interfere_pack(&first);
+	interfere_unpack(&next, row);
+	json_decref(row);
+	g_assert_cmpfloat(interfere_alone(&first, 1), >, 0);
+	g_assert_cmpfloat(interfere_alone(&next, 1), ==,
+			  interfere_alone(&first, 1));
+	g_assert_cmpfloat(interfere_weight(&next, 1, 1), ==,
+			  interfere_weight(&first, 1, 1));
+	interfere_finish(&first);
+	interfere_finish(&next);
+}
+
 /* The second image of the test takes `slack` from the first with each `share`
  * of the processors, seen many times. */
 static void teach_pair(struct paper *p, double share, double slack)
@@ -368,6 +397,7 @@
 	g_test_add_func("/sched/interference", test_interference_learnt);
 	g_test_add_func("/sched/interference-handed-on",
 			test_interference_handed_on);
+	g_test_add_func("/sched/learned-in-range", test_learned_in_range);
 	g_test_add_func("/sched/idle-follows-load", test_idle_follows_load);
 	g_test_add_func("/sched/tail-shows-what-left",
 			test_tail_shows_what_left);
