Leave out what is out of range in a row of progress

A row of progress is our own, but nothing kept one that was damaged or written by another version from counting: a round of 2^62 or next_round below 0 overflowed sums of times and rounds (undefined), a run of 2^31 - 1 the number of the next, and rounds listed again and again each took memory for all their tasks (1500 rounds of 5000 tasks went over the fuzzer's limit of 400 MB).

Only rounds that the job can have are taken, each once and in their order, at most as many as may be open; a task's entry with a number out of range is left out; each is logged. /answers/progress-in-range fails on the code before.

--- a/src/coordination/sched_job.c
+++ b/src/coordination/sched_job.c
@@ -7,6 +7,7 @@
 #include <talloc.h>
 
 #include "coordination/sched_int.h"
+#include "protocol/num.h"
 
 /*
  * Numbers skipped after a change of owner: the former one may have used a few
@@ -15,6 +16,8 @@
 #define INHERITED_RUN_GAP 8
 /* Rounds made ahead of their time and not yet done, for one job. */
 #define ROUNDS_OPEN_MAX 64
+/* No task is started as often, and numbers can still rise beyond. */
+#define RUN_MAX (INT32_MAX / 2)
 
 static const char *const state_names[] = {
 	[SCHED_JOB_QUEUED] = "queued",	     [SCHED_JOB_RUNNING] = "running",
@@ -354,21 +357,42 @@
 	return true;
 }
 
-static void unpack_task(struct sched_step *step, const json_t *row)
+static void note_unusable(struct sched *s, const struct sched_job *job)
+{
+	struct sched_ref ref = { 0 };
+
+	memcpy(ref.job, job->spec->id, sizeof(ref.job));
+	s->ops->note(s->priv, "progress unusable", &ref, NULL,
+		     "a number is out of range; that part is left out");
+}
+
+static void unpack_task(struct sched *s, struct sched_step *step,
+			const json_t *row)
 {
-	json_int_t index = json_integer_value(json_array_get(row, 0));
 	const json_t *failed = json_array_get(row, 2);
 	const char *saved = json_string_value(json_array_get(row, 3));
 	struct sched_task *t;
 	const json_t *run;
+	int64_t index;
+	int64_t settled;
+	int64_t n;
 	size_t i;
 
-	if (index < 0 || index >= step->def->tasks)
+	if (!num_whole(json_array_get(row, 0), 0, step->def->tasks - 1,
+		       &index) ||
+	    !num_whole(json_array_get(row, 1), 0, RUN_MAX, &settled)) {
+		note_unusable(s, step->round->job);
 		return;
+	}
 	t = &step->tasks[index];
-	t->settled_run = (int32_t)json_integer_value(json_array_get(row, 1));
+	t->settled_run = (int32_t)settled;
 	json_array_foreach(failed, i, run)
-		sched_count_failure(t, (int32_t)json_integer_value(run));
+	{
+		if (num_whole(run, 0, RUN_MAX, &n))
+			sched_count_failure(t, (int32_t)n);
+		else
+			note_unusable(s, step->round->job);
+	}
 	t->tried = true;
 	t->last_run += t->settled_run;
 	if (step->gang_run < t->last_run)
@@ -386,7 +410,7 @@
 	const json_t *entry;
 	size_t i;
 
-	json_array_foreach(list, i, entry) unpack_task(step, entry);
+	json_array_foreach(list, i, entry) unpack_task(s, step, entry);
 	for (int32_t k = 0; k < step->def->tasks; k++) {
 		char digit[2] = { (size_t)k / 4 < len ? hex[k / 4] : '0', 0 };
 
@@ -415,6 +439,8 @@
 			    const json_t *row, int64_t now_ms, int64_t wall_ms)
 {
 	const json_t *rounds = json_object_get(row, "rounds");
+	int64_t all = job->spec->rounds ? job->spec->rounds : 1;
+	int64_t made = 0;
 	const json_t *r;
 	size_t i;
 
@@ -425,13 +451,22 @@
 		return;
 	json_array_foreach(rounds, i, r)
 	{
-		json_int_t number = json_integer_value(json_array_get(r, 0));
-		int64_t due = job->spec->first_due_ms +
-			      number * job->spec->interval_ms;
-		int64_t due_ms = job->spec->rounds ? now_ms - (wall_ms - due)
-						   : job->accepted_ms;
-		struct sched_round *round = new_round(s, job, number, due_ms);
-
+		struct sched_round *round;
+		int64_t number;
+		int64_t due;
+		int64_t due_ms;
+
+		/* They are kept in the order in which they were made. */
+		if (i >= ROUNDS_OPEN_MAX ||
+		    !num_whole(json_array_get(r, 0), made, all - 1, &number)) {
+			note_unusable(s, job);
+			continue;
+		}
+		made = number + 1;
+		due = job->spec->first_due_ms + number * job->spec->interval_ms;
+		due_ms = job->spec->rounds ? now_ms - (wall_ms - due)
+					   : job->accepted_ms;
+		round = new_round(s, job, number, due_ms);
 		for (int32_t k = 0; k < job->spec->n_steps; k++)
 			unpack_step(
 				s, &round->steps[k],
@@ -439,9 +474,9 @@
 				now_ms);
 	}
 	job->next_round =
-		json_integer_value(json_object_get(row, "next_round"));
-	job->rounds_done =
-		json_integer_value(json_object_get(row, "rounds_done"));
+		num_near(json_object_get(row, "next_round"), made, all, made);
+	job->rounds_done = num_near(json_object_get(row, "rounds_done"), 0,
+				    job->next_round, 0);
 }
 
 struct sched_job *sched_job_add(struct sched *s, struct jobspec *spec,
--- a/tests/unit_answers.c
+++ b/tests/unit_answers.c
@@ -6,6 +6,7 @@
 #include "pf_rows.h"
 #include "pf_worker.h"
 #include "tests/fuzz.h"
+#include "tests/paper.h"
 #include "tests/unit.h"
 
 static void ignore_clock(int64_t now_ms, void *priv)
@@ -189,8 +190,48 @@
 	talloc_free(p);
 }
 
+/* The job of a former owner with this progress, taken over. */
+static struct sched_job *taken_over(struct paper *p, const char *progress)
+{
+	struct jobspec *spec = paper_spec_of("a", "short", 1, 2);
+	json_t *j = json_loads(progress, 0, NULL);
+	struct sched_job *job;
+
+	g_assert_nonnull(j);
+	spec->rounds = 3;
+	spec->interval_ms = 900;
+	paper_open(p, 2, NULL);
+	job = sched_job_add(&p->s, spec, j, 1, true, 0, 0);
+	json_decref(j);
+	return job;
+}
+
+/*
+ * Failure: a row of progress with numbers out of range overflowed sums, and
+ * one that listed rounds again and again took memory for each.
+ */
+static void test_progress_in_range(void)
+{
+	struct sched_job *job;
+	struct paper p;
+
+	job = taken_over(&p,
+			 "{\"rounds\":[[0,[[\"0\",[[0,2147483647,[],\"\"]]]]]"
+			 ",[0,[]],[4611686018427387904,[]],[7,[]],[2,[]]],"
+			 "\"next_round\":-9223372036854775808,"
+			 "\"rounds_done\":9223372036854775807}");
+	g_assert_cmpint(job->rounds->steps[0].tasks[0].settled_run, ==, 0);
+	g_assert_cmpint(job->rounds->number, ==, 0);
+	g_assert_cmpint(job->rounds->next->number, ==, 2);
+	g_assert_null(job->rounds->next->next);
+	g_assert_cmpint(job->next_round, ==, 3);
+	g_assert_cmpint(job->rounds_done, ==, 3);
+	paper_close(&p);
+}
+
 void unit_add_answers(void)
 {
+	g_test_add_func("/answers/progress-in-range", test_progress_in_range);
 	g_test_add_func("/answers/look-numbers", test_look_numbers);
 	g_test_add_func("/answers/look-gauges", test_look_gauges);
 	g_test_add_func("/answers/checkpoint-not-cut", test_checkpoint_not_cut);
