--- a/Makefile
+++ b/Makefile
@@ -15,7 +15,8 @@
 	-Wno-unknown-warning-option
 else
 B = build-san
-SANFLAGS = -fsanitize=address,undefined -fno-sanitize-recover=undefined
+SANFLAGS = -fsanitize=address,undefined,float-cast-overflow \
+	-fno-sanitize-recover=undefined,float-cast-overflow
 endif
 
 PACKAGES = libtalloc-dev libtevent-dev libmsgpack-dev libmicrohttpd-dev \
