--- a/src/coordination/sched.h
+++ b/src/coordination/sched.h
@@ -20,6 +20,7 @@
 #define SCHED_CHECKPOINT_MAX 200
 /* Ends in one answer of a worker (platform); more may follow. */
 #define SCHED_ENDS_MAX 500
+#define SCHED_TICKET_MAX 64
 /* Images of best-effort work told apart at one worker. */
 #define SCHED_LOADS_MAX 16
 
@@ -229,7 +230,7 @@
 };
 
 struct sched_ticket {
-	char text[64];
+	char text[SCHED_TICKET_MAX];
 	int64_t valid_until_ms;
 	int64_t born_ms;
 };
--- a/tests/unit.h
+++ b/tests/unit.h
@@ -2,11 +2,13 @@
 #ifndef UNIT_H
 #define UNIT_H
 
+void unit_add_answers(void);
 void unit_add_coordination(void);
 void unit_add_protocol(void);
 void unit_add_shard(void);
 void unit_add_door(void);
 void unit_add_platform(void);
+void unit_add_fuzz(void);
 void unit_add_policy(void);
 void unit_add_pace(void);
 void unit_add_sched(void);
--- a/tests/unit_tests.c
+++ b/tests/unit_tests.c
@@ -12,11 +12,13 @@
 	g_test_init(&argc, &argv, NULL);
 	/* The decision log of many jobs would bury the results. */
 	log_level(LOG_LEVEL_ERRORS);
+	unit_add_answers();
 	unit_add_coordination();
 	unit_add_protocol();
 	unit_add_shard();
 	unit_add_door();
 	unit_add_platform();
+	unit_add_fuzz();
 	unit_add_policy();
 	unit_add_pace();
 	unit_add_sched();
