--- a/src/coordination/sched_former.c
+++ b/src/coordination/sched_former.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include "coordination/sched_int.h"
+#include "protocol/num.h"
 
 /* Stands for workers that a torn roster may lack; no worker has this id. */
 #define UNLISTED_WORKERS ""
@@ -72,15 +73,20 @@
 static bool unpack_ref(const json_t *j, struct sched_ref *ref)
 {
 	const char *job = json_string_value(json_array_get(j, 0));
+	int64_t n[3];
 
 	memset(ref, 0, sizeof(*ref));
-	if (!job || strlen(job) >= sizeof(ref->job))
+	if (!job || strlen(job) >= sizeof(ref->job) ||
+	    !num_whole(json_array_get(j, 1), 0, NUM_MOST, &ref->round))
 		return false;
+	for (size_t i = 0; i < 3; i++) {
+		if (!num_whole(json_array_get(j, i + 2), 0, INT32_MAX, &n[i]))
+			return false;
+	}
 	g_strlcpy(ref->job, job, sizeof(ref->job));
-	ref->round = json_integer_value(json_array_get(j, 1));
-	ref->step = (int32_t)json_integer_value(json_array_get(j, 2));
-	ref->index = (int32_t)json_integer_value(json_array_get(j, 3));
-	ref->run = (int32_t)json_integer_value(json_array_get(j, 4));
+	ref->step = (int32_t)n[0];
+	ref->index = (int32_t)n[1];
+	ref->run = (int32_t)n[2];
 	return true;
 }
 
@@ -106,18 +112,21 @@
 			   int64_t wall_ms)
 {
 	const char *id = json_string_value(json_array_get(entry, 0));
-	const json_t *left = json_array_get(entry, 1);
+	int64_t left_ms;
 	const json_t *runs = json_array_get(entry, 2);
 	struct sched_worker *w =
 		id ? g_hash_table_lookup(s->workers, id) : NULL;
 	const json_t *j;
 	size_t i;
 
+	/* Without it, the longest lease from the takeover on is waited for. */
+	if (!num_whole(json_array_get(entry, 1), 0, NUM_MOST, &left_ms))
+		return;
 	if (id && !strcmp(id, UNLISTED_WORKERS))
-		s->torn_until_ms = s->taken_over_ms + json_integer_value(left);
-	if (!w || w->known || !json_is_integer(left))
+		s->torn_until_ms = s->taken_over_ms + left_ms;
+	if (!w || w->known)
 		return;
-	w->former_lapse_ms = s->taken_over_ms + json_integer_value(left);
+	w->former_lapse_ms = s->taken_over_ms + left_ms;
 	w->unreachable = true;
 	w->runs_known = json_is_array(runs);
 	json_array_foreach(runs, i, j)
