A newcomer left alone waits out those it removed

Callers saw nothing yet: found while tracing a start that never ended. An entry that joined beside silent members, removed them and was then alone took their groups one permit_ms later, although they may vouch for each other for peers_only_max_ms (OPERATIONS, "All entries lost at once"). The wait was reckoned, but newcomer_until_ms, below which nothing settles, was set only in the view in which the process first appears; with no peers left permit_spread() holds of nobody and let it act at once.

Whoever never settled is a newcomer, member or not. /permit/left-alone failed before (settled 2 s after it was alone instead of 12 s) and passes.

--- a/src/coordination/permit.c
+++ b/src/coordination/permit.c
@@ -68,9 +68,11 @@
 		peer->until_ms = sent_ms + p->span_ms;
 }
 
-static bool was_member(const struct view *before, const char *self)
+/* One that was a member before, but never settled, is a newcomer still. */
+static bool is_newcomer(const struct permit *p, const struct view *before,
+			const char *self)
 {
-	return before && view_member(before, self) >= 0;
+	return !before || view_member(before, self) < 0 || p->settled_ms < 0;
 }
 
 static bool any_listed(const struct view *v, const struct view *before,
@@ -105,9 +107,7 @@
 			   const struct view *before, const char *self,
 			   int64_t now_ms)
 {
-	bool known_before = was_member(before, self) && p->settled_ms >= 0;
-
-	if (known_before)
+	if (!is_newcomer(p, before, self))
 		return now_ms + p->span_ms;
 	if (v->n_members <= 1)
 		return settle_alone(p, v, before, self, now_ms);
@@ -180,7 +180,7 @@
 	if (same_members(before, v))
 		return;
 	p->settled_ms = settle_time(&old, v, before, self, now_ms);
-	if (!was_member(before, self))
+	if (is_newcomer(&old, before, self))
 		p->newcomer_until_ms = p->settled_ms;
 	p->settling_revision = v->revision;
 }
--- a/tests/unit_coordination.c
+++ b/tests/unit_coordination.c
@@ -19,8 +19,9 @@
 			 "r", "incarnation", incarnation, "ready", ready);
 }
 
-/* A view of members named a, b, c… all of incarnation 1 and ready. */
-static struct view *make_view(int64_t revision, const char *ids)
+/* Members named a, b, c… all of incarnation 1 and ready; `listed` are VMs. */
+static struct view *make_listed_view(int64_t revision, const char *ids,
+				     const char *listed)
 {
 	json_t *rows = json_object();
 	json_t *vms = json_array();
@@ -33,12 +34,23 @@
 		g_snprintf(key, sizeof(key), "cfg/member/%s", id);
 		json_object_set_new(rows, key, member_row(id, 1, true));
 	}
+	for (; *listed; listed++) {
+		char id[2] = { *listed, '\0' };
+
+		json_array_append_new(
+			vms, json_pack("{s:s,s:s}", "id", id, "kind", "entry"));
+	}
 	v = view_build(NULL, rows, revision, vms, 3);
 	json_decref(rows);
 	json_decref(vms);
 	return v;
 }
 
+static struct view *make_view(int64_t revision, const char *ids)
+{
+	return make_listed_view(revision, ids, "");
+}
+
 static void test_permit_store(void)
 {
 	struct permit p;
@@ -130,6 +142,29 @@
 	talloc_free(less);
 }
 
+/*
+ * Guards against a newcomer that removed all earlier members and then acted
+ * after one span, though they may vouch for each other for much longer.
+ */
+static void test_permit_left_alone(void)
+{
+	struct permit p;
+	struct view *before = make_listed_view(4, "b", "ab");
+	struct view *joined = make_listed_view(5, "ab", "ab");
+	struct view *alone = make_listed_view(6, "a", "ab");
+
+	permit_init(&p, 2000, 10000);
+	permit_apply(&p, before, NULL, "a", 0);
+	permit_apply(&p, joined, before, "a", 100);
+	permit_apply(&p, alone, joined, "a", 5000);
+	g_assert_false(permit_settled(&p, 7000));
+	g_assert_false(permit_settled(&p, 16999));
+	g_assert_true(permit_settled(&p, 17000));
+	talloc_free(before);
+	talloc_free(joined);
+	talloc_free(alone);
+}
+
 static void test_view_owner_stable(void)
 {
 	struct view *v = make_view(1, "abc");
@@ -398,6 +433,7 @@
 	g_test_add_func("/permit/store", test_permit_store);
 	g_test_add_func("/permit/peers", test_permit_peers);
 	g_test_add_func("/permit/settles", test_permit_settles);
+	g_test_add_func("/permit/left-alone", test_permit_left_alone);
 	g_test_add_func("/permit/departed", test_permit_departed);
 	g_test_add_func("/view/owner-stable", test_view_owner_stable);
 	g_test_add_func("/slot/capacity", test_slot_capacity);
