The first of entries that are all newcomers settles

Callers and operators saw: entries that were started at the same time never became ready, took no requests and refused every change, for ever. The same after all entries were killed and came back at once.

A newcomer settles when a settled member shows its revision, or if its first view has no other member. An entry whose own join was not yet read back when the second one joined reads both steps at once, so that none of them is ever alone: all wait for each other. In the logs the first entry applies revision 2 right after 0.

The first to join settles now as if alone, that is with the same waits, and the others by it. It must be this very life that joined first, and rows of ready or leaving members count as earlier, since they are newer than their joining. No view holds more of earlier members than the first's: all others joined after it.

--- a/src/coordination/permit.c
+++ b/src/coordination/permit.c
@@ -68,11 +68,41 @@
 		peer->until_ms = sent_ms + p->span_ms;
 }
 
+/* Its place among the members; -1 if listed, if at all, for a former life. */
+static int own_place(const struct view *v, const char *self,
+		     uint64_t incarnation)
+{
+	int i = view_member(v, self);
+
+	return i >= 0 && v->members[i].incarnation == incarnation ? i : -1;
+}
+
 /* One that was a member before, but never settled, is a newcomer still. */
 static bool is_newcomer(const struct permit *p, const struct view *before,
-			const char *self)
+			const char *self, uint64_t incarnation)
 {
-	return !before || view_member(before, self) < 0 || p->settled_ms < 0;
+	return !before || own_place(before, self, incarnation) < 0 ||
+	       p->settled_ms < 0;
+}
+
+/*
+ * Did all others surely join later? Then none of them knows more of earlier
+ * members, and each waits for another to settle first. Rows of ready and of
+ * leaving members are newer than their joining.
+ */
+static bool is_eldest(const struct view *v, const char *self,
+		      uint64_t incarnation)
+{
+	int own = own_place(v, self, incarnation);
+
+	for (int i = 0; own >= 0 && i < v->n_members; i++) {
+		const struct view_member *m = &v->members[i];
+
+		if (i != own && (m->ready || m->leaving ||
+				 m->revision < v->members[own].revision))
+			return false;
+	}
+	return own >= 0;
 }
 
 static bool any_listed(const struct view *v, const struct view *before,
@@ -105,11 +135,11 @@
 
 static int64_t settle_time(const struct permit *p, const struct view *v,
 			   const struct view *before, const char *self,
-			   int64_t now_ms)
+			   uint64_t incarnation, int64_t now_ms)
 {
-	if (!is_newcomer(p, before, self))
+	if (!is_newcomer(p, before, self, incarnation))
 		return now_ms + p->span_ms;
-	if (v->n_members <= 1)
+	if (v->n_members <= 1 || is_eldest(v, self, incarnation))
 		return settle_alone(p, v, before, self, now_ms);
 	return -1;
 }
@@ -166,7 +196,8 @@
 }
 
 void permit_apply(struct permit *p, const struct view *v,
-		  const struct view *before, const char *self, int64_t now_ms)
+		  const struct view *before, const char *self,
+		  uint64_t incarnation, int64_t now_ms)
 {
 	struct permit old = *p;
 
@@ -179,8 +210,8 @@
 	keep_departed(p, &old, now_ms);
 	if (same_members(before, v))
 		return;
-	p->settled_ms = settle_time(&old, v, before, self, now_ms);
-	if (is_newcomer(&old, before, self))
+	p->settled_ms = settle_time(&old, v, before, self, incarnation, now_ms);
+	if (is_newcomer(&old, before, self, incarnation))
 		p->newcomer_until_ms = p->settled_ms;
 	p->settling_revision = v->revision;
 }
--- a/src/coordination/permit.h
+++ b/src/coordination/permit.h
@@ -58,12 +58,13 @@
 		 int64_t revision, bool settled, int64_t now_ms);
 
 /*
- * This process now holds `v`, in which it is member `self`. `before` is
+ * This process, `self` in this incarnation, now holds `v`. `before` is
  * the view it held, or NULL. What moved between the two may still be
  * acted on elsewhere until settled.
  */
 void permit_apply(struct permit *p, const struct view *v,
-		  const struct view *before, const char *self, int64_t now_ms);
+		  const struct view *before, const char *self,
+		  uint64_t incarnation, int64_t now_ms);
 
 /* May this process start work on its revision? */
 bool permit_held(const struct permit *p, int64_t now_ms);
--- a/src/coordination/view.c
+++ b/src/coordination/view.c
@@ -44,6 +44,7 @@
 	copy_str(m->region, sizeof(m->region), row, "region");
 	m->peer_port = (uint16_t)get_int(row, "peer_port");
 	m->incarnation = (uint64_t)get_int(row, "incarnation");
+	m->revision = get_int(row, "rev");
 	m->ready = json_is_true(json_object_get(row, "ready"));
 	m->leaving = json_is_true(json_object_get(row, "leaving"));
 }
--- a/src/coordination/view.h
+++ b/src/coordination/view.h
@@ -20,6 +20,7 @@
 	char domain[VIEW_ID_MAX];
 	char region[VIEW_ID_MAX];
 	uint64_t incarnation;
+	int64_t revision; /* that wrote this row */
 	bool ready; /* may own groups: not while it joins or leaves */
 	bool leaving; /* ends only when nothing of its is under way */
 };
--- a/src/entry/main.c
+++ b/src/entry/main.c
@@ -93,7 +93,8 @@
 		view_build(e->ev, sync_rows(e->sync), sync_revision(e->sync),
 			   sync_vms(e->sync), (int)e->set.groups_per_domain);
 
-	permit_apply(&e->permit, v, before, e->set.id, entry_now_ms(e));
+	permit_apply(&e->permit, v, before, e->set.id, e->incarnation,
+		     entry_now_ms(e));
 	rcu_assign_pointer(e->view, v);
 	find_self(e);
 	atomic_store(&e->stats.revision, v->revision);
--- a/tests/harness.c
+++ b/tests/harness.c
@@ -438,25 +438,32 @@
 	g_free(x);
 }
 
+/* Joined in this life, and its row, which a former life may have written. */
+static bool is_ready(json_t *status, int vm)
+{
+	char id[16];
+	json_t *m;
+	size_t i;
+
+	if (!json_is_true(json_object_get(status, "joined")))
+		return false;
+	snprintf(id, sizeof(id), "e%d", vm);
+	json_array_foreach(json_object_get(status, "members"), i, m)
+	{
+		if (!strcmp(id, json_string_value(json_object_get(m, "id"))))
+			return json_is_true(json_object_get(m, "ready"));
+	}
+	return false;
+}
+
 bool hx_wait_entry_ready(struct hx *x, int vm)
 {
 	int64_t end_ms = hx_now_ms() + READY_TIMEOUT_MS;
 
 	while (hx_now_ms() < end_ms) {
 		struct hx_answer a = hx_get(x, vm, "/v1/status");
-		json_t *m;
-		size_t i;
-		bool good = false;
-
-		json_array_foreach(json_object_get(a.json, "members"), i, m)
-		{
-			char id[16];
-
-			snprintf(id, sizeof(id), "e%d", vm);
-			good |= json_is_true(json_object_get(m, "ready")) &&
-				!strcmp(id, json_string_value(
-						    json_object_get(m, "id")));
-		}
+		bool good = is_ready(a.json, vm);
+
 		hx_answer_free(&a);
 		if (good)
 			return true;
--- a/tests/path_tests.c
+++ b/tests/path_tests.c
@@ -250,6 +250,21 @@
 	hx_answer_free(&a);
 }
 
+/* Guards against entries that all come back and wait for each other for ever.
+ */
+static void test_all_entries_lost(void)
+{
+	for (int vm = 0; vm < 3; vm++)
+		hx_signal(x, HX_ENTRY, vm, SIGKILL);
+	for (int vm = 0; vm < 3; vm++)
+		g_assert_cmpint(hx_reap(x, HX_ENTRY, vm), ==, -SIGKILL);
+	for (int vm = 0; vm < 3; vm++)
+		hx_spawn(x, HX_ENTRY, vm);
+	for (int vm = 0; vm < 3; vm++)
+		g_assert_true(hx_wait_entry_ready(x, vm));
+	expect_call("match", NULL, 200, "answered");
+}
+
 static void test_graceful_stop(void)
 {
 	for (int vm = 0; vm < 3; vm++) {
@@ -278,6 +293,7 @@
 	g_test_add_func("/path/batch", test_batch);
 	g_test_add_func("/path/command-line", test_command_line);
 	g_test_add_func("/path/metrics", test_metrics);
+	g_test_add_func("/path/all-entries-lost", test_all_entries_lost);
 	g_test_add_func("/path/graceful-stop", test_graceful_stop);
 	g_assert_true(hx_wait_ready(x));
 	failed = g_test_run();
--- a/tests/unit_coordination.c
+++ b/tests/unit_coordination.c
@@ -19,6 +19,17 @@
 			 "r", "incarnation", incarnation, "ready", ready);
 }
 
+/* Joins a member by revision `at`, which it also has as its incarnation. */
+static void add_joined(json_t *rows, const char *id, int at)
+{
+	json_t *row = member_row(id, at, false);
+	char key[32];
+
+	g_snprintf(key, sizeof(key), "cfg/member/%s", id);
+	json_object_set_new(row, "rev", json_integer(at));
+	json_object_set_new(rows, key, row);
+}
+
 /* Members named a, b, c… all of incarnation 1 and ready; `listed` are VMs. */
 static struct view *make_listed_view(int64_t revision, const char *ids,
 				     const char *listed)
@@ -57,7 +68,7 @@
 	struct view *v = make_view(5, "ab");
 
 	permit_init(&p, 2000, 600000);
-	permit_apply(&p, v, NULL, "a", 100);
+	permit_apply(&p, v, NULL, "a", 1, 100);
 	g_assert_false(permit_held(&p, 100));
 	permit_store_read(&p, 100, 5);
 	g_assert_true(permit_held(&p, 2099));
@@ -74,7 +85,7 @@
 	struct view *v = make_view(5, "abc");
 
 	permit_init(&p, 2000, 10000);
-	permit_apply(&p, v, NULL, "a", 0);
+	permit_apply(&p, v, NULL, "a", 1, 0);
 	permit_store_read(&p, 0, 5);
 	permit_heard(&p, "b", 1, 3000, 3001, 5, true);
 	g_assert_false(permit_held(&p, 3500));
@@ -102,8 +113,8 @@
 	struct view *later = make_view(6, "ab");
 
 	permit_init(&p, 2000, 10000);
-	permit_apply(&p, before, NULL, "a", 0);
-	permit_apply(&p, joined, before, "a", 100);
+	permit_apply(&p, before, NULL, "a", 1, 0);
+	permit_apply(&p, joined, before, "a", 1, 100);
 	/* A newcomer waits until a settled member holds its revision. */
 	permit_seen(&p, "b", 1, 5, false, 200);
 	g_assert_false(permit_settled(&p, 90000));
@@ -112,7 +123,7 @@
 	g_assert_false(permit_settled(&p, 2299));
 	g_assert_true(permit_settled(&p, 2300));
 	/* A member settles once all, also the removed one, hold the new. */
-	permit_apply(&p, later, joined, "a", 5000);
+	permit_apply(&p, later, joined, "a", 1, 5000);
 	permit_seen(&p, "b", 1, 6, true, 5010);
 	g_assert_false(permit_settled(&p, 5020));
 	g_assert_false(permit_spread(&p, 6, 5020));
@@ -133,8 +144,8 @@
 
 	permit_init(&p, 2000, 10000);
 	p.settled_ms = 0;
-	permit_apply(&p, all, all, "a", 0);
-	permit_apply(&p, less, all, "a", 1000);
+	permit_apply(&p, all, all, "a", 1, 0);
+	permit_apply(&p, less, all, "a", 1, 1000);
 	permit_seen(&p, "b", 1, 5, true, 1010);
 	g_assert_false(permit_settled(&p, 2999));
 	g_assert_true(permit_settled(&p, 3000));
@@ -154,9 +165,9 @@
 	struct view *alone = make_listed_view(6, "a", "ab");
 
 	permit_init(&p, 2000, 10000);
-	permit_apply(&p, before, NULL, "a", 0);
-	permit_apply(&p, joined, before, "a", 100);
-	permit_apply(&p, alone, joined, "a", 5000);
+	permit_apply(&p, before, NULL, "a", 1, 0);
+	permit_apply(&p, joined, before, "a", 1, 100);
+	permit_apply(&p, alone, joined, "a", 1, 5000);
 	g_assert_false(permit_settled(&p, 7000));
 	g_assert_false(permit_settled(&p, 16999));
 	g_assert_true(permit_settled(&p, 17000));
@@ -165,6 +176,88 @@
 	talloc_free(alone);
 }
 
+/*
+ * Guards against entries that start together and wait for each other for
+ * ever: the first reads its own row only when the second's is there too.
+ */
+static void test_permit_join_together(void)
+{
+	json_t *rows = json_object();
+	json_t *vms = json_array();
+	struct view *none = view_build(NULL, rows, 0, vms, 1);
+	struct permit a;
+	struct permit b;
+	struct view *both;
+
+	add_joined(rows, "a", 1);
+	add_joined(rows, "b", 2);
+	both = view_build(NULL, rows, 2, vms, 1);
+	permit_init(&a, 2000, 10000);
+	permit_init(&b, 2000, 10000);
+	permit_apply(&a, none, NULL, "a", 1, 0);
+	permit_apply(&b, none, NULL, "b", 2, 0);
+	permit_apply(&a, both, none, "a", 1, 100);
+	permit_apply(&b, both, none, "b", 2, 100);
+	permit_seen(&a, "b", 2, 2, false, 110);
+	permit_seen(&b, "a", 1, 2, false, 110);
+	g_assert_false(permit_settled(&a, 2099));
+	g_assert_true(permit_settled(&a, 2100));
+	/* The second one waits for the first. */
+	g_assert_false(permit_settled(&b, 90000));
+	permit_seen(&b, "a", 1, 2, true, 2100);
+	g_assert_false(permit_settled(&b, 4099));
+	g_assert_true(permit_settled(&b, 4100));
+	talloc_free(none);
+	talloc_free(both);
+	json_decref(rows);
+	json_decref(vms);
+}
+
+static bool settles_among(json_t *rows, uint64_t incarnation)
+{
+	json_t *vms = json_array();
+	json_t *others = json_copy(rows);
+	struct view *before;
+	struct view *v = view_build(NULL, rows, 9, vms, 1);
+	struct permit p;
+
+	json_object_del(others, "cfg/member/m");
+	before = view_build(NULL, others, 8, vms, 1);
+	permit_init(&p, 2000, 10000);
+	permit_apply(&p, before, NULL, "m", incarnation, 0);
+	permit_apply(&p, v, before, "m", incarnation, 100);
+	talloc_free(before);
+	talloc_free(v);
+	json_decref(others);
+	json_decref(vms);
+	return permit_settled(&p, 90000);
+}
+
+/* Only who came before all others, in this very life, settles unasked. */
+static void test_permit_eldest(void)
+{
+	json_t *rows = json_object();
+
+	add_joined(rows, "m", 5);
+	add_joined(rows, "n", 6);
+	add_joined(rows, "o", 7);
+	g_assert_true(settles_among(rows, 5));
+	/* The row is that of a former life. */
+	g_assert_false(settles_among(rows, 8));
+	add_joined(rows, "o", 4);
+	g_assert_false(settles_among(rows, 5));
+	/* A ready or leaving member's row is newer than its joining. */
+	add_joined(rows, "o", 7);
+	json_object_set_new(json_object_get(rows, "cfg/member/o"), "ready",
+			    json_true());
+	g_assert_false(settles_among(rows, 5));
+	add_joined(rows, "o", 7);
+	json_object_set_new(json_object_get(rows, "cfg/member/o"), "leaving",
+			    json_true());
+	g_assert_false(settles_among(rows, 5));
+	json_decref(rows);
+}
+
 static void test_view_owner_stable(void)
 {
 	struct view *v = make_view(1, "abc");
@@ -434,6 +527,8 @@
 	g_test_add_func("/permit/peers", test_permit_peers);
 	g_test_add_func("/permit/settles", test_permit_settles);
 	g_test_add_func("/permit/left-alone", test_permit_left_alone);
+	g_test_add_func("/permit/join-together", test_permit_join_together);
+	g_test_add_func("/permit/eldest", test_permit_eldest);
 	g_test_add_func("/permit/departed", test_permit_departed);
 	g_test_add_func("/view/owner-stable", test_view_owner_stable);
 	g_test_add_func("/slot/capacity", test_slot_capacity);
