Harness: say which process is not ready and keep its logs

A cell that failed said only "the cluster did not become ready", and its folder was gone.

A stand-in that didn't start, or a port that the proxy couldn't map, was passed over and would have shown only as the same message a minute later. Both now end the start at once, with their name; and a cell that is ended by a signal is printed instead of only counted.

Tried with a gd-entry that exits with 3 (its code and its log's line are printed, the folder is kept) and with no programs at all (0.04 s instead of 10 s, "the proxy did not start"). No bound of a test is changed.

--- a/tests/harness.c
+++ b/tests/harness.c
@@ -18,6 +18,8 @@
 #include "base/clk.h"
 
 #define READY_TIMEOUT_MS 60000
+/* For a stand-in's first answer, which takes it milliseconds. */
+#define ANSWER_TIMEOUT_MS 10000
 #define POLL_MS 20
 
 const struct hx_site hx_siriwattana = { { "bkk-silom", "bkk-bangna",
@@ -118,12 +120,41 @@
 	return hx_run(x->bin, x->dir, log, argv);
 }
 
+/* A cluster without all its parts would only fail later, and elsewhere. */
+static void expect_started(const struct hx *x, const char *what, bool good)
+{
+	if (good)
+		return;
+	fprintf(stderr, "%s did not start: see %s\n", what, x->dir);
+	abort();
+}
+
+/* One that ended may have found another process on its port. */
+static void expect_answers(struct hx *x, const char *what, pid_t pid,
+			   bool (*answers)(struct hx *x, void *arg))
+{
+	int64_t end_ms = hx_now_ms() + ANSWER_TIMEOUT_MS;
+	bool good;
+	int code;
+
+	do {
+		hx_sleep_ms(POLL_MS);
+		good = answers(x, NULL);
+	} while (!good && !hx_has_ended(pid, &code) && hx_now_ms() < end_ms);
+	expect_started(x, what, good && !hx_has_ended(pid, &code));
+}
+
 static void add_map(struct hx *x, const char *ip, int port, const char *to_ip,
 		    int to_port)
 {
-	hx_proxy(x, "map",
-		 "{\"ip\":\"%s\",\"port\":%d,\"to_ip\":\"%s\",\"to_port\":%d}",
-		 ip, port, to_ip, to_port);
+	char what[64];
+
+	snprintf(what, sizeof(what), "the proxy's map %s:%d", ip, port);
+	expect_started(x, what,
+		       hx_proxy(x, "map",
+				"{\"ip\":\"%s\",\"port\":%d,"
+				"\"to_ip\":\"%s\",\"to_port\":%d}",
+				ip, port, to_ip, to_port) >= 0);
 }
 
 static void write_settings(struct hx *x, enum hx_role role, int vm)
@@ -201,6 +232,17 @@
 	return WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
 }
 
+bool hx_has_ended(pid_t pid, int *code)
+{
+	siginfo_t info = { 0 };
+
+	if (waitid(P_PID, (id_t)pid, &info, WEXITED | WNOHANG | WNOWAIT) < 0 ||
+	    !info.si_pid)
+		return false;
+	*code = info.si_status;
+	return true;
+}
+
 static void list_vms(struct hx *x)
 {
 	GString *vms = g_string_new("");
@@ -331,7 +373,7 @@
 	x->proxy_port = hx_free_ports(1);
 	snprintf(port, sizeof(port), "%d", x->proxy_port);
 	x->proxy = spawn(x, "proxy.log", argv);
-	hx_until(proxy_answers, x, NULL, 10000);
+	expect_answers(x, "the proxy", x->proxy, proxy_answers);
 	x->platform_public = hx_free_ports(1);
 	add_map(x, "127.0.0.1", x->platform_public, "127.0.0.1",
 		x->platform_port);
@@ -397,8 +439,7 @@
 	}
 	if (opt->proxied)
 		start_proxy(x);
-	if (!hx_until(platform_answers, x, NULL, 10000))
-		abort();
+	expect_answers(x, "the platform", x->platform, platform_answers);
 	list_vms(x);
 	for (int vm = 0; vm < opt->vms; vm++) {
 		for (int r = 0; r < HX_ROLES; r++) {
@@ -433,7 +474,9 @@
 	end_process(x->proxy);
 	end_process(x->platform);
 	snprintf(command, sizeof(command), "rm -rf %s", x->dir);
-	if (!getenv("GD_KEEP") && system(command) != 0)
+	if (x->keep || getenv("GD_KEEP"))
+		fprintf(stderr, "logs kept in %s\n", x->dir);
+	else if (system(command) != 0)
 		fprintf(stderr, "cannot remove %s\n", x->dir);
 	g_free(x);
 }
@@ -469,6 +512,8 @@
 			return true;
 		hx_sleep_ms(100);
 	}
+	fprintf(stderr, "entry %d did not become ready\n", vm);
+	hx_tell_state(x);
 	return false;
 }
 
@@ -487,5 +532,7 @@
 			return true;
 		hx_sleep_ms(200);
 	}
+	fprintf(stderr, "the ledger does not balance or has no owner\n");
+	hx_tell_state(x);
 	return false;
 }
--- a/tests/harness.h
+++ b/tests/harness.h
@@ -60,6 +60,7 @@
 	int public_port[HX_ROLES][HX_VMS_MAX];
 	int vm_port_base[2][HX_DOMAINS]; /* as listed: targets, workers */
 	int64_t op_count;
+	bool keep; /* the folder with its logs stays */
 };
 
 /* One answer. */
@@ -82,6 +83,8 @@
 /* Waits for its end; exit status, or -signal. */
 int hx_reap(struct hx *x, enum hx_role role, int vm);
 void hx_signal_pid(pid_t pid, int sig);
+/* It can still be reaped after that. */
+bool hx_has_ended(pid_t pid, int *code);
 
 /* Starts a program of `bin`; its output goes to the file `log` in `dir`. It
  * ends with the test. */
@@ -90,9 +93,13 @@
 /* The first of `n` free ports in a row, outside of the ephemeral range. */
 int hx_free_ports(int n);
 
-/* All entries are ready and own all groups; all shards are held. */
+/* All entries are ready and own all groups; all shards are held. What is not
+ * after a while is told on stderr. */
 bool hx_wait_ready(struct hx *x);
 bool hx_wait_entry_ready(struct hx *x, int vm);
+/* Tells on stderr which processes ended, what entries say, and the ends of
+ * their logs. */
+void hx_tell_state(struct hx *x);
 
 void hx_answer_free(struct hx_answer *a);
 struct hx_answer hx_http(const char *method, const char *url,
@@ -111,7 +118,8 @@
 			 const char *id, int attempt, int64_t deadline_ms,
 			 const char *body);
 
-/* Platform and proxy controls; JSON bodies. The answer's fields count. */
+/* Platform and proxy controls; JSON bodies. The answer's fields count; the
+ * proxy's is -1 if it refused. */
 json_t *hx_platform(struct hx *x, const char *fmt, ...)
 	__attribute__((format(printf, 2, 3)));
 int64_t hx_proxy(struct hx *x, const char *what, const char *fmt, ...)
--- a/tests/harness_http.c
+++ b/tests/harness_http.c
@@ -165,7 +165,9 @@
 	snprintf(url, sizeof(url), "http://127.0.0.1:%d/%s", x->proxy_port,
 		 what);
 	a = hx_http("POST", url, NULL, body, 10000);
-	affected = json_integer_value(json_object_get(a.json, "affected"));
+	affected = a.status == 200 ? json_integer_value(json_object_get(
+					     a.json, "affected"))
+				   : -1;
 	g_free(body);
 	hx_answer_free(&a);
 	return affected;
--- a/tests/harness_logs.c
+++ b/tests/harness_logs.c
@@ -6,6 +6,9 @@
 
 #include "tests/harness.h"
 
+/* So many lines tell how far a start came. */
+#define TOLD_LINES 8
+
 static FILE *open_log(struct hx *x, const char *kind, int d)
 {
 	char path[160];
@@ -238,3 +241,61 @@
 {
 	return sum_ledger(x, vm, "tasks", state, NULL);
 }
+
+static void tell_process(const char *name, pid_t pid)
+{
+	int code;
+
+	if (pid <= 0)
+		return;
+	if (hx_has_ended(pid, &code))
+		fprintf(stderr, "%s: ended, code or signal %d\n", name, code);
+	else
+		fprintf(stderr, "%s: runs\n", name);
+}
+
+static void tell_log(struct hx *x, const char *name)
+{
+	char path[160];
+	gchar *text = NULL;
+	gchar **lines;
+	guint n;
+
+	snprintf(path, sizeof(path), "%s/%s.log", x->dir, name);
+	if (!g_file_get_contents(path, &text, NULL, NULL))
+		return;
+	lines = g_strsplit(g_strchomp(text), "\n", -1);
+	n = g_strv_length(lines);
+	for (guint i = n > TOLD_LINES ? n - TOLD_LINES : 0; i < n; i++)
+		fprintf(stderr, "    %s\n", lines[i]);
+	g_strfreev(lines);
+	g_free(text);
+}
+
+static void tell_daemon(struct hx *x, enum hx_role role, int vm)
+{
+	char name[16];
+	struct hx_answer a;
+
+	snprintf(name, sizeof(name), "%c%d", role == HX_ENTRY ? 'e' : 's', vm);
+	tell_process(name, x->daemons[role][vm]);
+	tell_log(x, name);
+	if (role != HX_ENTRY)
+		return;
+	a = hx_get(x, vm, "/v1/status");
+	fprintf(stderr, "    %ld %s\n", a.status, a.body);
+	hx_answer_free(&a);
+}
+
+void hx_tell_state(struct hx *x)
+{
+	tell_process("platform", x->platform);
+	tell_log(x, "platform");
+	tell_process("proxy", x->proxy);
+	tell_log(x, "proxy");
+	for (int vm = 0; vm < x->opt.vms; vm++) {
+		for (int r = 0; r < HX_ROLES; r++)
+			tell_daemon(x, (enum hx_role)r, vm);
+	}
+	x->keep = true;
+}
--- a/tests/matrix.c
+++ b/tests/matrix.c
@@ -76,6 +76,7 @@
 	cell->run(&c);
 	if (!c.failed && !c.took_effect)
 		cell_fail(&c, "the fault never took effect");
+	c.x->keep = c.failed;
 	hx_stop(c.x);
 	printf("%-34s seed %-3d %5.1f s  %s%s%s\n", name, cell->seed,
 	       (double)(hx_now_ms() - begin_ms) / 1000,
@@ -118,6 +119,9 @@
 		waitpid(pid, &status, 0);
 		if (WIFEXITED(status) && WEXITSTATUS(status) == 0)
 			continue;
+		if (WIFSIGNALED(status))
+			printf("%-34s seed %-3d ended by signal %d\n", name,
+			       cells[i].seed, WTERMSIG(status));
 		if (known_red(name))
 			red++;
 		else
