Harness: no two test programs choose the same ports

Two test programs at the same time could fail in any test: ports were looked at, let go and bound by the processes later, and programs whose ids are near each other (or 1,500 apart) began to look at about the same port.

--- a/tests/harness.c
+++ b/tests/harness.c
@@ -21,6 +21,13 @@
 /* For a stand-in's first answer, which takes it milliseconds. */
 #define ANSWER_TIMEOUT_MS 10000
 #define POLL_MS 20
+/* Ours are below the kernel's ephemeral ones, which begin at 32768, and below
+ * our guards. A cluster of three VMs takes about 30. */
+#define PORTS_FIRST 10000
+#define PORTS 22000
+#define BLOCK_PORTS 50
+#define PORT_BLOCKS (PORTS / BLOCK_PORTS)
+#define GUARDS_FIRST (PORTS_FIRST + PORTS)
 
 const struct hx_site hx_siriwattana = { { "bkk-silom", "bkk-bangna",
 					  "cnx-nimman" },
@@ -72,25 +79,65 @@
 	return good;
 }
 
+/* The blocks that this process may use; a forked one begins anew. */
+struct ports {
+	pid_t pid;
+	int next;
+	bool owned[PORT_BLOCKS];
+};
+
+/*
+ * Test programs that run at the same time keep out of each other's ports from
+ * the choice on, not only from when something listens there: who has bound
+ * the guard of a block may use the block, to its end.
+ */
+static bool own_block(struct ports *p, int block)
+{
+	struct sockaddr_in sa = { .sin_family = AF_INET,
+				  .sin_port = htons(
+					  (uint16_t)(GUARDS_FIRST + block)) };
+	int fd;
+
+	if (p->owned[block])
+		return true;
+	fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	p->owned[block] = bind(fd, (struct sockaddr *)&sa, sizeof(sa)) == 0;
+	if (!p->owned[block])
+		close(fd);
+	return p->owned[block];
+}
+
+static bool take_port(struct ports *p, int port)
+{
+	return own_block(p, (port - PORTS_FIRST) / BLOCK_PORTS) &&
+	       port_is_free(port);
+}
+
 int hx_free_ports(int n)
 {
-	static int next;
+	static struct ports p;
 	int first;
 
-	if (!next)
-		next = 10000 + getpid() % 1500 * 10;
-	for (first = next;; first++) {
+	if (p.pid != getpid())
+		p = (struct ports){ .pid = getpid(),
+				    .next = PORTS_FIRST + getpid() %
+								  PORT_BLOCKS *
+								  BLOCK_PORTS };
+	first = p.next;
+	for (int tries = 0; tries < PORTS; tries++, first++) {
 		int k = 0;
 
-		if (first + n > 32000)
-			first = 10000;
-		while (k < n && port_is_free(first + k))
+		if (first + n > PORTS_FIRST + PORTS)
+			first = PORTS_FIRST;
+		while (k < n && take_port(&p, first + k))
 			k++;
-		if (k == n)
-			break;
+		if (k == n) {
+			p.next = first + n;
+			return first;
+		}
 	}
-	next = first + n;
-	return first;
+	fprintf(stderr, "no %d ports in a row are free\n", n);
+	abort();
 }
 
 pid_t hx_run(const char *bin, const char *dir, const char *log,
--- a/tests/harness.h
+++ b/tests/harness.h
@@ -90,7 +90,8 @@
  * ends with the test. */
 pid_t hx_run(const char *bin, const char *dir, const char *log,
 	     char *const *argv);
-/* The first of `n` free ports in a row, outside of the ephemeral range. */
+/* The first of `n` free ports in a row, outside of the ephemeral range. No
+ * other test program gets them while this one runs. */
 int hx_free_ports(int n);
 
 /* All entries are ready and own all groups; all shards are held. What is not
--- a/tests/path_tests.c
+++ b/tests/path_tests.c
@@ -265,6 +265,53 @@
 	expect_call("match", NULL, 200, "answered");
 }
 
+/* Chooses ports in a process of its own, which ends when `hold` is closed. */
+static pid_t choose_apart(int n, const int hold[2], int *first)
+{
+	int told[2];
+	pid_t pid;
+	char end;
+
+	g_assert_cmpint(pipe(told), ==, 0);
+	pid = fork();
+	if (!pid) {
+		int chosen = hx_free_ports(n);
+
+		close(hold[1]);
+		if (write(told[1], &chosen, sizeof(chosen)) != sizeof(chosen))
+			_exit(1);
+		_exit(read(hold[0], &end, 1) != 0);
+	}
+	g_assert_cmpint(read(told[0], first, sizeof(*first)), ==,
+			sizeof(*first));
+	close(told[0]);
+	close(told[1]);
+	return pid;
+}
+
+/* Guards against test programs that choose the same ports at the same time. */
+static void test_ports_apart(void)
+{
+	/* Many more than the starts of two processes are apart. */
+	const int n = 1000;
+	int first[2];
+	int hold[2];
+	pid_t pids[2];
+
+	g_assert_cmpint(pipe(hold), ==, 0);
+	for (int i = 0; i < 2; i++)
+		pids[i] = choose_apart(n, hold, &first[i]);
+	close(hold[0]);
+	close(hold[1]);
+	for (int i = 0; i < 2; i++) {
+		int status = 0;
+
+		waitpid(pids[i], &status, 0);
+		g_assert_true(WIFEXITED(status) && !WEXITSTATUS(status));
+	}
+	g_assert_cmpint(ABS(first[0] - first[1]), >=, n);
+}
+
 static void test_graceful_stop(void)
 {
 	for (int vm = 0; vm < 3; vm++) {
@@ -294,6 +341,7 @@
 	g_test_add_func("/path/command-line", test_command_line);
 	g_test_add_func("/path/metrics", test_metrics);
 	g_test_add_func("/path/all-entries-lost", test_all_entries_lost);
+	g_test_add_func("/path/ports-apart", test_ports_apart);
 	g_test_add_func("/path/graceful-stop", test_graceful_stop);
 	g_assert_true(hx_wait_ready(x));
 	failed = g_test_run();
