--- a/tests/fleet_tests.c
+++ b/tests/fleet_tests.c
@@ -400,6 +400,30 @@
 	site_close(&s);
 }
 
+/* Guards against an end whose reason stays in the log's buffer. */
+static void test_taken_port(void)
+{
+	struct site s;
+	char path[128];
+	gchar *log = NULL;
+	pid_t first;
+	int status = 0;
+
+	site_open(&s);
+	snprintf(path, sizeof(path), "%s/vm0.log", s.dir);
+	/* A second one while the first still holds the ports. */
+	first = s.vms[0];
+	start_vm(&s, 0);
+	waitpid(s.vms[0], &status, 0);
+	s.vms[0] = first;
+	g_assert_true(WIFEXITED(status));
+	g_assert_cmpint(WEXITSTATUS(status), ==, 1);
+	g_assert_true(g_file_get_contents(path, &log, NULL, NULL));
+	g_assert_nonnull(strstr(log, "event=GD1005"));
+	g_free(log);
+	site_close(&s);
+}
+
 /* A planned stop of the owner: it ends by itself, and nothing waits. */
 static void test_planned_stop(void)
 {
@@ -504,6 +528,7 @@
 	g_test_add_func("/fleet/jobs", test_jobs);
 	g_test_add_func("/fleet/lost-answers", test_lost_answers);
 	g_test_add_func("/fleet/owner-killed", test_owner_killed);
+	g_test_add_func("/fleet/taken-port", test_taken_port);
 	g_test_add_func("/fleet/planned-stop", test_planned_stop);
 	g_test_add_func("/fleet/cancel", test_cancel);
 	g_test_add_func("/fleet/upkeep-wave", test_upkeep_wave);
