--- a/tests/fleet_tests.c
+++ b/tests/fleet_tests.c
@@ -1,9 +1,12 @@
 /* gd-fleet as real processes against the platform's stand-in. */
+#include <arpa/inet.h>
 #include <glib.h>
+#include <netinet/in.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -400,6 +403,40 @@
 	site_close(&s);
 }
 
+/* Asks a VM's readiness on a connection that stays open. */
+static int ask_and_stay(const struct site *s, int vm)
+{
+	static const char text[] = "GET /v1/readyz HTTP/1.1\r\nHost: a\r\n\r\n";
+	struct sockaddr_in sa = { .sin_family = AF_INET,
+				  .sin_port = htons(
+					  (uint16_t)(s->ports + vm * 3 + 1)) };
+	char answer[1024];
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+	inet_pton(AF_INET, "127.0.0.1", &sa.sin_addr);
+	g_assert_cmpint(connect(fd, (struct sockaddr *)&sa, sizeof(sa)), ==, 0);
+	g_assert_cmpint(write(fd, text, sizeof(text) - 1), >, 0);
+	g_assert_cmpint(read(fd, answer, sizeof(answer)), >, 0);
+	return fd;
+}
+
+/* Guards against a port that is taken by connections of the former life. */
+static void test_comes_back(void)
+{
+	struct site s;
+	int caller;
+
+	site_open(&s);
+	caller = ask_and_stay(&s, 0);
+	hx_signal_pid(s.vms[0], SIGKILL);
+	waitpid(s.vms[0], NULL, 0);
+	/* The end that closed first keeps the connection for a minute. */
+	close(caller);
+	start_vm(&s, 0);
+	wait_ready(&s, 0);
+	site_close(&s);
+}
+
 /* Guards against an end whose reason stays in the log's buffer. */
 static void test_taken_port(void)
 {
@@ -529,6 +566,7 @@
 	g_test_add_func("/fleet/lost-answers", test_lost_answers);
 	g_test_add_func("/fleet/owner-killed", test_owner_killed);
 	g_test_add_func("/fleet/taken-port", test_taken_port);
+	g_test_add_func("/fleet/comes-back", test_comes_back);
 	g_test_add_func("/fleet/planned-stop", test_planned_stop);
 	g_test_add_func("/fleet/cancel", test_cancel);
 	g_test_add_func("/fleet/upkeep-wave", test_upkeep_wave);
