3/lost-answer/evict: tasks that run through all rounds

Its tasks ran for 1.5 s and their domain went out after 1 s, so that the one eviction that it could see hung on when the scheduler polled (every 0.5 s); in the other three rounds nothing ran any more: all 40 tasks were done when the second began.

They run for 8 s now.

--- a/tests/cells_batch.c
+++ b/tests/cells_batch.c
@@ -161,7 +161,8 @@
 void p3_lost_answers(struct cell_run *c)
 {
 	cell_start(c, 2, 1, 2, NULL, FAST_LEASES);
-	cell_submit(c, "a", 40, 4000, 1500);
+	/* They run through all rounds, whenever a scheduler polls. */
+	cell_submit(c, "a", 40, 4000, 8000);
 	hx_sleep_ms(1000);
 	for (int i = 0; i < 4; i++) {
 		cell_set_domain(c, i % HX_DOMAINS, "out");
