--- a/tests/harness.c
+++ b/tests/harness.c
@@ -18,7 +18,16 @@
 #include "base/clk.h"
 
 #define READY_TIMEOUT_MS 60000
+/* For a stand-in's first answer, which takes it milliseconds. */
+#define ANSWER_TIMEOUT_MS 10000
 #define POLL_MS 20
+/* Ours are below the kernel's ephemeral ones, which begin at 32768, and below
+ * our guards. A cluster of three VMs takes about 30. */
+#define PORTS_FIRST 10000
+#define PORTS 22000
+#define BLOCK_PORTS 50
+#define PORT_BLOCKS (PORTS / BLOCK_PORTS)
+#define GUARDS_FIRST (PORTS_FIRST + PORTS)
 
 const struct hx_site hx_siriwattana = { { "bkk-silom", "bkk-bangna",
 					  "cnx-nimman" },
@@ -70,25 +79,65 @@
 	return good;
 }
 
+/* The blocks that this process may use; a forked one begins anew. */
+struct ports {
+	pid_t pid;
+	int next;
+	bool owned[PORT_BLOCKS];
+};
+
+/*
+ * Test programs that run at the same time keep out of each other's ports from
+ * the choice on, not only from when something listens there: who has bound
+ * the guard of a block may use the block, to its end.
+ */
+static bool own_block(struct ports *p, int block)
+{
+	struct sockaddr_in sa = { .sin_family = AF_INET,
+				  .sin_port = htons(
+					  (uint16_t)(GUARDS_FIRST + block)) };
+	int fd;
+
+	if (p->owned[block])
+		return true;
+	fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	p->owned[block] = bind(fd, (struct sockaddr *)&sa, sizeof(sa)) == 0;
+	if (!p->owned[block])
+		close(fd);
+	return p->owned[block];
+}
+
+static bool take_port(struct ports *p, int port)
+{
+	return own_block(p, (port - PORTS_FIRST) / BLOCK_PORTS) &&
+	       port_is_free(port);
+}
+
 int hx_free_ports(int n)
 {
-	static int next;
+	static struct ports p;
 	int first;
 
-	if (!next)
-		next = 10000 + getpid() % 1500 * 10;
-	for (first = next;; first++) {
+	if (p.pid != getpid())
+		p = (struct ports){ .pid = getpid(),
+				    .next = PORTS_FIRST + getpid() %
+								  PORT_BLOCKS *
+								  BLOCK_PORTS };
+	first = p.next;
+	for (int tries = 0; tries < PORTS; tries++, first++) {
 		int k = 0;
 
-		if (first + n > 32000)
-			first = 10000;
-		while (k < n && port_is_free(first + k))
+		if (first + n > PORTS_FIRST + PORTS)
+			first = PORTS_FIRST;
+		while (k < n && take_port(&p, first + k))
 			k++;
-		if (k == n)
-			break;
+		if (k == n) {
+			p.next = first + n;
+			return first;
+		}
 	}
-	next = first + n;
-	return first;
+	fprintf(stderr, "no %d ports in a row are free\n", n);
+	abort();
 }
 
 pid_t hx_run(const char *bin, const char *dir, const char *log,
@@ -118,12 +167,41 @@
 	return hx_run(x->bin, x->dir, log, argv);
 }
 
+/* A cluster without all its parts would only fail later, and elsewhere. */
+static void expect_started(const struct hx *x, const char *what, bool good)
+{
+	if (good)
+		return;
+	fprintf(stderr, "%s did not start: see %s\n", what, x->dir);
+	abort();
+}
+
+/* One that ended may have found another process on its port. */
+static void expect_answers(struct hx *x, const char *what, pid_t pid,
+			   bool (*answers)(struct hx *x, void *arg))
+{
+	int64_t end_ms = hx_now_ms() + ANSWER_TIMEOUT_MS;
+	bool good;
+	int code;
+
+	do {
+		hx_sleep_ms(POLL_MS);
+		good = answers(x, NULL);
+	} while (!good && !hx_has_ended(pid, &code) && hx_now_ms() < end_ms);
+	expect_started(x, what, good && !hx_has_ended(pid, &code));
+}
+
 static void add_map(struct hx *x, const char *ip, int port, const char *to_ip,
 		    int to_port)
 {
-	hx_proxy(x, "map",
-		 "{\"ip\":\"%s\",\"port\":%d,\"to_ip\":\"%s\",\"to_port\":%d}",
-		 ip, port, to_ip, to_port);
+	char what[64];
+
+	snprintf(what, sizeof(what), "the proxy's map %s:%d", ip, port);
+	expect_started(x, what,
+		       hx_proxy(x, "map",
+				"{\"ip\":\"%s\",\"port\":%d,"
+				"\"to_ip\":\"%s\",\"to_port\":%d}",
+				ip, port, to_ip, to_port) >= 0);
 }
 
 static void write_settings(struct hx *x, enum hx_role role, int vm)
@@ -201,6 +279,17 @@
 	return WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
 }
 
+bool hx_has_ended(pid_t pid, int *code)
+{
+	siginfo_t info = { 0 };
+
+	if (waitid(P_PID, (id_t)pid, &info, WEXITED | WNOHANG | WNOWAIT) < 0 ||
+	    !info.si_pid)
+		return false;
+	*code = info.si_status;
+	return true;
+}
+
 static void list_vms(struct hx *x)
 {
 	GString *vms = g_string_new("");
@@ -331,7 +420,7 @@
 	x->proxy_port = hx_free_ports(1);
 	snprintf(port, sizeof(port), "%d", x->proxy_port);
 	x->proxy = spawn(x, "proxy.log", argv);
-	hx_until(proxy_answers, x, NULL, 10000);
+	expect_answers(x, "the proxy", x->proxy, proxy_answers);
 	x->platform_public = hx_free_ports(1);
 	add_map(x, "127.0.0.1", x->platform_public, "127.0.0.1",
 		x->platform_port);
@@ -397,8 +486,7 @@
 	}
 	if (opt->proxied)
 		start_proxy(x);
-	if (!hx_until(platform_answers, x, NULL, 10000))
-		abort();
+	expect_answers(x, "the platform", x->platform, platform_answers);
 	list_vms(x);
 	for (int vm = 0; vm < opt->vms; vm++) {
 		for (int r = 0; r < HX_ROLES; r++) {
@@ -433,35 +521,46 @@
 	end_process(x->proxy);
 	end_process(x->platform);
 	snprintf(command, sizeof(command), "rm -rf %s", x->dir);
-	if (!getenv("GD_KEEP") && system(command) != 0)
+	if (x->keep || getenv("GD_KEEP"))
+		fprintf(stderr, "logs kept in %s\n", x->dir);
+	else if (system(command) != 0)
 		fprintf(stderr, "cannot remove %s\n", x->dir);
 	g_free(x);
 }
 
+/* Joined in this life, and its row, which a former life may have written. */
+static bool is_ready(json_t *status, int vm)
+{
+	char id[16];
+	json_t *m;
+	size_t i;
+
+	if (!json_is_true(json_object_get(status, "joined")))
+		return false;
+	snprintf(id, sizeof(id), "e%d", vm);
+	json_array_foreach(json_object_get(status, "members"), i, m)
+	{
+		if (!strcmp(id, json_string_value(json_object_get(m, "id"))))
+			return json_is_true(json_object_get(m, "ready"));
+	}
+	return false;
+}
+
 bool hx_wait_entry_ready(struct hx *x, int vm)
 {
 	int64_t end_ms = hx_now_ms() + READY_TIMEOUT_MS;
 
 	while (hx_now_ms() < end_ms) {
 		struct hx_answer a = hx_get(x, vm, "/v1/status");
-		json_t *m;
-		size_t i;
-		bool good = false;
-
-		json_array_foreach(json_object_get(a.json, "members"), i, m)
-		{
-			char id[16];
-
-			snprintf(id, sizeof(id), "e%d", vm);
-			good |= json_is_true(json_object_get(m, "ready")) &&
-				!strcmp(id, json_string_value(
-						    json_object_get(m, "id")));
-		}
+		bool good = is_ready(a.json, vm);
+
 		hx_answer_free(&a);
 		if (good)
 			return true;
 		hx_sleep_ms(100);
 	}
+	fprintf(stderr, "entry %d did not become ready\n", vm);
+	hx_tell_state(x);
 	return false;
 }
 
@@ -480,5 +579,7 @@
 			return true;
 		hx_sleep_ms(200);
 	}
+	fprintf(stderr, "the ledger does not balance or has no owner\n");
+	hx_tell_state(x);
 	return false;
 }
--- a/tests/path_tests.c
+++ b/tests/path_tests.c
@@ -40,8 +40,6 @@
 {
 	struct hx_target_log log;
 
-	g_assert_true(hx_operate_surely(x, "submit", MATCH));
-	g_assert_true(hx_operate_surely(x, "submit", RELAY));
 	for (int i = 0; i < 20; i++)
 		expect_call("match", NULL, 200, "answered");
 	expect_call("relay", "once", 200, "answered");
@@ -242,14 +240,78 @@
 
 static void test_metrics(void)
 {
-	struct hx_answer a = hx_get(x, 1, "/metrics");
+	struct hx_answer a;
 
+	expect_call("match", NULL, 200, "answered");
+	a = hx_get(x, 1, "/metrics");
 	g_assert_cmpint(a.status, ==, 200);
 	g_assert_nonnull(strstr(a.body, "gd_requests_total{service=\"match\","
 					"outcome=\"answered\"}"));
 	hx_answer_free(&a);
 }
 
+/* Guards against entries that all come back and wait for each other for ever.
+ */
+static void test_all_entries_lost(void)
+{
+	for (int vm = 0; vm < 3; vm++)
+		hx_signal(x, HX_ENTRY, vm, SIGKILL);
+	for (int vm = 0; vm < 3; vm++)
+		g_assert_cmpint(hx_reap(x, HX_ENTRY, vm), ==, -SIGKILL);
+	for (int vm = 0; vm < 3; vm++)
+		hx_spawn(x, HX_ENTRY, vm);
+	for (int vm = 0; vm < 3; vm++)
+		g_assert_true(hx_wait_entry_ready(x, vm));
+	expect_call("match", NULL, 200, "answered");
+}
+
+/* Chooses ports in a process of its own, which ends when `hold` is closed. */
+static pid_t choose_apart(int n, const int hold[2], int *first)
+{
+	int told[2];
+	pid_t pid;
+	char end;
+
+	g_assert_cmpint(pipe(told), ==, 0);
+	pid = fork();
+	if (!pid) {
+		int chosen = hx_free_ports(n);
+
+		close(hold[1]);
+		if (write(told[1], &chosen, sizeof(chosen)) != sizeof(chosen))
+			_exit(1);
+		_exit(read(hold[0], &end, 1) != 0);
+	}
+	g_assert_cmpint(read(told[0], first, sizeof(*first)), ==,
+			sizeof(*first));
+	close(told[0]);
+	close(told[1]);
+	return pid;
+}
+
+/* Guards against test programs that choose the same ports at the same time. */
+static void test_ports_apart(void)
+{
+	/* Many more than the starts of two processes are apart. */
+	const int n = 1000;
+	int first[2];
+	int hold[2];
+	pid_t pids[2];
+
+	g_assert_cmpint(pipe(hold), ==, 0);
+	for (int i = 0; i < 2; i++)
+		pids[i] = choose_apart(n, hold, &first[i]);
+	close(hold[0]);
+	close(hold[1]);
+	for (int i = 0; i < 2; i++) {
+		int status = 0;
+
+		waitpid(pids[i], &status, 0);
+		g_assert_true(WIFEXITED(status) && !WEXITSTATUS(status));
+	}
+	g_assert_cmpint(ABS(first[0] - first[1]), >=, n);
+}
+
 static void test_graceful_stop(void)
 {
 	for (int vm = 0; vm < 3; vm++) {
@@ -278,8 +340,13 @@
 	g_test_add_func("/path/batch", test_batch);
 	g_test_add_func("/path/command-line", test_command_line);
 	g_test_add_func("/path/metrics", test_metrics);
+	g_test_add_func("/path/all-entries-lost", test_all_entries_lost);
+	g_test_add_func("/path/ports-apart", test_ports_apart);
 	g_test_add_func("/path/graceful-stop", test_graceful_stop);
 	g_assert_true(hx_wait_ready(x));
+	/* Here, so that each test can run alone. */
+	g_assert_true(hx_operate_surely(x, "submit", MATCH));
+	g_assert_true(hx_operate_surely(x, "submit", RELAY));
 	failed = g_test_run();
 	hx_stop(x);
 	return failed;
