--- a/standins/faultproxy.c
+++ b/standins/faultproxy.c
@@ -72,6 +72,7 @@
 
 struct map {
 	struct proxy *p;
+	char as[64]; /* what rules know its near ends by, if not the IP */
 	char to_ip[64];
 	uint16_t to_port;
 	int fd;
@@ -330,7 +331,10 @@
 		return;
 	c = talloc_zero(m->p->ev, struct conn);
 	c->p = m->p;
-	inet_ntop(AF_INET, &peer.sin_addr, c->from, sizeof(c->from));
+	if (*m->as)
+		memcpy(c->from, m->as, sizeof(c->from));
+	else
+		inet_ntop(AF_INET, &peer.sin_addr, c->from, sizeof(c->from));
 	snprintf(c->to, sizeof(c->to), "%s:%u", m->to_ip, m->to_port);
 	cds_list_add(&c->node, &m->p->conns);
 	init_flow(c, 0, fd, to);
@@ -347,6 +351,13 @@
 	c->wait = tevent_add_fd(ev, c, to, TEVENT_FD_WRITE, on_connected, c);
 }
 
+static const char *str(const json_t *j, const char *key)
+{
+	const char *s = json_string_value(json_object_get(j, key));
+
+	return s ? s : "*";
+}
+
 static bool add_map(struct proxy *p, const json_t *j)
 {
 	struct map *m = talloc_zero(p->ev, struct map);
@@ -356,6 +367,8 @@
 	m->p = p;
 	snprintf(m->to_ip, sizeof(m->to_ip), "%s",
 		 json_string_value(json_object_get(j, "to_ip")));
+	if (json_object_get(j, "as"))
+		snprintf(m->as, sizeof(m->as), "%s", str(j, "as"));
 	m->to_port =
 		(uint16_t)json_integer_value(json_object_get(j, "to_port"));
 	set_addr(&sa, json_string_value(json_object_get(j, "ip")),
@@ -372,13 +385,6 @@
 	return true;
 }
 
-static const char *str(const json_t *j, const char *key)
-{
-	const char *s = json_string_value(json_object_get(j, key));
-
-	return s ? s : "*";
-}
-
 /* Replaces the rule of the same ends, or adds one. */
 static void set_rule(struct proxy *p, const json_t *j)
 {
--- a/tests/fleet_tests.c
+++ b/tests/fleet_tests.c
@@ -7,183 +7,41 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
-#include "tests/harness.h"
+#include "tests/harness_fleet.h"
 
 #define VMS 3
-#define WORKERS "4"
-/* Far beyond what anything here takes on a busy machine, in ms. */
-#define PATIENCE_MS 60000
-#define CALL_MS 5000
-
-struct site {
-	const char *bin;
-	char dir[64];
-	pid_t platform;
-	pid_t vms[VMS];
-	int platform_port;
-	int ports; /* of a VM: door, ready, control */
-	int jobs;
-};
-
-static void write_settings(const struct site *s, int vm)
-{
-	char path[128];
-	int port = s->ports + vm * 3;
-	FILE *f;
-
-	snprintf(path, sizeof(path), "%s/vm%d.conf", s->dir, vm);
-	f = fopen(path, "w");
-	fprintf(f,
-		"node=vm%d\nzone=z%d\nregion=r\n"
-		"listen.front=127.0.0.1:%d\nlisten.ready=127.0.0.1:%d\n"
-		"listen.control=127.0.0.1:%d\nplatform.addr=127.0.0.1:%d\n"
-		"cloud.addr=127.0.0.1:%d\nadvisor=\nbounds.grace_s=6\n"
-		"bounds.lease_ms=500\n",
-		vm, vm, port, port + 1, port + 2, s->platform_port,
-		s->platform_port);
-	fclose(f);
-}
-
-static void start_vm(struct site *s, int vm)
-{
-	char path[128];
-	char log[32];
-	char *argv[] = { "gd-fleet", path, NULL };
-
-	snprintf(path, sizeof(path), "%s/vm%d.conf", s->dir, vm);
-	snprintf(log, sizeof(log), "vm%d.log", vm);
-	s->vms[vm] = hx_run(s->bin, s->dir, log, argv);
-}
-
-static struct hx_answer platform(const struct site *s, const char *path,
-				 const char *body)
-{
-	char url[128];
-
-	snprintf(url, sizeof(url), "http://127.0.0.1:%d%s", s->platform_port,
-		 path);
-	return hx_http(body ? "POST" : "GET", url, NULL, body, CALL_MS);
-}
-
-static void put_row(const struct site *s, const char *key, const char *value)
-{
-	json_t *j = json_pack("{s:s,s:s,s:s}", "table", "op", "key", key,
-			      "value", value);
-	char *text = json_dumps(j, JSON_COMPACT);
-	struct hx_answer a = platform(s, "/control/row", text);
-
-	g_assert_cmpint(a.status, ==, 200);
-	hx_answer_free(&a);
-	free(text);
-	json_decref(j);
-}
-
-static void lose(const struct site *s, int answers, int calls)
-{
-	char body[96];
-	struct hx_answer a;
-
-	snprintf(body, sizeof(body), "{\"lose_answers\":%d,\"lose_calls\":%d}",
-		 answers, calls);
-	a = platform(s, "/control/fault", body);
-	g_assert_cmpint(a.status, ==, 200);
-	hx_answer_free(&a);
-}
-
-static struct hx_answer call(const struct site *s, int vm, const char *method,
-			     const char *path, const char *body)
-{
-	const char *headers[] = { "Host: jobs.example", "Deadline-Ms: 4000",
-				  "Content-Type: application/json", NULL };
-	char url[160];
-
-	snprintf(url, sizeof(url), "http://127.0.0.1:%d%s", s->ports + vm * 3,
-		 path);
-	return hx_http(method, url, headers, body, CALL_MS);
-}
-
-static bool is_ready(const struct site *s, int vm)
-{
-	char url[128];
-	struct hx_answer a;
-	bool ready;
-
-	snprintf(url, sizeof(url), "http://127.0.0.1:%d/v1/readyz",
-		 s->ports + vm * 3 + 1);
-	a = hx_http("GET", url, NULL, NULL, CALL_MS);
-	ready = a.status == 200;
-	hx_answer_free(&a);
-	return ready;
-}
 
-static void wait_ready(const struct site *s, int vm)
+static void lose(const struct hf *s, int answers, int calls)
 {
-	int64_t end = hx_now_ms() + PATIENCE_MS;
-
-	while (!is_ready(s, vm)) {
-		g_assert_cmpint(hx_now_ms(), <, end);
-		hx_sleep_ms(20);
-	}
+	hf_control(s->platform_port, "/control/fault",
+		   "{\"lose_answers\":%d,\"lose_calls\":%d}", answers, calls);
 }
 
-static void site_open(struct site *s)
+static void site_open(struct hf *s)
 {
-	char port[16];
-	char *argv[] = { "gd-site", port, WORKERS, NULL };
-	struct hx_answer a;
+	static const struct hf_options opt = {
+		.vms = VMS,
+		.workers = 4,
+		.bounds = "bounds.grace_s=6\nbounds.lease_ms=500\n",
+	};
 
-	memset(s, 0, sizeof(*s));
-	s->bin = getenv("GD_BIN") ? getenv("GD_BIN") : "build";
-	g_strlcpy(s->dir, "/tmp/gd-fleet-XXXXXX", sizeof(s->dir));
-	g_assert_nonnull(mkdtemp(s->dir));
-	s->platform_port = hx_free_ports(1);
-	s->ports = hx_free_ports(VMS * 3);
-	snprintf(port, sizeof(port), "%d", s->platform_port);
-	s->platform = hx_run(s->bin, s->dir, "site.log", argv);
-	do {
-		hx_sleep_ms(20);
-		a = platform(s, "/v1/machines", NULL);
-		hx_answer_free(&a);
-	} while (a.status != 200);
-	put_row(s, "config",
-		"{\"version\":1,\"routes\":[{\"name\":\"q\",\"host\":"
-		"\"jobs.example\",\"prefix\":\"/q/\",\"service\":\"pool\","
-		"\"prio\":0,\"attempts\":3,\"slack_factor\":2,\"aim_ms\":600,"
-		"\"timeout_ms\":3000,\"kind\":\"mutating\"}],"
-		"\"services\":[{\"name\":\"pool\","
-		"\"enforces_capacity\":true}],\"limits\":{}}");
-	for (int i = 0; i < VMS; i++) {
-		write_settings(s, i);
-		start_vm(s, i);
-	}
-	for (int i = 0; i < VMS; i++)
-		wait_ready(s, i);
-}
-
-static void site_close(struct site *s)
-{
-	for (int i = 0; i < VMS; i++) {
-		hx_signal_pid(s->vms[i], SIGKILL);
-		if (s->vms[i] > 0)
-			waitpid(s->vms[i], NULL, 0);
-	}
-	hx_signal_pid(s->platform, SIGKILL);
-	waitpid(s->platform, NULL, 0);
+	hf_open(s, &opt);
 }
 
 /* Hands a job in until it is accepted, by one VM after another. */
-static int submit(struct site *s, const char *steps, const char *text)
+static int submit(struct hf *s, const char *steps, const char *text)
 {
 	int job = s->jobs++;
 	char path[64];
 	char *body =
 		g_strdup_printf("{\"spec\":\"%s\",\"steps\":%s}", text, steps);
-	int64_t end = hx_now_ms() + PATIENCE_MS;
+	int64_t end = hx_now_ms() + HF_PATIENCE_MS;
 	long status;
 
 	snprintf(path, sizeof(path), "/q/%016x", job + 1);
 	for (int vm = job;; vm++) {
-		struct hx_answer a = call(s, vm % VMS, "POST", path, body);
+		struct hx_answer a =
+			hf_call(s, NULL, vm % VMS, "POST", path, body);
 
 		status = a.status;
 		hx_answer_free(&a);
@@ -198,23 +56,23 @@
 	return job;
 }
 
-static char *state_of(const struct site *s, int vm, int job)
+static char *state_of(const struct hf *s, int vm, int job)
 {
 	char path[64];
 	struct hx_answer a;
 	char *state;
 
 	snprintf(path, sizeof(path), "/q/%016x", job + 1);
-	a = call(s, vm, "GET", path, NULL);
+	a = hf_call(s, NULL, vm, "GET", path, NULL);
 	state = g_strdup(json_string_value(json_object_get(a.json, "state"))
 				 ?: "");
 	hx_answer_free(&a);
 	return state;
 }
 
-static void wait_state(const struct site *s, int vm, int job, const char *want)
+static void wait_state(const struct hf *s, int vm, int job, const char *want)
 {
-	int64_t end = hx_now_ms() + PATIENCE_MS;
+	int64_t end = hx_now_ms() + HF_PATIENCE_MS;
 
 	for (;;) {
 		g_autofree char *state = state_of(s, vm, job);
@@ -235,7 +93,7 @@
 	int upkeeps_at_once;
 };
 
-static struct seen read_seen(const struct site *s)
+static struct seen read_seen(const struct hf *s)
 {
 	GHashTable *running =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
@@ -270,7 +128,7 @@
 			out.twice += g_hash_table_contains(running, task) ||
 				     g_hash_table_contains(over, task);
 			g_hash_table_add(running, g_strdup(task));
-		} else {
+		} else if (strcmp(what, "noted") != 0) {
 			out.done += !strcmp(what, "done");
 			g_hash_table_remove(running, task);
 			if (!strcmp(what, "done"))
@@ -292,7 +150,7 @@
 	"[{\"count\":4,\"cpu\":2000,\"mem_mb\":100,\"estimate_ms\":100,"       \
 	"\"long_running\":true,\"max_unavailable\":1}]"
 
-static void wait_all(struct site *s, int jobs)
+static void wait_all(struct hf *s, int jobs)
 {
 	for (int i = 0; i < jobs; i++)
 		wait_state(s, i % VMS, i, "done");
@@ -301,7 +159,7 @@
 /* Jobs are done, each task once, whoever took them in. */
 static void test_jobs(void)
 {
-	struct site s;
+	struct hf s;
 	struct seen seen;
 
 	site_open(&s);
@@ -315,13 +173,13 @@
 	g_assert_cmpint(seen.done, ==, 36);
 	g_assert_cmpint(seen.starts, ==, 36);
 	g_assert_cmpint(seen.twice, ==, 0);
-	site_close(&s);
+	hf_close(&s);
 }
 
 /* Answers and calls of the store are lost; nothing is, and nothing is twice. */
 static void test_lost_answers(void)
 {
-	struct site s;
+	struct hf s;
 	struct seen seen;
 
 	site_open(&s);
@@ -333,43 +191,17 @@
 	seen = read_seen(&s);
 	g_assert_cmpint(seen.done, ==, 36);
 	g_assert_cmpint(seen.twice, ==, 0);
-	site_close(&s);
-}
-
-/* Which VM's log says last that it gained the shard? -1: none yet. */
-static int logged_owner(const struct site *s)
-{
-	int best = -1;
-	long best_epoch = 0;
-
-	for (int i = 0; i < VMS; i++) {
-		char path[128];
-		char *text = NULL;
-		char *at;
-
-		snprintf(path, sizeof(path), "%s/vm%d.log", s->dir, i);
-		g_assert_true(g_file_get_contents(path, &text, NULL, NULL));
-		for (at = text; (at = strstr(at, "event=GD3001")); at++) {
-			long epoch = atol(strstr(at, "epoch=") + 6);
-
-			if (epoch > best_epoch) {
-				best_epoch = epoch;
-				best = i;
-			}
-		}
-		g_free(text);
-	}
-	return best;
+	hf_close(&s);
 }
 
 /* Logs are written in turns of the loop, so the line may come a little later.
  */
-static int owner_of(const struct site *s)
+static int owner_of(const struct hf *s)
 {
-	int64_t end = hx_now_ms() + PATIENCE_MS;
+	int64_t end = hx_now_ms() + HF_PATIENCE_MS;
 	int owner;
 
-	while ((owner = logged_owner(s)) < 0) {
+	while ((owner = hf_owner(s, 0)) < 0) {
 		g_assert_cmpint(hx_now_ms(), <, end);
 		hx_sleep_ms(50);
 	}
@@ -379,7 +211,7 @@
 /* The owner is killed while tasks run; its successor adopts them. */
 static void test_owner_killed(void)
 {
-	struct site s;
+	struct hf s;
 	struct seen seen;
 	int owner;
 
@@ -388,22 +220,20 @@
 		submit(&s, TWO_STEPS, "ms=1500");
 	hx_sleep_ms(500);
 	owner = owner_of(&s);
-	hx_signal_pid(s.vms[owner], SIGKILL);
-	waitpid(s.vms[owner], NULL, 0);
-	s.vms[owner] = 0;
+	hf_kill_vm(&s, owner);
 	for (int i = 0; i < 4; i++)
 		wait_state(&s, (owner + 1) % VMS, i, "done");
 	seen = read_seen(&s);
 	g_assert_cmpint(seen.done, ==, 24);
 	g_assert_cmpint(seen.twice, ==, 0);
 	g_assert_cmpint(owner_of(&s), !=, owner);
-	site_close(&s);
+	hf_close(&s);
 }
 
 /* A planned stop of the owner: it ends by itself, and nothing waits. */
 static void test_planned_stop(void)
 {
-	struct site s;
+	struct hf s;
 	struct seen seen;
 	int status = -1;
 	int owner;
@@ -422,36 +252,36 @@
 	seen = read_seen(&s);
 	g_assert_cmpint(seen.done, ==, 24);
 	g_assert_cmpint(seen.twice, ==, 0);
-	site_close(&s);
+	hf_close(&s);
 }
 
 /* A cancelled job stops, and stays cancelled. */
 static void test_cancel(void)
 {
-	struct site s;
+	struct hf s;
 	struct hx_answer a;
 	int job;
 
 	site_open(&s);
 	job = submit(&s, LASTING, "lasts");
 	wait_state(&s, 0, job, "running");
-	a = call(&s, 1, "DELETE", "/q/0000000000000001", NULL);
+	a = hf_call(&s, NULL, 1, "DELETE", "/q/0000000000000001", NULL);
 	g_assert_cmpint(a.status, ==, 200);
 	hx_answer_free(&a);
 	wait_state(&s, 2, job, "canceled");
-	a = call(&s, 1, "GET", "/q/00000000000000ff", NULL);
+	a = hf_call(&s, NULL, 1, "GET", "/q/00000000000000ff", NULL);
 	g_assert_cmpint(a.status, ==, 410);
 	hx_answer_free(&a);
-	a = call(&s, 1, "GET", "/other/", NULL);
+	a = hf_call(&s, NULL, 1, "GET", "/other/", NULL);
 	g_assert_cmpint(a.status, ==, 404);
 	hx_answer_free(&a);
-	site_close(&s);
+	hf_close(&s);
 }
 
-static bool wave_is_done(const struct site *s)
+static bool wave_is_done(const struct hf *s)
 {
 	struct hx_answer a =
-		platform(s, "/v1/rows-get?table=status&part=", NULL);
+		hf_platform(s, "/v1/rows-get?table=status&part=", NULL);
 	json_t *row = json_array_get(json_object_get(a.json, "rows"), 0);
 	const char *b64 = json_string_value(json_object_get(row, "value"));
 	bool done = false;
@@ -471,22 +301,20 @@
  * its tasks on these VMs; the owner is killed on the way. */
 static void test_upkeep_wave(void)
 {
-	struct site s;
+	struct hf s;
 	struct seen seen;
-	int64_t end = hx_now_ms() + PATIENCE_MS;
+	int64_t end = hx_now_ms() + HF_PATIENCE_MS;
 	int owner;
 
 	site_open(&s);
 	submit(&s, LASTING, "lasts");
 	wait_state(&s, 0, 0, "running");
-	put_row(&s, "wave/1",
-		"{\"wave\":1,\"machines\":[\"m0\",\"m1\",\"m2\"],"
-		"\"complete_by_s\":5,\"cap\":1}");
+	hf_put_row(&s, "wave/1",
+		   "{\"wave\":1,\"machines\":[\"m0\",\"m1\",\"m2\"],"
+		   "\"complete_by_s\":5,\"cap\":1}");
 	hx_sleep_ms(1500);
 	owner = owner_of(&s);
-	hx_signal_pid(s.vms[owner], SIGKILL);
-	waitpid(s.vms[owner], NULL, 0);
-	s.vms[owner] = 0;
+	hf_kill_vm(&s, owner);
 	while (!wave_is_done(&s)) {
 		g_assert_cmpint(hx_now_ms(), <, end);
 		hx_sleep_ms(100);
@@ -495,7 +323,7 @@
 	g_assert_cmpint(seen.upkeeps, ==, 3);
 	g_assert_cmpint(seen.upkeeps_at_once, ==, 0);
 	g_assert_cmpint(seen.twice, ==, 0);
-	site_close(&s);
+	hf_close(&s);
 }
 
 int main(int argc, char **argv)
--- a/tests/harness.c
+++ b/tests/harness.c
@@ -76,7 +76,8 @@
 	int first;
 
 	if (!next)
-		next = 10000 + getpid() % 1500 * 10;
+		next = getenv("GD_PORTS") ? atoi(getenv("GD_PORTS"))
+					  : 10000 + getpid() % 1500 * 10;
 	for (first = next;; first++) {
 		int k = 0;
 
--- a/tests/harness.h
+++ b/tests/harness.h
@@ -87,7 +87,8 @@
  * ends with the test. */
 pid_t hx_run(const char *bin, const char *dir, const char *log,
 	     char *const *argv);
-/* The first of `n` free ports in a row, outside of the ephemeral range. */
+/* The first of `n` free ports in a row, outside of the ephemeral range. The
+ * environment's GD_PORTS says where to begin, for tests side by side. */
 int hx_free_ports(int n);
 
 /* All entries are ready and own all groups; all shards are held. */
@@ -98,6 +99,10 @@
 struct hx_answer hx_http(const char *method, const char *url,
 			 const char *const *headers, const char *body,
 			 int64_t timeout_ms);
+/* Same, on the connections that a handle of curl keeps open. */
+struct hx_answer hx_http_on(void *easy, const char *method, const char *url,
+			    const char *const *headers, const char *body,
+			    int64_t timeout_ms);
 struct hx_answer hx_get(struct hx *x, int vm, const char *path);
 
 /* An operator's call through an entry, with an operation id of its own. */
--- /dev/null
+++ b/tests/harness_fleet.c
@@ -0,0 +1,250 @@
+/* gd-fleet as real processes against the platform's stand-in, gd-site. */
+#include "tests/harness_fleet.h"
+
+#include <signal.h>
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+static void write_settings(const struct hf *f, int vm)
+{
+	char path[128];
+	int port = f->ports + vm * 3;
+	FILE *out;
+
+	snprintf(path, sizeof(path), "%s/vm%d.conf", f->dir, vm);
+	out = fopen(path, "w");
+	fprintf(out,
+		"node=vm%d\nzone=z%d\nregion=r\n"
+		"listen.front=127.0.0.1:%d\nlisten.ready=127.0.0.1:%d\n"
+		"listen.control=127.0.0.1:%d\nplatform.addr=127.0.0.1:%d\n"
+		"cloud.addr=127.0.0.1:%d\nadvisor=\n%s",
+		vm, vm, port, port + 1, port + 2,
+		f->opt.proxied ? f->store_ports + vm : f->platform_port,
+		f->platform_port, f->opt.bounds);
+	fclose(out);
+}
+
+void hf_start_vm(struct hf *f, int vm)
+{
+	char path[128];
+	char log[32];
+	char *argv[] = { "gd-fleet", path, NULL };
+
+	snprintf(path, sizeof(path), "%s/vm%d.conf", f->dir, vm);
+	snprintf(log, sizeof(log), "vm%d.log", vm);
+	f->vms[vm] = hx_run(f->bin, f->dir, log, argv);
+}
+
+void hf_kill_vm(struct hf *f, int vm)
+{
+	hx_signal_pid(f->vms[vm], SIGKILL);
+	if (f->vms[vm] > 0)
+		waitpid(f->vms[vm], NULL, 0);
+	f->vms[vm] = 0;
+}
+
+struct hx_answer hf_platform(const struct hf *f, const char *path,
+			     const char *body)
+{
+	char url[128];
+
+	snprintf(url, sizeof(url), "http://127.0.0.1:%d%s", f->platform_port,
+		 path);
+	return hx_http(body ? "POST" : "GET", url, NULL, body, HF_CALL_MS);
+}
+
+void hf_control(int port, const char *path, const char *fmt, ...)
+{
+	char url[128];
+	struct hx_answer a;
+	va_list ap;
+	char *body;
+
+	va_start(ap, fmt);
+	body = g_strdup_vprintf(fmt, ap);
+	va_end(ap);
+	snprintf(url, sizeof(url), "http://127.0.0.1:%d%s", port, path);
+	a = hx_http("POST", url, NULL, body, HF_CALL_MS);
+	g_assert_cmpint(a.status, ==, 200);
+	hx_answer_free(&a);
+	g_free(body);
+}
+
+void hf_put_row(const struct hf *f, const char *key, const char *value)
+{
+	json_t *j = json_pack("{s:s,s:s,s:s}", "table", "op", "key", key,
+			      "value", value);
+	char *text = json_dumps(j, JSON_COMPACT);
+
+	hf_control(f->platform_port, "/control/row", "%s", text);
+	free(text);
+	json_decref(j);
+}
+
+struct hx_answer hf_call(const struct hf *f, void *easy, int vm,
+			 const char *method, const char *path, const char *body)
+{
+	const char *headers[] = { "Host: jobs.example", "Deadline-Ms: 4000",
+				  "Content-Type: application/json", NULL };
+	char url[160];
+
+	snprintf(url, sizeof(url), "http://127.0.0.1:%d%s",
+		 f->opt.proxied ? f->door_ports + vm : f->ports + vm * 3, path);
+	return easy ? hx_http_on(easy, method, url, headers, body, HF_CALL_MS)
+		    : hx_http(method, url, headers, body, HF_CALL_MS);
+}
+
+bool hf_is_ready(const struct hf *f, int vm)
+{
+	char url[128];
+	struct hx_answer a;
+	bool ready;
+
+	snprintf(url, sizeof(url), "http://127.0.0.1:%d/v1/readyz",
+		 f->ports + vm * 3 + 1);
+	a = hx_http("GET", url, NULL, NULL, HF_CALL_MS);
+	ready = a.status == 200;
+	hx_answer_free(&a);
+	return ready;
+}
+
+static void wait_ready(const struct hf *f, int vm)
+{
+	int64_t end = hx_now_ms() + HF_PATIENCE_MS;
+
+	while (!hf_is_ready(f, vm)) {
+		g_assert_cmpint(hx_now_ms(), <, end);
+		hx_sleep_ms(20);
+	}
+}
+
+static void wait_answers(int port, const char *path)
+{
+	int64_t end = hx_now_ms() + HF_PATIENCE_MS;
+	char url[128];
+	struct hx_answer a;
+	bool answers;
+
+	snprintf(url, sizeof(url), "http://127.0.0.1:%d%s", port, path);
+	do {
+		hx_sleep_ms(20);
+		a = hx_http("POST", url, NULL, "{}", HF_CALL_MS);
+		answers = a.status == 200;
+		hx_answer_free(&a);
+		g_assert_cmpint(hx_now_ms(), <, end);
+	} while (!answers);
+}
+
+/* Rules of the proxy know a connection by kind and number of its map. */
+static void add_map(const struct hf *f, char kind, int number, int port, int to)
+{
+	hf_control(f->proxy_port, "/map",
+		   "{\"ip\":\"127.0.0.1\",\"port\":%d,\"as\":\"%c%d\","
+		   "\"to_ip\":\"127.0.0.1\",\"to_port\":%d}",
+		   port, kind, number, to);
+}
+
+static void start_proxy(struct hf *f)
+{
+	char port[16];
+	char *argv[] = { "gd-faultproxy", port, NULL };
+
+	f->proxy_port = hx_free_ports(1);
+	f->worker_ports = hx_free_ports(f->opt.workers);
+	f->store_ports = hx_free_ports(f->opt.vms);
+	f->door_ports = hx_free_ports(f->opt.vms);
+	snprintf(port, sizeof(port), "%d", f->proxy_port);
+	f->proxy = hx_run(f->bin, f->dir, "proxy.log", argv);
+	wait_answers(f->proxy_port, "/");
+	for (int i = 0; i < f->opt.workers; i++)
+		add_map(f, 'w', i, f->worker_ports + i, f->platform_port);
+	for (int i = 0; i < f->opt.vms; i++) {
+		add_map(f, 's', i, f->store_ports + i, f->platform_port);
+		add_map(f, 'd', i, f->door_ports + i, f->ports + i * 3);
+	}
+}
+
+static void start_platform(struct hf *f)
+{
+	char port[16];
+	char workers[16];
+	char worker_ports[16];
+	char lease[24];
+	char *argv[] = { "gd-site", port, workers, worker_ports, lease, NULL };
+
+	snprintf(port, sizeof(port), "%d", f->platform_port);
+	snprintf(workers, sizeof(workers), "%d", f->opt.workers);
+	snprintf(worker_ports, sizeof(worker_ports), "%d", f->worker_ports);
+	snprintf(lease, sizeof(lease), "%lld", (long long)f->opt.lease_max_ms);
+	f->platform = hx_run(f->bin, f->dir, "site.log", argv);
+	wait_answers(f->platform_port, "/control/fault");
+}
+
+void hf_open(struct hf *f, const struct hf_options *opt)
+{
+	memset(f, 0, sizeof(*f));
+	f->opt = *opt;
+	f->bin = getenv("GD_BIN") ? getenv("GD_BIN") : "build";
+	g_strlcpy(f->dir, "/tmp/gd-fleet-XXXXXX", sizeof(f->dir));
+	g_assert_nonnull(mkdtemp(f->dir));
+	f->platform_port = hx_free_ports(1);
+	f->ports = hx_free_ports(opt->vms * 3);
+	if (opt->proxied)
+		start_proxy(f);
+	start_platform(f);
+	hf_put_row(
+		f, "config",
+		"{\"version\":1,\"routes\":[{\"name\":\"q\",\"host\":"
+		"\"jobs.example\",\"prefix\":\"/q/\",\"service\":\"pool\","
+		"\"prio\":0,\"attempts\":3,\"slack_factor\":2,\"aim_ms\":600,"
+		"\"timeout_ms\":3000,\"kind\":\"mutating\"}],"
+		"\"services\":[{\"name\":\"pool\","
+		"\"enforces_capacity\":true}],\"limits\":{}}");
+	for (int i = 0; i < opt->vms; i++) {
+		write_settings(f, i);
+		hf_start_vm(f, i);
+	}
+	for (int i = 0; i < opt->vms; i++)
+		wait_ready(f, i);
+}
+
+void hf_close(struct hf *f)
+{
+	for (int i = 0; i < f->opt.vms; i++)
+		hf_kill_vm(f, i);
+	hx_signal_pid(f->proxy, SIGKILL);
+	if (f->proxy > 0)
+		waitpid(f->proxy, NULL, 0);
+	hx_signal_pid(f->platform, SIGKILL);
+	waitpid(f->platform, NULL, 0);
+}
+
+int hf_owner(const struct hf *f, long epoch)
+{
+	int best = -1;
+	long best_epoch = 0;
+
+	for (int i = 0; i < f->opt.vms; i++) {
+		char path[128];
+		char *text = NULL;
+		char *at;
+
+		snprintf(path, sizeof(path), "%s/vm%d.log", f->dir, i);
+		g_assert_true(g_file_get_contents(path, &text, NULL, NULL));
+		for (at = text; (at = strstr(at, "event=GD3001")); at++) {
+			const char *field = strstr(at, "epoch=");
+			long gained = field ? atol(field + 6) : 0;
+
+			if (epoch ? gained != epoch : gained <= best_epoch)
+				continue;
+			best_epoch = gained;
+			best = i;
+		}
+		g_free(text);
+	}
+	return best;
+}
--- a/tests/harness_http.c
+++ b/tests/harness_http.c
@@ -25,16 +25,17 @@
 	return size * n;
 }
 
-struct hx_answer hx_http(const char *method, const char *url,
-			 const char *const *headers, const char *body,
-			 int64_t timeout_ms)
+struct hx_answer hx_http_on(void *easy, const char *method, const char *url,
+			    const char *const *headers, const char *body,
+			    int64_t timeout_ms)
 {
 	struct hx_answer a = { 0 };
 	GString *text = g_string_new("");
 	struct curl_slist *list = NULL;
-	CURL *easy = curl_easy_init();
 	int64_t begin_ms = hx_now_ms();
 
+	/* Open connections stay. */
+	curl_easy_reset(easy);
 	for (; headers && *headers; headers++)
 		list = curl_slist_append(list, *headers);
 	curl_easy_setopt(easy, CURLOPT_URL, url);
@@ -52,13 +53,24 @@
 	if (curl_easy_perform(easy) == CURLE_OK)
 		curl_easy_getinfo(easy, CURLINFO_RESPONSE_CODE, &a.status);
 	curl_slist_free_all(list);
-	curl_easy_cleanup(easy);
 	a.took_ms = hx_now_ms() - begin_ms;
 	a.body = g_string_free(text, FALSE);
 	a.json = json_loads(a.body, 0, NULL);
 	return a;
 }
 
+struct hx_answer hx_http(const char *method, const char *url,
+			 const char *const *headers, const char *body,
+			 int64_t timeout_ms)
+{
+	CURL *easy = curl_easy_init();
+	struct hx_answer a =
+		hx_http_on(easy, method, url, headers, body, timeout_ms);
+
+	curl_easy_cleanup(easy);
+	return a;
+}
+
 void hx_answer_free(struct hx_answer *a)
 {
 	g_free(a->body);
