gd-site: a store that is away, slow or loses answers; workers that fail

Workers die, are reborn under their id, drain, carry orders out late, and their entries lapse and come back.

--- a/standins/site.c
+++ b/standins/site.c
@@ -20,11 +20,13 @@
 	return clk_mono_ms(&clk_system);
 }
 
-void site_reply(struct hts_req *req, unsigned int status, json_t *body)
+void site_reply(struct site *s, struct hts_req *req, unsigned int status,
+		json_t *body)
 {
 	char *text = json_dumps(body, JSON_COMPACT);
 
-	hts_reply(req, status, "application/json", text, strlen(text));
+	if (!s->muted)
+		hts_reply(req, status, "application/json", text, strlen(text));
 	free(text);
 	json_decref(body);
 }
@@ -45,9 +47,13 @@
 			json_object_get(body, "lose_answers"));
 		s->lose_calls =
 			json_integer_value(json_object_get(body, "lose_calls"));
+	} else if (!strcmp(req->path, "/control/store")) {
+		faults_store(s, body);
+	} else if (!strcmp(req->path, "/control/worker")) {
+		workers_control(s, body);
 	}
 	json_decref(body);
-	site_reply(req, 200, json_object());
+	site_reply(s, req, 200, json_object());
 }
 
 static void on_request(struct hts_req *req, void *priv)
@@ -57,9 +63,9 @@
 	if (!strncmp(req->path, "/control/", 9))
 		control(s, req);
 	else if (!strncmp(req->path, "/v1/rows-", 9))
-		store_request(s, req);
+		faults_store_request(s, req);
 	else if (!workers_request(s, req))
-		site_reply(req, 404, json_object());
+		site_reply(s, req, 404, json_object());
 }
 
 static void tick(struct tevent_context *ev, struct tevent_timer *te,
@@ -68,6 +74,7 @@
 	struct site *s = priv;
 
 	(void)te;
+	faults_tick(s);
 	workers_tick(s);
 	store_tick(s);
 	tevent_add_timer(ev, s, tevent_timeval_add(&now, 0, TICK_MS * 1000),
@@ -84,13 +91,17 @@
 	struct err err;
 
 	if (argc < 3) {
-		fprintf(stderr, "usage: gd-site PORT WORKERS\n");
+		fprintf(stderr, "usage: gd-site PORT WORKERS"
+				" [WORKER-PORTS [LEASE-MAX-MS]]\n");
 		return 64;
 	}
 	signal(SIGPIPE, SIG_IGN);
 	setvbuf(stdout, NULL, _IOLBF, 0);
 	s->ev = ev;
 	s->port = atoi(argv[1]);
+	s->worker_ports = argc > 3 ? atoi(argv[3]) : 0;
+	s->lease_max_ms = argc > 4 ? atoll(argv[4]) : 0;
+	faults_init(s);
 	store_init(s);
 	workers_init(s, atoi(argv[2]));
 	opt.port = (uint16_t)s->port;
--- a/standins/site_store.c
+++ b/standins/site_store.c
@@ -139,7 +139,7 @@
 		if (!more)
 			json_array_append_new(rows, row_json(r));
 	}
-	site_reply(req, 200, answer(s, rows, more));
+	site_reply(s, req, 200, answer(s, rows, more));
 }
 
 static const char *text_of(const json_t *row, const char *name)
@@ -214,7 +214,7 @@
 		json_decref(rows);
 		return;
 	}
-	site_reply(req, rows ? 412 : 200,
+	site_reply(s, req, rows ? 412 : 200,
 		   answer(s, rows ? rows : json_array(), false));
 }
 
@@ -233,6 +233,8 @@
 
 void store_tick(struct site *s)
 {
+	if (faults_store_away(s))
+		return;
 	for (guint i = s->watches->len; i > 0; i--) {
 		struct site_watch *w = g_ptr_array_index(s->watches, i - 1);
 		json_t *rows = changes(s, w);
@@ -241,7 +243,7 @@
 			json_decref(rows);
 			continue;
 		}
-		site_reply(w->req, 200, answer(s, rows, false));
+		site_reply(s, w->req, 200, answer(s, rows, false));
 		g_ptr_array_remove_index(s->watches, i - 1);
 		g_free(w->table);
 		g_free(w);
@@ -268,5 +270,5 @@
 	else if (!strcmp(req->path, "/v1/rows-feed"))
 		watch(s, req);
 	else
-		site_reply(req, 404, json_object());
+		site_reply(s, req, 404, json_object());
 }
