gd-soak: drawn faults against gd-fleet as processes, thin

A seed draws the number of VMs and workers and a schedule of faults; callers hand in, repeat, cancel and ask beside them; the users' rules are checked by what callers and workers saw.

--- a/Makefile
+++ b/Makefile
@@ -40,8 +40,8 @@
 DAEMONS = $(B)/gd-fleet $(B)/gd-entry $(B)/gd-sched $(B)/gdctl $(B)/gd-load
 STANDINS = $(B)/gd-platform $(B)/gd-worker $(B)/gd-target $(B)/gd-faultproxy \
 	$(B)/gd-site
-TESTS = $(B)/unit-tests $(B)/path-tests $(B)/fleet-tests $(B)/gd-matrix $(B)/gd-demo \
-	$(B)/gd-bench
+TESTS = $(B)/unit-tests $(B)/path-tests $(B)/fleet-tests $(B)/gd-soak \
+	$(B)/gd-matrix $(B)/gd-demo $(B)/gd-bench
 
 all: $(DAEMONS) $(STANDINS) $(TESTS)
 
@@ -66,6 +66,7 @@
 	platform/pf_rows.c platform/pf_vms.c platform/pf_worker.c) $(B)/libgd.a
 $(B)/path-tests: $(B)/tests/path_tests.o $(HARNESS)
 $(B)/fleet-tests: $(B)/tests/fleet_tests.o $(HARNESS)
+$(B)/gd-soak: $(call obj,$(wildcard tests/soak*.c)) $(HARNESS)
 $(B)/gd-matrix: $(call obj,tests/matrix.c tests/cell.c \
 	$(wildcard tests/cells_*.c)) $(HARNESS)
 $(B)/gd-demo: $(B)/tests/demo.o $(HARNESS)
--- a/standins/site_workers.c
+++ b/standins/site_workers.c
@@ -87,6 +87,15 @@
 	g_free(text);
 }
 
+/* Workers can't report to a store that is away. */
+static void report(struct site *s, struct site_worker *w)
+{
+	if (faults_store_away(s))
+		w->list_ms = site_now_ms();
+	else
+		put_row(s, w);
+}
+
 static void begin_life(struct site *s, struct site_worker *w)
 {
 	w->life += !w->keeps_id;
@@ -100,7 +109,7 @@
 	w->dead = w->keeps_id = false;
 	w->leaves_ms = w->unlist_ms = w->list_ms = w->late_orders = 0;
 	g_hash_table_remove_all(w->over);
-	put_row(s, w);
+	report(s, w);
 }
 
 void workers_init(struct site *s, int n)
@@ -497,7 +506,7 @@
 	} else if (!strcmp(what, "drain")) {
 		w->leaves_ms = now + for_ms;
 		if (!w->list_ms)
-			put_row(s, w);
+			report(s, w);
 	} else if (!strcmp(what, "lapse")) {
 		store_put(s, "servers", "", w->id, NULL);
 		w->list_ms = now + for_ms;
@@ -521,7 +530,8 @@
 		w->unlist_ms = 0;
 		store_put(s, "servers", "", w->id, NULL);
 	}
-	if (w->list_ms && now >= w->list_ms && !w->away_until_ms) {
+	if (w->list_ms && now >= w->list_ms && !w->away_until_ms &&
+	    !faults_store_away(s)) {
 		w->list_ms = 0;
 		put_row(s, w);
 	}
--- /dev/null
+++ b/tests/soak_check.c
@@ -0,0 +1,433 @@
+/* The soak's checks: the users' rules, by what callers and workers saw. */
+#include <stdarg.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "tests/soak.h"
+
+/* Tokens that an owner may use, see coordination/sched.c. */
+#define FENCES_PER_EPOCH 65536
+#define TASK_MAX 64
+
+void sk_break(struct sk *k, const char *rule, const char *what, const char *fmt,
+	      ...)
+{
+	char *key = g_strdup_printf("%s %s", rule, what);
+	va_list ap;
+
+	if (g_hash_table_contains(k->told, key)) {
+		g_free(key);
+		return;
+	}
+	g_hash_table_add(k->told, key);
+	k->broken++;
+	printf("seed %u: %s %s, at %lld (log %lld): ", k->seed, rule, what,
+	       (long long)(hx_now_ms() - k->begin_ms), (long long)hx_now_ms());
+	va_start(ap, fmt);
+	vprintf(fmt, ap);
+	va_end(ap);
+	printf("\n");
+	fflush(stdout);
+}
+
+int32_t sk_span_begin(struct sk *k, int32_t who)
+{
+	struct sk_span s = { who, hx_now_ms(), INT64_MAX };
+
+	g_array_append_val(k->spans, s);
+	return (int32_t)k->spans->len - 1;
+}
+
+void sk_span_end(struct sk *k, int32_t span)
+{
+	g_array_index(k->spans, struct sk_span, span).to_ms = hx_now_ms();
+}
+
+static bool overlaps(const struct sk_span *s, int64_t at_ms, int64_t for_ms)
+{
+	return s->from_ms <= at_ms && s->to_ms > at_ms - for_ms;
+}
+
+bool sk_is_calm(const struct sk *k, int64_t at_ms, int64_t for_ms)
+{
+	for (guint i = 0; i < k->spans->len; i++) {
+		if (overlaps(&g_array_index(k->spans, struct sk_span, i), at_ms,
+			     for_ms))
+			return false;
+	}
+	return true;
+}
+
+bool sk_in_touch(const struct sk *k, int vm, int64_t at_ms)
+{
+	for (guint i = 0; i < k->spans->len; i++) {
+		const struct sk_span *s =
+			&g_array_index(k->spans, struct sk_span, i);
+
+		if ((s->who == vm || s->who == SK_CORE ||
+		     s->who == SK_ALL_VMS) &&
+		    overlaps(s, at_ms, SK_STABLE_MS))
+			return false;
+	}
+	return true;
+}
+
+/* Was it sent by a machine in touch, to a worker that nothing held up? */
+static bool is_in_time(const struct sk *k, const struct sk_run *r)
+{
+	int vm;
+
+	if (r->late)
+		return false;
+	for (guint i = 0; i < k->spans->len; i++) {
+		const struct sk_span *s =
+			&g_array_index(k->spans, struct sk_span, i);
+
+		if (s->who == SK_WORKERS &&
+		    overlaps(s, r->start_ms, SK_STABLE_MS))
+			return false;
+	}
+	vm = hf_owner(&k->fleet, (long)(r->fence / FENCES_PER_EPOCH));
+	return vm >= 0 && sk_in_touch(k, vm, r->start_ms);
+}
+
+static struct sk_run *run_at(GArray *runs, guint i)
+{
+	return &g_array_index(runs, struct sk_run, i);
+}
+
+static bool has_done(GArray *runs, int64_t until_ms)
+{
+	for (guint i = 0; i < runs->len; i++) {
+		const struct sk_run *r = run_at(runs, i);
+
+		if (!strcmp(r->how, "done") && r->end_ms <= until_ms)
+			return true;
+	}
+	return false;
+}
+
+/* The end after which no further run may start; 0: none yet. */
+static int64_t final_end_ms(GArray *runs)
+{
+	int64_t failed[SK_ATTEMPTS];
+	int n = 0;
+
+	for (guint i = 0; i < runs->len; i++) {
+		const struct sk_run *r = run_at(runs, i);
+
+		if (!r->noted)
+			continue;
+		if (!strcmp(r->how, "done"))
+			return r->end_ms;
+		if (strcmp(r->how, "failed") != 0 || n == SK_ATTEMPTS)
+			continue;
+		failed[n++] = r->end_ms;
+	}
+	return n == SK_ATTEMPTS ? MAX(failed[0], MAX(failed[1], failed[2])) : 0;
+}
+
+/* Starts after the last run that there may be: TWICE or BUDGET. */
+static void check_finality(struct sk *k, const struct sk_job *j, GArray *runs,
+			   const char *task)
+{
+	int64_t end_ms = final_end_ms(runs);
+
+	for (guint i = 0; i < runs->len && end_ms; i++) {
+		const struct sk_run *r = run_at(runs, i);
+
+		if (r->start_ms > end_ms && j->kind == SK_BAD)
+			sk_break(k, "BUDGET", task,
+				 "run %lld after %d failed ones",
+				 (long long)r->number, SK_ATTEMPTS);
+		else if (r->start_ms > end_ms && j->kind != SK_LASTING)
+			sk_break(k, "TWICE", task,
+				 "run %lld at %s at %lld, done at %lld",
+				 (long long)r->number, r->worker,
+				 (long long)r->start_ms, (long long)end_ms);
+	}
+}
+
+static void check_overlap(struct sk *k, GArray *runs, const char *task)
+{
+	const struct sk_run *last = run_at(runs, runs->len - 1);
+
+	for (guint i = 0; i + 1 < runs->len; i++) {
+		const struct sk_run *r = run_at(runs, i);
+
+		if (!r->end_ms)
+			sk_break(k, "TWICE", task,
+				 "run %lld at %s since %lld, run %lld at %s "
+				 "at %lld",
+				 (long long)r->number, r->worker,
+				 (long long)r->start_ms,
+				 (long long)last->number, last->worker,
+				 (long long)last->start_ms);
+	}
+}
+
+static void check_start(struct sk *k, struct sk_job *j, int index,
+			const char *task, const char *spec)
+{
+	GArray *runs = j->tasks[index];
+	const struct sk_run *r = run_at(runs, runs->len - 1);
+	int first = index - index % j->count;
+
+	if (strcmp(spec, j->spec) != 0)
+		sk_break(k, "UNASKED", task, "spec is \"%s\", not \"%s\"", spec,
+			 j->spec);
+	check_overlap(k, runs, task);
+	for (int i = 0; i < first; i++) {
+		if (!has_done(j->tasks[i], r->start_ms))
+			sk_break(k, "ORDER", task, "task %d is not done", i);
+	}
+	if (j->cancelled_ms && r->start_ms > j->cancelled_ms + SK_CANCEL_MS &&
+	    is_in_time(k, r))
+		sk_break(k, "UNASKED", task,
+			 "started at %lld, cancelled at %lld",
+			 (long long)r->start_ms, (long long)j->cancelled_ms);
+	if (j->done_ms && r->start_ms > j->done_ms + SK_SHOWN_MS &&
+	    is_in_time(k, r))
+		sk_break(k, "TWICE", task,
+			 "started at %lld, shown done at %lld",
+			 (long long)r->start_ms, (long long)j->done_ms);
+}
+
+/* A task's name is ID.K.STEP.INDEX. */
+static struct sk_job *find_task(struct sk *k, const char *task, int *index)
+{
+	char id[20];
+	int round;
+	int step;
+	int number;
+	struct sk_job *j;
+
+	if (sscanf(task, "%16[0-9a-f].%d.%d.%d", id, &round, &step, &number) !=
+	    4)
+		return NULL;
+	j = g_hash_table_lookup(k->by_id, id);
+	if (!j || round || step < 0 || step >= j->steps || number < 0 ||
+	    number >= j->count)
+		return NULL;
+	*index = step * j->count + number;
+	return j;
+}
+
+static void on_start(struct sk *k, const char *line, const struct sk_run *r,
+		     const char *task)
+{
+	struct sk_run run = *r;
+	char spec[48] = "";
+	int late = 0;
+	int index;
+	struct sk_job *j = find_task(k, task, &index);
+
+	k->starts++;
+	if (!j) {
+		sk_break(k, "UNASKED", task, "nobody sent it");
+		return;
+	}
+	sscanf(line, "%*s %*s %*s %*s %*s %" G_GINT64_FORMAT " %d %47s",
+	       &run.fence, &late, spec);
+	run.late = late;
+	g_array_append_val(j->tasks[index], run);
+	check_start(k, j, index, task, spec);
+	check_finality(k, j, j->tasks[index], task);
+}
+
+static void on_event(struct sk *k, const char *what, const struct sk_run *event,
+		     const char *task)
+{
+	int index;
+	struct sk_job *j = find_task(k, task, &index);
+
+	for (guint i = j ? j->tasks[index]->len : 0; i > 0; i--) {
+		struct sk_run *r = run_at(j->tasks[index], i - 1);
+
+		if (r->number != event->number ||
+		    strcmp(r->worker, event->worker) != 0)
+			continue;
+		if (!strcmp(what, "noted")) {
+			r->noted = true;
+			check_finality(k, j, j->tasks[index], task);
+		} else {
+			r->end_ms = event->start_ms;
+			g_strlcpy(r->how, what, sizeof(r->how));
+		}
+		return;
+	}
+}
+
+static void read_line(struct sk *k, const char *line)
+{
+	struct sk_run r = { 0 };
+	char what[16];
+	char task[TASK_MAX];
+
+	if (sscanf(line,
+		   "%" G_GINT64_FORMAT " %15s %47s %63s %" G_GINT64_FORMAT,
+		   &r.start_ms, what, r.worker, task, &r.number) != 5)
+		sk_break(k, "FAULT", "log", "gd-site says: %s", line);
+	else if (!strcmp(what, "start"))
+		on_start(k, line, &r, task);
+	else
+		on_event(k, what, &r, task);
+}
+
+void sk_check_log(struct sk *k)
+{
+	char line[256];
+	long at = ftell(k->log);
+
+	while (fgets(line, sizeof(line), k->log) && strchr(line, '\n')) {
+		read_line(k, line);
+		at = ftell(k->log);
+	}
+	/* A line that is not complete yet is read again. */
+	fseek(k->log, at, SEEK_SET);
+}
+
+static int64_t idle_since_ms(const struct sk_job *j, int index)
+{
+	GArray *runs = j->tasks[index];
+	int64_t since = j->accepted_ms;
+
+	for (guint i = 0; i < runs->len; i++) {
+		int64_t end_ms = run_at(runs, i)->end_ms;
+
+		since = MAX(since, end_ms ? end_ms : INT64_MAX);
+	}
+	return since;
+}
+
+static void check_lasting(struct sk *k, struct sk_job *j, int64_t now)
+{
+	for (int i = 0; i < j->count; i++) {
+		int64_t since = idle_since_ms(j, i);
+
+		if (since < now - SK_LASTING_AWAY_MS - SK_IDLE_MS &&
+		    sk_is_calm(k, now, SK_IDLE_MS + SK_IDLE_CALM_MS))
+			sk_break(k, "LOST", j->id,
+				 "lasting task %d is away since %lld", i,
+				 (long long)since);
+	}
+}
+
+/* Some time after the traffic a job that isn't over has something running. */
+static void check_unfinished(struct sk *k, struct sk_job *j, int64_t now)
+{
+	int64_t since = 0;
+
+	for (int i = 0; i < j->steps * j->count; i++)
+		since = MAX(since, idle_since_ms(j, i));
+	if (k->traffic_end_ms && !j->over &&
+	    now > k->traffic_end_ms + SK_FINISH_MS + SK_IDLE_MS &&
+	    since < now - SK_IDLE_MS)
+		sk_break(k, "LOST", j->id, "nothing of it runs since %lld",
+			 (long long)since);
+}
+
+/* Some time after its cancelling, and after any disruption, a job is gone. */
+static void check_cancelled(struct sk *k, struct sk_job *j, int64_t now)
+{
+	int64_t span_ms = SK_CANCEL_MS + SK_STOP_MS;
+
+	if (now <= j->cancelled_ms + span_ms ||
+	    !sk_is_calm(k, now, SK_STABLE_MS + span_ms))
+		return;
+	for (int i = 0; i < j->steps * j->count; i++) {
+		for (guint r = 0; r < j->tasks[i]->len; r++) {
+			const struct sk_run *run = run_at(j->tasks[i], r);
+			int64_t from_ms = run->start_ms + SK_STABLE_MS;
+
+			if (!run->end_ms &&
+			    (!run->late || now > from_ms + span_ms))
+				sk_break(
+					k, "UNASKED", j->id,
+					"task %d runs at %s, cancelled at %lld",
+					i, run->worker,
+					(long long)j->cancelled_ms);
+		}
+	}
+}
+
+void sk_check_idle(struct sk *k)
+{
+	int64_t now = hx_now_ms();
+
+	for (guint i = 0; i < k->jobs->len; i++) {
+		struct sk_job *j = g_ptr_array_index(k->jobs, i);
+
+		if (j->cancelled_ms)
+			check_cancelled(k, j, now);
+		if (!j->accepted_ms || j->cancel_sent)
+			continue;
+		if (j->kind == SK_LASTING)
+			check_lasting(k, j, now);
+		else
+			check_unfinished(k, j, now);
+	}
+}
+
+static bool is_failed(const struct sk_job *j)
+{
+	for (int i = 0; i < j->steps * j->count; i++) {
+		int failed = 0;
+
+		for (guint r = 0; r < j->tasks[i]->len; r++)
+			failed +=
+				!strcmp(run_at(j->tasks[i], r)->how, "failed");
+		if (failed >= SK_ATTEMPTS)
+			return true;
+	}
+	return false;
+}
+
+static void check_done(struct sk *k, struct sk_job *j)
+{
+	for (int i = 0; i < j->steps * j->count; i++) {
+		if (!has_done(j->tasks[i], INT64_MAX))
+			sk_break(k, "MIXED", j->id,
+				 "shown as done, task %d isn't", i);
+	}
+}
+
+void sk_check_state(struct sk *k, struct sk_job *j, int vm, long status,
+		    const char *state, int64_t asked_ms)
+{
+	/* What workers did before the answer counts. */
+	sk_check_log(k);
+	if (status == 410 && j->accepted_ms && !j->cancel_sent &&
+	    asked_ms > j->accepted_ms + SK_VISIBLE_MS &&
+	    sk_in_touch(k, vm, hx_now_ms()))
+		sk_break(k, "LOST", j->id,
+			 "vm %d answers 410, accepted at %lld", vm,
+			 (long long)j->accepted_ms);
+	if (!strcmp(state, "done"))
+		check_done(k, j);
+	if (!strcmp(state, "done") && !j->done_ms)
+		j->done_ms = hx_now_ms();
+	if (!strcmp(state, "failed") && !is_failed(j))
+		sk_break(k, "LOST", j->id, "shown as failed without cause");
+	if (!strcmp(state, "canceled") && !j->cancel_sent)
+		sk_break(k, "LOST", j->id, "shown as canceled without cause");
+	j->over |= !strcmp(state, "done") || !strcmp(state, "failed") ||
+		   !strcmp(state, "canceled");
+}
+
+void sk_check_end(struct sk *k)
+{
+	for (guint i = 0; i < k->jobs->len; i++) {
+		const struct sk_job *j = g_ptr_array_index(k->jobs, i);
+
+		if (!j->tries || j->rejected < j->tries)
+			continue;
+		for (int t = 0; t < j->steps * j->count; t++) {
+			if (j->tasks[t]->len)
+				sk_break(k, "REFUSED", j->id,
+					 "rejected %d times, task %d started",
+					 j->rejected, t);
+		}
+	}
+}
