Listen again at once after a kill

What callers saw: a gd-fleet that was killed and started again at its address ended with status 1 for up to a minute, without a log line. Cause: the HTTP server was told 0 for the reuse of its address, which to libmicrohttpd means not its default but to forbid it, so that connections of the former life in TIME_WAIT kept the new one from listening. Why it works: without the option the server sets SO_REUSEADDR, which allows what is left of closed connections and still refuses a second listener.

--- a/src/transport/hts.c
+++ b/src/transport/hts.c
@@ -242,8 +242,11 @@
 		MHD_OPTION_CONNECTION_LIMIT,
 		opt->connections_max ? opt->connections_max
 				     : DEFAULT_CONNECTIONS,
-		MHD_OPTION_LISTENING_ADDRESS_REUSE,
-		(unsigned int)(opt->share_port ? 1 : 0), MHD_OPTION_END);
+		/* 0 would forbid what is left of a former life's connections.
+		 */
+		opt->share_port ? MHD_OPTION_LISTENING_ADDRESS_REUSE
+				: MHD_OPTION_END,
+		1U, MHD_OPTION_END);
 	if (!s->daemon) {
 		err_set(e, ERR_SYSTEM,
 			"cannot serve HTTP on %s:%u (%s): free the port or "
--- a/tests/fleet_tests.c
+++ b/tests/fleet_tests.c
@@ -1,4 +1,5 @@
 /* gd-fleet as real processes against the platform's stand-in. */
+#include <curl/curl.h>
 #include <glib.h>
 #include <signal.h>
 #include <stdio.h>
@@ -255,6 +256,29 @@
 	hf_close(&s);
 }
 
+/* A VM killed while a caller is connected to it couldn't listen again for a
+ * minute, and ended. */
+static void test_restarted_at_once(void)
+{
+	CURL *easy = curl_easy_init();
+	struct hx_answer a;
+	struct hf s;
+	int status;
+
+	site_open(&s);
+	a = hf_call(&s, easy, 1, "GET", "/q/", NULL);
+	g_assert_cmpint(a.status, ==, 200);
+	hx_answer_free(&a);
+	hf_kill_vm(&s, 1);
+	hf_start_vm(&s, 1);
+	while (!hf_is_ready(&s, 1)) {
+		g_assert_cmpint(waitpid(s.vms[1], &status, WNOHANG), ==, 0);
+		hx_sleep_ms(20);
+	}
+	curl_easy_cleanup(easy);
+	hf_close(&s);
+}
+
 /* A cancelled job stops, and stays cancelled. */
 static void test_cancel(void)
 {
@@ -333,6 +357,7 @@
 	g_test_add_func("/fleet/lost-answers", test_lost_answers);
 	g_test_add_func("/fleet/owner-killed", test_owner_killed);
 	g_test_add_func("/fleet/planned-stop", test_planned_stop);
+	g_test_add_func("/fleet/restarted-at-once", test_restarted_at_once);
 	g_test_add_func("/fleet/cancel", test_cancel);
 	g_test_add_func("/fleet/upkeep-wave", test_upkeep_wave);
 	return g_test_run();
--- a/tests/harness_fleet.c
+++ b/tests/harness_fleet.c
@@ -112,7 +112,7 @@
 	return ready;
 }
 
-static void wait_ready(const struct hf *f, int vm)
+void hf_wait_ready(const struct hf *f, int vm)
 {
 	int64_t end = hx_now_ms() + HF_PATIENCE_MS;
 
@@ -209,7 +209,7 @@
 		hf_start_vm(f, i);
 	}
 	for (int i = 0; i < opt->vms; i++)
-		wait_ready(f, i);
+		hf_wait_ready(f, i);
 }
 
 void hf_close(struct hf *f)
--- a/tests/harness_fleet.h
+++ b/tests/harness_fleet.h
@@ -43,6 +43,7 @@
 /* Kills the VM and waits for its end. */
 void hf_kill_vm(struct hf *f, int vm);
 bool hf_is_ready(const struct hf *f, int vm);
+void hf_wait_ready(const struct hf *f, int vm);
 
 /* A call to the platform's stand-in; a GET without body. */
 struct hx_answer hf_platform(const struct hf *f, const char *path,
