--- a/tests/fleet_tests.c
+++ b/tests/fleet_tests.c
@@ -279,6 +279,31 @@
 	hf_close(&s);
 }
 
+/* A VM that couldn't listen ended without saying why. */
+static void test_says_why_not_listening(void)
+{
+	struct hf s;
+	char path[128];
+	char *text = NULL;
+	int status;
+
+	site_open(&s);
+	s.opt.vms = 1;
+	hf_kill_vm(&s, 1);
+	hf_kill_vm(&s, 2);
+	s.vms[1] = s.vms[0];
+	hf_start_vm(&s, 0);
+	waitpid(s.vms[0], &status, 0);
+	g_assert_true(WIFEXITED(status));
+	g_assert_cmpint(WEXITSTATUS(status), ==, 1);
+	snprintf(path, sizeof(path), "%s/vm0.log", s.dir);
+	g_assert_true(g_file_get_contents(path, &text, NULL, NULL));
+	g_assert_nonnull(strstr(text, "cannot serve HTTP on"));
+	g_free(text);
+	s.vms[0] = s.vms[1];
+	hf_close(&s);
+}
+
 /* A cancelled job stops, and stays cancelled. */
 static void test_cancel(void)
 {
@@ -358,6 +383,8 @@
 	g_test_add_func("/fleet/owner-killed", test_owner_killed);
 	g_test_add_func("/fleet/planned-stop", test_planned_stop);
 	g_test_add_func("/fleet/restarted-at-once", test_restarted_at_once);
+	g_test_add_func("/fleet/says-why-not-listening",
+			test_says_why_not_listening);
 	g_test_add_func("/fleet/cancel", test_cancel);
 	g_test_add_func("/fleet/upkeep-wave", test_upkeep_wave);
 	return g_test_run();
