--- a/Makefile
+++ b/Makefile
@@ -51,8 +51,8 @@
 DAEMONS = $(B)/gd-fleet $(B)/gd-entry $(B)/gd-sched $(B)/gdctl $(B)/gd-load
 STANDINS = $(B)/gd-platform $(B)/gd-worker $(B)/gd-target $(B)/gd-faultproxy \
 	$(B)/gd-site
-TESTS = $(B)/unit-tests $(B)/path-tests $(B)/fleet-tests $(B)/gd-matrix $(B)/gd-demo \
-	$(B)/gd-bench $(B)/red-sample
+TESTS = $(B)/unit-tests $(B)/path-tests $(B)/fleet-tests $(B)/gd-soak \
+	$(B)/gd-matrix $(B)/gd-demo $(B)/gd-bench $(B)/red-sample
 
 all: $(DAEMONS) $(STANDINS) $(TESTS)
 
@@ -79,6 +79,7 @@
 	$(CC) $(SANFLAGS) -fsanitize=fuzzer -o $@ $^ $(LDLIBS)
 $(B)/path-tests: $(B)/tests/path_tests.o $(HARNESS)
 $(B)/fleet-tests: $(B)/tests/fleet_tests.o $(HARNESS)
+$(B)/gd-soak: $(call obj,$(wildcard tests/soak*.c)) $(HARNESS)
 $(B)/gd-matrix: $(call obj,tests/matrix.c tests/cell.c \
 	$(wildcard tests/cells_*.c)) $(HARNESS)
 $(B)/gd-demo: $(B)/tests/demo.o $(HARNESS)
@@ -109,8 +110,20 @@
 	sh tests/known-red.sh $(B)/unit-tests
 	GD_BIN=$(B) sh tests/known-red.sh $(B)/path-tests
 	GD_BIN=$(B) sh tests/known-red.sh $(B)/fleet-tests
+	GD_BIN=$(B) $(B)/gd-soak --ci
 	GD_BIN=$(B) $(B)/gd-matrix --ci
 
+# Drawn faults by seeds, SOAK_JOBS side by side. Each seed's output is in
+# $(B)/soak.
+SEEDS = 1 50
+SOAK_JOBS = 4
+soak: deps
+	$(MAKE) all
+	@mkdir -p $(B)/soak
+	@seq $(SEEDS) | GD_BIN=$(B) xargs -P $(SOAK_JOBS) -I{} \
+		sh -c '$(B)/gd-soak --seed {} >$(B)/soak/{}.out; \
+		grep "^seed.*: [A-Zp]" $(B)/soak/{}.out'
+
 # The request path under the thread sanitizer.
 tsan: deps
 	$(MAKE) SAN=thread all
@@ -145,5 +158,5 @@
 clean:
 	rm -rf build build-san build-tsan build-fuzz
 
-.PHONY: all deploy deps deps-present demo test tsan fuzz matrix bench format lint clean
+.PHONY: all deploy deps deps-present demo test soak tsan fuzz matrix bench format lint clean
 -include $(shell find $(B) -name '*.d' 2>/dev/null)
--- a/tests/harness.h
+++ b/tests/harness.h
@@ -106,6 +106,10 @@
 struct hx_answer hx_http(const char *method, const char *url,
 			 const char *const *headers, const char *body,
 			 int64_t timeout_ms);
+/* Same, on the connections that a handle of curl keeps open. */
+struct hx_answer hx_http_on(void *easy, const char *method, const char *url,
+			    const char *const *headers, const char *body,
+			    int64_t timeout_ms);
 struct hx_answer hx_get(struct hx *x, int vm, const char *path);
 
 /* An operator's call through an entry, with an operation id of its own. */
