--- a/tests/soak.c
+++ b/tests/soak.c
@@ -27,10 +27,10 @@
 	  false },
 	{ 4, "TWICE without the roster; a restart that couldn't listen",
 	  false },
-	{ 5, "LOST: a dead worker holds lasting tasks back after each claim",
-	  true },
+	{ 5, "LOST: a dead worker held lasting tasks back after each claim",
+	  false },
 	{ 46, "LOST: as seed 5, after the store was away and all VMs killed",
-	  true },
+	  false },
 };
 
 static void free_job(gpointer data)
