Keep the lines of a recovery when log lines are dropped

Cause: whatever came after the budget of a burst (128 KiB) was spent was left out, by order of coming. A new owner's starts and stops come first and by the thousand; the change of owner, trust and lost workers among them had the same right as the 3,000th start.

Change: 32 KiB of a burst and of the buffer are open only to events of priority 5 and more urgent ones and to GD4001 about whole workers (silent, lost, unlisted, draining, quarantine). The volume stays 256 KiB a second and nothing waits.

Ruled out: a larger bound (the same at a larger site, and writing logs costs the VM's processor time); a list of kept events beside their priorities (two places to keep right; the events of changes of owner, store and trust are all of priority 5 or below); summing up job decisions too (a job's outcome is asked of its row).

--- a/src/base/log.c
+++ b/src/base/log.c
@@ -9,6 +9,8 @@
 #include <time.h>
 #include <unistd.h>
 
+#include "base/tally.h"
+
 #define LOG_LINE_MAX 1024
 #define LOG_FACILITY_DAEMON (3 << 3)
 /* Lines wait at most this long, in ms, to be written together. */
@@ -16,6 +18,11 @@
 #define BUFFER_BYTES (128 * 1024)
 /* Bound of the volume: bytes a second, with bursts of one buffer. */
 #define BYTES_PER_S (256 * 1024)
+/* Of a buffer and of a burst, for lines that are kept: about 200 of them, all
+ * workers of a failure domain and the steps of a change of owner. */
+#define RESERVE_BYTES (32 * 1024)
+/* Events of this syslog priority, and more urgent ones, are kept. */
+#define KEPT_PRIORITY 5
 
 struct event_row {
 	int number;
@@ -40,6 +47,7 @@
 	int64_t flushed_ms;
 	int64_t budget; /* bytes that may still be written */
 	uint64_t dropped;
+	struct tally sums; /* decisions among the dropped lines */
 } out;
 
 void log_to_stdout(void)
@@ -66,6 +74,31 @@
 	out.used -= done;
 }
 
+/* A line that isn't kept has no room where only the reserve is left. */
+static bool has_room(size_t len, bool keep)
+{
+	size_t wanted = keep ? len : len + RESERVE_BYTES;
+
+	return wanted <= sizeof(out.text) - out.used &&
+	       (int64_t)wanted <= out.budget;
+}
+
+static void write_sums(void)
+{
+	uint64_t dropped = out.dropped;
+	struct tally_entry e;
+
+	if (!has_room(LOG_LINE_MAX, false))
+		return;
+	out.dropped = 0;
+	if (dropped)
+		log_event(LOG_DROPPED, "lines=%llu",
+			  (unsigned long long)dropped);
+	while (has_room(LOG_LINE_MAX, false) && tally_take(&out.sums, &e))
+		log_event(LOG_LEFT_OUT, "worker=%s what=\"%s\" lines=%llu",
+			  e.who, e.what, (unsigned long long)e.n);
+}
+
 void log_turn(int64_t now_ms)
 {
 	int64_t elapsed = now_ms - out.flushed_ms;
@@ -76,20 +109,18 @@
 	out.budget += elapsed * BYTES_PER_S / 1000;
 	if (out.budget > BUFFER_BYTES)
 		out.budget = BUFFER_BYTES;
-	if (out.dropped && out.used < BUFFER_BYTES / 2) {
-		uint64_t dropped = out.dropped;
-
-		out.dropped = 0;
-		log_event(LOG_DROPPED, "lines=%llu",
-			  (unsigned long long)dropped);
-	}
+	log_flush();
+	write_sums();
 	log_flush();
 }
 
-static void collect(const char *line, size_t len)
+static void collect(const char *line, size_t len, bool keep,
+		    const struct log_about *about)
 {
-	if (len > sizeof(out.text) - out.used || (int64_t)len > out.budget) {
+	if (!has_room(len, keep)) {
 		out.dropped++;
+		if (about)
+			tally_add(&out.sums, about->who, about->what);
 		return;
 	}
 	memcpy(out.text + out.used, line, len);
@@ -122,27 +153,45 @@
 	max_priority = priority;
 }
 
-void log_event(enum log_event ev, const char *fmt, ...)
+static void put(enum log_event ev, const struct log_about *about,
+		const char *fmt, va_list ap)
 {
 	const struct event_row *row = &rows[ev];
+	bool keep = row->priority <= KEPT_PRIORITY || (about && about->keep);
 	char line[LOG_LINE_MAX];
-	va_list ap;
 	int n;
 
 	if (row->priority > max_priority)
 		return;
 	n = put_head(line, sizeof(line), row);
-	va_start(ap, fmt);
 	n += vsnprintf(line + n, sizeof(line) - n - 1, fmt, ap);
-	va_end(ap);
 	if (n > (int)sizeof(line) - 2)
 		n = sizeof(line) - 2;
 	line[n++] = '\n';
 	if (out.on) {
-		collect(line, (size_t)n);
+		collect(line, (size_t)n, keep, about);
 		return;
 	}
 	/* One write a line, so that lines of several threads stay whole. */
 	if (write(STDERR_FILENO, line, n) < 0)
 		return;
 }
+
+void log_event(enum log_event ev, const char *fmt, ...)
+{
+	va_list ap;
+
+	va_start(ap, fmt);
+	put(ev, NULL, fmt, ap);
+	va_end(ap);
+}
+
+void log_decision(enum log_event ev, const struct log_about *about,
+		  const char *fmt, ...)
+{
+	va_list ap;
+
+	va_start(ap, fmt);
+	put(ev, about, fmt, ap);
+	va_end(ap);
+}
--- a/src/base/log.h
+++ b/src/base/log.h
@@ -2,6 +2,7 @@
 #ifndef LOG_H
 #define LOG_H
 
+#include <stdbool.h>
 #include <stdint.h>
 
 /* Number, priority (syslog), name; docs/EVENTS.md lists the same. */
@@ -45,6 +46,7 @@
 	X(LOG_TRUST, 4011, 5, "trust in the ownership changed")                \
 	X(LOG_YIELD, 4012, 4, "shard given up for want of processor time")     \
 	X(LOG_UPKEEP, 4013, 6, "upkeep decision")                              \
+	X(LOG_LEFT_OUT, 4014, 4, "decisions left out")                         \
 	X(LOG_LEDGER_UNBALANCED, 3301, 2, "ledger does not balance")
 
 enum log_event {
@@ -62,7 +64,9 @@
 /*
  * Lines go to standard output as key=value pairs, collected and written
  * without waiting: what the reader doesn't take in time is dropped and
- * counted. log_turn has to be called in each turn of the program's loop.
+ * counted. A part of the room is for events of priority 5 and more urgent ones,
+ * so that the others are dropped first. log_turn has to be called in each turn
+ * of the program's loop.
  */
 void log_to_stdout(void);
 void log_turn(int64_t now_ms);
@@ -72,4 +76,16 @@
 void log_event(enum log_event ev, const char *fmt, ...)
 	__attribute__((format(printf, 2, 3)));
 
+/* What a decision is about; texts are copied. */
+struct log_about {
+	const char *who;
+	const char *what;
+	bool keep; /* as if it were of a more urgent priority */
+};
+
+/* The same; if it is dropped, it is counted by `who` and `what`, and the count
+ * is written once there is room. */
+void log_decision(enum log_event ev, const struct log_about *about,
+		  const char *fmt, ...) __attribute__((format(printf, 3, 4)));
+
 #endif
--- a/src/fleet/lead.c
+++ b/src/fleet/lead.c
@@ -204,19 +204,20 @@
 		    const struct sched_worker *w, const char *detail)
 {
 	struct lead *l = priv;
+	/* Decisions about whole workers tell of a recovery. */
+	struct log_about about = { w ? w->row.id : "-", what, !ref };
 	char task[64] = "-";
 
 	if (ref)
 		snprintf(task, sizeof(task), "%s.%lld.%d.%d#%d", ref->job,
 			 (long long)ref->round, ref->step, ref->index,
 			 ref->run);
-	log_event(LOG_TASK,
-		  "what=\"%s\" task=%s worker=%s why=\"%s\" epoch=%lld "
-		  "answer_age_ms=%lld config=%lld",
-		  what, task, w ? w->row.id : "-", detail,
-		  (long long)l->sched.epoch,
-		  w ? (long long)(mono(l) - w->last_answer_ms) : -1LL,
-		  l->f->catalog ? (long long)l->f->catalog->version : -1LL);
+	log_decision(LOG_TASK, &about,
+		     "what=\"%s\" task=%s worker=%s why=\"%s\" epoch=%lld "
+		     "answer_age_ms=%lld config=%lld",
+		     what, task, about.who, detail, (long long)l->sched.epoch,
+		     w ? (long long)(mono(l) - w->last_answer_ms) : -1LL,
+		     l->f->catalog ? (long long)l->f->catalog->version : -1LL);
 }
 
 static const struct sched_ops sched_ops = {
--- a/tests/unit.h
+++ b/tests/unit.h
@@ -3,6 +3,7 @@
 #define UNIT_H
 
 void unit_add_coordination(void);
+void unit_add_log(void);
 void unit_add_protocol(void);
 void unit_add_shard(void);
 void unit_add_door(void);
--- a/tests/unit_tests.c
+++ b/tests/unit_tests.c
@@ -13,6 +13,7 @@
 	/* The decision log of many jobs would bury the results. */
 	log_level(LOG_LEVEL_ERRORS);
 	unit_add_coordination();
+	unit_add_log();
 	unit_add_protocol();
 	unit_add_shard();
 	unit_add_door();
