Hand a shard to the VM that was restarted last

Cause: a VM knows of its own SIGTERM only, and whoever polls first claims a released shard; a VM that was restarted already has no advantage.

Change: a VM writes one row as it starts and removes it as it stops (or as it yields for want of processor time). An owner that stops reads these rows, once, for at most 300 ms, and names in its last commit the VM restarted last, if that was in the last 30 s by the store's clock, and it has half the processor of the strongest owner and isn't more than four times as far from the store. The one named claims at its next poll, without a handicap; others wait 1.5 gaps of polls longer. Nobody is named in calm times. A timer of a claim is dropped when the row changes, since it may be of a successor named before. Two store calls for each restart and one read for each planned handover; none at regular intervals.

Faulted, each with a test in tests/unit_restart.c: the VM restarted last is weak, far, stopping, resting, gone (others claim after 1.5 gaps of polls, less than half of an owner's silence), the list doesn't come, the row of a start is refused.

Ruled out: each VM waiting by its own age (slower in calm times too, since it must outlast the gap of polls); the order of the last rolling restart (a guess).

The stand-in's clock goes on instead of standing at 1.

--- a/Makefile
+++ b/Makefile
@@ -30,7 +30,7 @@
 SCHED_SRC = $(wildcard src/sched/*.c) $(DAEMON_SRC)
 STANDIN_SRC = $(wildcard standins/*.c)
 UNIT_SRC = $(wildcard tests/unit*.c) tests/paper.c \
-	tests/fake_rows.c
+	tests/fake_rows.c tests/owners.c
 HARNESS = $(call obj,$(wildcard tests/harness*.c)) $(B)/libgd.a
 obj = $(patsubst %.c,$(B)/%.o,$(1))
 
--- a/src/state/owner.c
+++ b/src/state/owner.c
@@ -8,6 +8,7 @@
 #include <talloc.h>
 
 #include "base/log.h"
+#include "state/lives.h"
 
 #define OWNER_TABLE "owners"
 #define OWNER_KEY "owner"
@@ -16,6 +17,12 @@
 /* A claim waits this many times the shortest way to the store, so that a VM
  * near it wins: each commit takes that way. */
 #define CLAIM_WAIT_TRIPS 8
+/* A stopping owner waits this long for the list of lives, in ms; reads take a
+ * tenth of it. */
+#define LIVES_WAIT_MS 300
+/* Others leave a named successor one and a half times the gap of polls: its
+ * next poll, the way there and that of its claim. */
+#define SUCCESSOR_WAIT_PERCENT 150
 /* Pause after a commit that failed, in ms. */
 #define FAILED_PAUSE_MS 120
 
@@ -50,6 +57,9 @@
 	bool unsure; /* a commit may be done without our knowing */
 	bool wanted; /* news came while a commit was under way */
 	bool releasing;
+	bool announcing; /* our life's row is being written, ... */
+	bool announced; /* ... and was, or isn't wanted any more */
+	struct tmr *lives_timer; /* while we wait for the list of lives */
 	int64_t rest_until_ms; /* no claims before; 0: release for good */
 	int32_t n;
 	struct rows_change changes[COMMIT_ROWS_MAX];
@@ -60,11 +70,16 @@
 static void send_commit(struct owner *o);
 static void maybe_commit(struct owner *o);
 
+static void copy_text(char *out, size_t size, const json_t *j, const char *name)
+{
+	const char *text = json_string_value(json_object_get(j, name));
+
+	snprintf(out, size, "%s", text ? text : "");
+}
+
 static void row_parse(struct owner *o, const char *text, struct owner_row *out)
 {
 	json_t *j = text ? json_loads(text, 0, NULL) : NULL;
-	const char *vm = json_string_value(json_object_get(j, "vm"));
-	const char *life = json_string_value(json_object_get(j, "life"));
 
 	talloc_free(out->pending);
 	memset(out, 0, sizeof(*out));
@@ -75,13 +90,16 @@
 		out->pending = talloc_strdup(o, p ? p : "{}");
 		free(p);
 	}
-	snprintf(out->vm, sizeof(out->vm), "%s", vm ? vm : "");
-	snprintf(out->life, sizeof(out->life), "%s", life ? life : "");
+	copy_text(out->vm, sizeof(out->vm), j, "vm");
+	copy_text(out->life, sizeof(out->life), j, "life");
 	out->epoch = json_integer_value(json_object_get(j, "epoch"));
 	out->seq = json_integer_value(json_object_get(j, "seq"));
 	out->released = json_is_true(json_object_get(j, "released"));
 	out->strongest_milli =
 		json_integer_value(json_object_get(j, "strongest_milli"));
+	copy_text(out->successor, sizeof(out->successor), j, "successor");
+	copy_text(out->successor_life, sizeof(out->successor_life), j,
+		  "successor_life");
 	json_decref(j);
 }
 
@@ -95,8 +113,15 @@
 		(json_int_t)row->seq, "released", row->released,
 		"strongest_milli", (json_int_t)row->strongest_milli, "pending",
 		pending ? pending : json_object());
-	char *text = json_dumps(j, JSON_COMPACT);
+	char *text;
 
+	if (*row->successor) {
+		json_object_set_new(j, "successor",
+				    json_string(row->successor));
+		json_object_set_new(j, "successor_life",
+				    json_string(row->successor_life));
+	}
+	text = json_dumps(j, JSON_COMPACT);
 	json_decref(j);
 	return text;
 }
@@ -151,8 +176,9 @@
 	if (o->row.released) {
 		o->phase = o->rest_until_ms ? WATCHING : RELEASED;
 		o->releasing = !o->rest_until_ms;
-		log_event(LOG_SHARD_LOST, "part=%s epoch=%lld why=released",
-			  o->part, (long long)o->row.epoch);
+		log_event(LOG_SHARD_LOST,
+			  "part=%s epoch=%lld why=released successor=%s",
+			  o->part, (long long)o->row.epoch, o->row.successor);
 		o->ops->lost(o->priv);
 		poll_soon(o, o->lim.poll_ms);
 		return;
@@ -268,7 +294,8 @@
 	n = o->ops->collect(o->changes + 1, COMMIT_ROWS_MAX - 1, o->priv);
 	o->n = n + 1;
 	/* The last commit gives up only once there is no news left. */
-	o->row.released = o->releasing && n < COMMIT_ROWS_MAX - 1;
+	o->row.released =
+		o->releasing && !o->lives_timer && n < COMMIT_ROWS_MAX - 1;
 	begin_commit(o);
 }
 
@@ -284,9 +311,9 @@
 static void maybe_commit(struct owner *o)
 {
 	int64_t now = clk_mono_ms(o->clk);
-	int64_t due = o->last_commit_ms + (o->wanted || o->releasing
-						   ? o->lim.group_ms
-						   : o->lim.heartbeat_ms);
+	bool soon = o->wanted || (o->releasing && !o->lives_timer);
+	int64_t due = o->last_commit_ms +
+		      (soon ? o->lim.group_ms : o->lim.heartbeat_ms);
 
 	if (o->phase != LEADING || o->committing)
 		return;
@@ -310,6 +337,7 @@
 	snprintf(o->row.life, sizeof(o->row.life), "%s", o->life);
 	o->row.epoch++;
 	o->row.released = false;
+	*o->row.successor = '\0';
 	if (o->row.strongest_milli < o->lim.strength_milli)
 		o->row.strongest_milli = o->lim.strength_milli;
 	o->n = 1;
@@ -317,10 +345,86 @@
 	begin_commit(o);
 }
 
+static struct life own_life(const struct owner *o)
+{
+	struct life l = { .strength_milli = o->lim.strength_milli,
+			  .trip_ms = o->trip_ms };
+
+	snprintf(l.vm, sizeof(l.vm), "%s", o->vm);
+	snprintf(l.id, sizeof(l.id), "%s", o->life);
+	return l;
+}
+
+static void on_announced(const struct rows_answer *ans, void *priv)
+{
+	struct owner *o = priv;
+
+	/* Otherwise the next poll that is answered tries again. */
+	o->announced |= ans->result == ROWS_OK;
+	o->announcing = false;
+}
+
+static void announce(struct owner *o, int64_t store_now_ms)
+{
+	struct life l = own_life(o);
+
+	if (o->announced || o->announcing || o->phase != WATCHING)
+		return;
+	o->announcing = true;
+	l.started_ms = store_now_ms;
+	lives_announce(&o->rows, o->part, &l, on_announced, o);
+}
+
+/* A row that stays costs the next handover the wait for this VM. */
+static void on_withdrawn(const struct rows_answer *ans, void *priv)
+{
+	const struct owner *o = priv;
+
+	if (ans->result != ROWS_OK)
+		log_event(LOG_ROW_UNUSABLE,
+			  "table=lives key=%s why=\"not removed\"", o->vm);
+}
+
+static void on_lives(const struct rows_answer *ans, void *priv)
+{
+	struct owner *o = priv;
+	struct life self = own_life(o);
+	struct life next;
+
+	/* It came too late. */
+	if (!o->lives_timer)
+		return;
+	TALLOC_FREE(o->lives_timer);
+	if (o->phase != LEADING)
+		return;
+	if (ans->result == ROWS_OK &&
+	    lives_choose(ans, &self, o->row.strongest_milli, &next)) {
+		snprintf(o->row.successor, sizeof(o->row.successor), "%s",
+			 next.vm);
+		snprintf(o->row.successor_life, sizeof(o->row.successor_life),
+			 "%s", next.id);
+	}
+	maybe_commit(o);
+}
+
+static void lives_late(void *priv)
+{
+	struct owner *o = priv;
+
+	o->lives_timer = NULL;
+	maybe_commit(o);
+}
+
+static bool is_successor(const struct owner *o)
+{
+	return o->row.released && !strcmp(o->row.successor, o->vm) &&
+	       !strcmp(o->row.successor_life, o->life);
+}
+
 /*
  * VMs that are weaker than some former owner wait longer, by the square of the
  * ratio: a strong one that starts at the same time comes before them, and they
- * still take over when there is none.
+ * still take over when there is none. All leave a named successor time.
  */
 static int64_t claim_wait_ms(const struct owner *o)
 {
@@ -328,8 +432,12 @@
 	int64_t ours = o->lim.strength_milli;
 	int64_t wait = o->lim.handicap_ms;
 
+	if (is_successor(o))
+		return 0;
 	if (ours > 0 && most > ours)
 		wait = wait * most * most / (ours * ours);
+	if (o->row.released && *o->row.successor)
+		wait += o->lim.poll_ms * SUCCESSOR_WAIT_PERCENT / 100;
 	return wait + o->trip_ms * CLAIM_WAIT_TRIPS;
 }
 
@@ -353,9 +461,12 @@
 	if (!o->read || version != o->version) {
 		o->changed_ms = now;
 		o->version = version;
+		/* Another owner, who may have named another successor. */
+		TALLOC_FREE(o->claim_timer);
 		row_parse(o, ans->n ? ans->rows[0].value : NULL, &o->row);
 	}
 	o->read = true;
+	announce(o, ans->now_ms);
 	if (o->phase == WATCHING && !o->claim_timer && is_free(o, now) &&
 	    now >= o->rest_until_ms)
 		o->claim_timer =
@@ -427,12 +538,27 @@
 	maybe_commit(o);
 }
 
+/* From now on this life is no good as a successor. */
+static void leave_lives(struct owner *o)
+{
+	o->announced = true;
+	lives_withdraw(&o->rows, o->part, o->vm, on_withdrawn, o);
+}
+
+static void ask_for_lives(struct owner *o)
+{
+	o->lives_timer = tmr_after(o->timers, LIVES_WAIT_MS, lives_late, o);
+	lives_read(&o->rows, o->part, on_lives, o);
+	maybe_commit(o);
+}
+
 void owner_yield(struct owner *o, int64_t rest_ms)
 {
 	if (o->phase != LEADING || o->releasing)
 		return;
 	o->releasing = true;
 	o->rest_until_ms = clk_mono_ms(o->clk) + rest_ms;
+	leave_lives(o);
 	maybe_commit(o);
 }
 
@@ -445,8 +571,9 @@
 		return;
 	o->releasing = true;
 	TALLOC_FREE(o->claim_timer);
+	leave_lives(o);
 	if (o->phase == LEADING)
-		maybe_commit(o);
+		ask_for_lives(o);
 	else if (o->phase == WATCHING)
 		o->phase = RELEASED;
 }
--- a/src/state/owner.h
+++ b/src/state/owner.h
@@ -15,6 +15,8 @@
 	int64_t epoch; /* rises with each change of owner */
 	int64_t seq; /* rises with each commit */
 	bool released; /* handed over; nobody has to be waited for */
+	char successor[OWNER_VM_MAX]; /* it goes first; "": nobody does */
+	char successor_life[32];
 	int64_t strongest_milli; /* processors of the strongest owner so far */
 	char *pending; /* JSON object: queue to count; talloc child */
 };
@@ -60,8 +62,10 @@
 void owner_kick(struct owner *o);
 
 /*
- * Commits what there is, then gives the shard up for others to take at once;
- * this process doesn't claim again.
+ * This process is about to stop and doesn't claim again. An owner commits what
+ * there is, then gives the shard up for others to take at once. If VMs have
+ * been restarted lately, it names the last of them as its successor, and others
+ * claim only if that one doesn't.
  */
 void owner_release(struct owner *o);
 
--- a/tests/fake_rows.c
+++ b/tests/fake_rows.c
@@ -5,6 +5,8 @@
 #include <string.h>
 #include <talloc.h>
 
+#include "base/clk.h"
+
 #define PAGE 3
 
 struct fake_row {
@@ -116,7 +118,7 @@
 	talloc_set_destructor(r, reply_destructor);
 	r->ans.result = res;
 	r->ans.version = f->version;
-	r->ans.now_ms = 1;
+	r->ans.now_ms = clk_mono_ms(&clk_system) + f->clock_ahead_ms;
 	r->done = done;
 	r->priv = priv;
 	tmr_after(f->timers, 2, deliver, r);
@@ -233,10 +235,14 @@
 		      rows_done done, void *priv)
 {
 	struct fake_rows *f = self;
-	struct reply *r = new_reply(f, ROWS_OK, done, priv);
-	GPtrArray *list = rows_of(f, range->table, by_key);
+	GPtrArray *list;
 	int32_t limit = range->limit ? range->limit : PAGE;
+	struct reply *r;
 
+	if (f->silent_table && !strcmp(range->table, f->silent_table))
+		return;
+	r = new_reply(f, ROWS_OK, done, priv);
+	list = rows_of(f, range->table, by_key);
 	for (guint i = 0; i < list->len; i++) {
 		struct fake_row *row = g_ptr_array_index(list, i);
 
--- a/tests/fake_rows.h
+++ b/tests/fake_rows.h
@@ -24,6 +24,8 @@
 	enum fake_mode mode;
 	int32_t mode_left; /* commits that it still holds for */
 	const char *refused_text; /* commits that hold it are refused; NULL */
+	const char *silent_table; /* reads of it aren't answered; NULL */
+	int64_t clock_ahead_ms; /* of the monotonic clock */
 	int32_t commits;
 };
 
--- a/tests/unit.h
+++ b/tests/unit.h
@@ -5,6 +5,7 @@
 void unit_add_coordination(void);
 void unit_add_log(void);
 void unit_add_protocol(void);
+void unit_add_restart(void);
 void unit_add_shard(void);
 void unit_add_door(void);
 void unit_add_platform(void);
--- a/tests/unit_state.c
+++ b/tests/unit_state.c
@@ -3,121 +3,10 @@
 #include <string.h>
 #include <talloc.h>
 
-#include "base/clk.h"
 #include "state/follow.h"
-#include "state/owner.h"
-#include "tests/fake_rows.h"
+#include "tests/owners.h"
 #include "tests/unit.h"
 
-/* Long beside a turn of the loop, short beside a test. */
-#define SILENCE_MS 1000
-#define PATIENCE_MS 20000
-
-struct bench {
-	struct tevent_context *ev;
-	struct tmr_set *timers;
-	struct fake_rows store;
-};
-
-/* One process that may own the shard. */
-struct node {
-	struct owner *owner;
-	int gained;
-	int lost;
-	int committed;
-	int64_t former_epoch;
-	char value[32]; /* what it wants written; "" if nothing */
-};
-
-static void bench_open(struct bench *b)
-{
-	b->ev = tevent_context_init(NULL);
-	b->timers = tmr_set_start(b->ev, b->ev);
-	fake_rows_init(&b->store, b->timers);
-}
-
-static void bench_close(struct bench *b)
-{
-	talloc_free(b->ev);
-	fake_rows_finish(&b->store);
-}
-
-static void on_gained(const struct owner_row *former, int64_t version,
-		      void *priv)
-{
-	struct node *n = priv;
-
-	(void)version;
-	n->gained++;
-	n->former_epoch = former->epoch;
-}
-
-static void on_lost(void *priv)
-{
-	((struct node *)priv)->lost++;
-}
-
-static int32_t on_collect(struct rows_change *out, int32_t max, void *priv)
-{
-	struct node *n = priv;
-
-	if (!*n->value || max < 1)
-		return 0;
-	out[0] = (struct rows_change){ .table = "progress",
-				       .key = "k",
-				       .value = n->value };
-	return 1;
-}
-
-static void on_committed(void *priv)
-{
-	((struct node *)priv)->committed++;
-}
-
-static void on_fill(struct owner_row *row, void *priv)
-{
-	(void)row;
-	(void)priv;
-}
-
-static const struct owner_ops owner_ops = { on_gained, on_lost, on_collect,
-					    on_committed, on_fill };
-
-static void node_start(struct bench *b, struct node *n, const char *vm,
-		       const char *life)
-{
-	static const struct owner_limits lim = { .poll_ms = 20,
-						 .silence_ms = SILENCE_MS,
-						 .heartbeat_ms = 50,
-						 .group_ms = 5,
-						 .handicap_ms = 1,
-						 .strength_milli = 500 };
-	struct rows rows = fake_rows_table(&b->store);
-
-	memset(n, 0, sizeof(*n));
-	n->owner = owner_start(b->ev, &rows, b->timers, &clk_system, 0, vm,
-			       life, &lim, &owner_ops, n);
-}
-
-/* Turns the loop until the number is reached; fails if it never is. */
-static void await(struct bench *b, const int *number, int wanted)
-{
-	int64_t end = clk_mono_ms(&clk_system) + PATIENCE_MS;
-
-	while (*number < wanted) {
-		g_assert_cmpint(clk_mono_ms(&clk_system), <, end);
-		tevent_loop_once(b->ev);
-	}
-}
-
-static void turn_for(struct bench *b, int64_t ms)
-{
-	int64_t end = clk_mono_ms(&clk_system) + ms;
-
-	while (clk_mono_ms(&clk_system) < end)
-		tevent_loop_once(b->ev);
-}
-
 /*
  * Pattern: VMs of 0.07 to 0.5 of a core, all without power at once. The weak
  * one that is back first leaves the shard to the strong one, and takes it if
@@ -142,7 +31,7 @@
 		      "{\"vm\":\"x\",\"epoch\":4,\"released\":true,"
 		      "\"strongest_milli\":500}");
 	weak.owner = owner_start(b.ev, &rows, b.timers, &clk_system, 0, "w",
-				 "1", &weak_lim, &owner_ops, &weak);
+				 "1", &weak_lim, &node_ops, &weak);
 	turn_for(&b, 100);
 	node_start(&b, &strong, "a", "1");
 	await(&b, &strong.gained, 1);
@@ -178,9 +67,11 @@
 
 	bench_open(&b);
 	b.store.mode = FAKE_LOSE_ANSWER;
-	b.store.mode_left = 1;
+	/* The row of its start, and the claim. */
+	b.store.mode_left = 2;
 	node_start(&b, &n, "a", "1");
 	await(&b, &n.gained, 1);
+	g_assert_cmpint(b.store.mode_left, <=, 0);
 	g_assert_cmpint(owner_epoch(n.owner), ==, 1);
 	b.store.mode = FAKE_LOSE_ANSWER;
 	b.store.mode_left = 2;
--- a/tests/unit_tests.c
+++ b/tests/unit_tests.c
@@ -22,6 +22,7 @@
 	unit_add_pace();
 	unit_add_sched();
 	unit_add_state();
+	unit_add_restart();
 	unit_add_upkeep();
 	return g_test_run();
 }
