--- a/src/state/lives.h
+++ b/src/state/lives.h
@@ -4,14 +4,14 @@
 
 #include <stdbool.h>
 
+#include "state/owner_row.h"
 #include "state/rows.h"
 
-#define LIVES_VM_MAX 64
 #define LIVES_ID_MAX 32
 
 /* One life of a VM's process. */
 struct life {
-	char vm[LIVES_VM_MAX];
+	char vm[OWNER_VM_MAX];
 	char id[LIVES_ID_MAX];
 	int64_t started_ms; /* by the store's clock */
 	int64_t strength_milli; /* thousandths of a core that the VM has */
--- a/src/state/owner.c
+++ b/src/state/owner.c
@@ -1,7 +1,6 @@
 /* Ownership of a shard by a row that is changed under its version. */
 #include "state/owner.h"
 
-#include <jansson.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -70,62 +69,6 @@
 static void send_commit(struct owner *o);
 static void maybe_commit(struct owner *o);
 
-static void copy_text(char *out, size_t size, const json_t *j, const char *name)
-{
-	const char *text = json_string_value(json_object_get(j, name));
-
-	snprintf(out, size, "%s", text ? text : "");
-}
-
-static void row_parse(struct owner *o, const char *text, struct owner_row *out)
-{
-	json_t *j = text ? json_loads(text, 0, NULL) : NULL;
-
-	talloc_free(out->pending);
-	memset(out, 0, sizeof(*out));
-	if (j) {
-		char *p =
-			json_dumps(json_object_get(j, "pending"), JSON_COMPACT);
-
-		out->pending = talloc_strdup(o, p ? p : "{}");
-		free(p);
-	}
-	copy_text(out->vm, sizeof(out->vm), j, "vm");
-	copy_text(out->life, sizeof(out->life), j, "life");
-	out->epoch = json_integer_value(json_object_get(j, "epoch"));
-	out->seq = json_integer_value(json_object_get(j, "seq"));
-	out->released = json_is_true(json_object_get(j, "released"));
-	out->strongest_milli =
-		json_integer_value(json_object_get(j, "strongest_milli"));
-	copy_text(out->successor, sizeof(out->successor), j, "successor");
-	copy_text(out->successor_life, sizeof(out->successor_life), j,
-		  "successor_life");
-	json_decref(j);
-}
-
-static char *row_text(const struct owner_row *row)
-{
-	json_t *pending =
-		json_loads(row->pending ? row->pending : "{}", 0, NULL);
-	json_t *j = json_pack(
-		"{s:s,s:s,s:I,s:I,s:b,s:I,s:o}", "vm", row->vm, "life",
-		row->life, "epoch", (json_int_t)row->epoch, "seq",
-		(json_int_t)row->seq, "released", row->released,
-		"strongest_milli", (json_int_t)row->strongest_milli, "pending",
-		pending ? pending : json_object());
-	char *text;
-
-	if (*row->successor) {
-		json_object_set_new(j, "successor",
-				    json_string(row->successor));
-		json_object_set_new(j, "successor_life",
-				    json_string(row->successor_life));
-	}
-	text = json_dumps(j, JSON_COMPACT);
-	json_decref(j);
-	return text;
-}
-
 static bool is_ours(const struct owner *o, const struct owner_row *row)
 {
 	return !strcmp(row->vm, o->vm) && !strcmp(row->life, o->life);
@@ -205,7 +148,7 @@
 
 		if (strcmp(ans->rows[i].key, OWNER_KEY))
 			continue;
-		row_parse(o, ans->rows[i].value, &row);
+		owner_row_parse(o, ans->rows[i].value, &row);
 		if (is_ours(o, &row) && row.seq == seq) {
 			talloc_free(row.pending);
 			after_commit(o, ans->rows[i].version, o->first_sent_ms);
@@ -274,7 +217,7 @@
 	o->last_commit_ms = clk_mono_ms(o->clk);
 	o->row.seq++;
 	free(o->value);
-	o->value = row_text(&o->row);
+	o->value = owner_row_text(&o->row);
 	o->changes[0] = (struct rows_change){
 		.table = OWNER_TABLE,
 		.key = OWNER_KEY,
@@ -463,7 +406,7 @@
 		o->version = version;
 		/* Another owner, who may have named another successor. */
 		TALLOC_FREE(o->claim_timer);
-		row_parse(o, ans->n ? ans->rows[0].value : NULL, &o->row);
+		owner_row_parse(o, ans->n ? ans->rows[0].value : NULL, &o->row);
 	}
 	o->read = true;
 	announce(o, ans->now_ms);
--- a/src/state/owner.h
+++ b/src/state/owner.h
@@ -3,24 +3,10 @@
 #define OWNER_H
 
 #include "base/clk.h"
+#include "state/owner_row.h"
 #include "state/rows.h"
 #include "transport/tmr.h"
 
-#define OWNER_VM_MAX 64
-
-/* The owner's row: who owns the shard, and how many jobs wait in queues. */
-struct owner_row {
-	char vm[OWNER_VM_MAX];
-	char life[32]; /* tells the lives of a VM's process apart */
-	int64_t epoch; /* rises with each change of owner */
-	int64_t seq; /* rises with each commit */
-	bool released; /* handed over; nobody has to be waited for */
-	char successor[OWNER_VM_MAX]; /* it goes first; "": nobody does */
-	char successor_life[32];
-	int64_t strongest_milli; /* processors of the strongest owner so far */
-	char *pending; /* JSON object: queue to count; talloc child */
-};
-
 /* Times in ms. */
 struct owner_limits {
 	int64_t poll_ms; /* how often others read the row */
--- /dev/null
+++ b/src/state/owner_row.h
@@ -0,0 +1,29 @@
+/* The row of a shard's owner, and its text. */
+#ifndef OWNER_ROW_H
+#define OWNER_ROW_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#define OWNER_VM_MAX 64
+
+/* The owner's row: who owns the shard, and how many jobs wait in queues. */
+struct owner_row {
+	char vm[OWNER_VM_MAX];
+	char life[32]; /* tells the lives of a VM's process apart */
+	int64_t epoch; /* rises with each change of owner */
+	int64_t seq; /* rises with each commit */
+	bool released; /* handed over; nobody has to be waited for */
+	char successor[OWNER_VM_MAX]; /* it goes first; "": nobody does */
+	char successor_life[32];
+	int64_t strongest_milli; /* processors of the strongest owner so far */
+	char *pending; /* JSON object: queue to count; talloc child */
+};
+
+/* NULL gives an empty row. `out` holds a former row, or zeros; its texts become
+ * talloc children of `ctx`. */
+void owner_row_parse(void *ctx, const char *text, struct owner_row *out);
+/* Free it with free(). */
+char *owner_row_text(const struct owner_row *row);
+
+#endif
