Hold a shard until a VM of the rolling restart is back

Cause: a restart takes three seconds, so until then nobody is back, and each owner that stops can only give the shard to one that may stop next. With successors named, the first one or two handovers of each restart were still blind.

Change: an owner that is told to stop works on, with all that owning means, until the rows of starts show a VM started in the last 5 s, and gives the shard to that one. It reads them twice between two polls, and gives up waiting 3.5 s after the signal with the platform's six seconds of grace (1.5 s are left for the end of the process as before, 1 s for the release). What quiets the links and ends placement is a call of the owner now (owner_ops.releasing), as the release begins, no longer the signal. Being short of processor time, or another owner, ends the wait.

Beside it: a process that was told to stop while its claim was under way, and whose claim was refused, claimed once more (/restart/stop-while-claiming).

--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -39,6 +39,9 @@
 #define DRAIN_MS 2500
 /* Left of the platform's patience when the process ends by itself, in ms. */
 #define GRACE_MARGIN_MS 1500
+/* Left of the rest for giving shards up, in ms: a read, and commits on a day
+ * when the store is slow. */
+#define RELEASE_MARGIN_MS 1000
 /* Kept of the pause before orders about VMs, for those on their way, in ms. */
 #define ORDER_MARGIN_MS 500
 /* Ended jobs are kept this much longer than callers are promised, in ms. */
@@ -204,12 +207,14 @@
 	       f->rows.ops->silent_ms(f->rows.self) < UNSERVED_MAX_MS;
 }
 
-void fleet_stop(struct fleet *f)
+void fleet_stop(struct fleet *f, int64_t grace_ms)
 {
+	int64_t hold_ms = grace_ms - GRACE_MARGIN_MS - RELEASE_MARGIN_MS;
+
 	f->stopping = true;
 	f->stop_ms = clk_mono_ms(f->clk);
 	for (int32_t i = 0; i < f->set.shards; i++)
-		lead_release(f->leads[i]);
+		lead_release(f->leads[i], hold_ms);
 }
 
 static bool all_released(const struct fleet *f)
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -113,12 +113,12 @@
 /* Should callers be sent to this VM? */
 bool fleet_ready(const struct fleet *f);
 
-/* Hands all shards over, and is no longer ready. */
-void fleet_stop(struct fleet *f);
 /*
- * May the process end now? `open` requests are not yet answered, and it will
- * be killed `grace_ms` after fleet_stop.
+ * Hands all shards over, and is no longer ready. The process will be killed
+ * after `grace_ms`.
  */
+void fleet_stop(struct fleet *f, int64_t grace_ms);
+/* May the process end now? `open` requests are not yet answered. */
 bool fleet_may_end(const struct fleet *f, uint32_t open, int64_t grace_ms);
 
 int32_t fleet_shard_of(const struct fleet *f, const char *job_id);
--- a/src/fleet/lead.c
+++ b/src/fleet/lead.c
@@ -81,7 +81,7 @@
 	int64_t began = mono(l);
 
 	l->place_timer = NULL;
-	if (!l->opened || l->f->stopping)
+	if (!l->opened || l->releasing)
 		return;
 	set_trust(l);
 	sched_place(&l->sched, began);
@@ -276,6 +276,7 @@
 	l->loaded = false;
 	l->workers_synced = false;
 	l->opened = false;
+	l->releasing = false;
 	l->term = talloc_new(f->ev);
 	l->gained_version = version;
 	l->progress = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
@@ -302,6 +303,14 @@
 	lead_load(l);
 }
 
+static void on_releasing(void *priv)
+{
+	struct lead *l = priv;
+
+	l->releasing = true;
+	links_quiesce(l->links);
+}
+
 static void on_lost(void *priv)
 {
 	struct lead *l = priv;
@@ -322,6 +331,7 @@
 
 static const struct owner_ops owner_ops = {
 	.gained = on_gained,
+	.releasing = on_releasing,
 	.lost = on_lost,
 	.collect = lead_collect,
 	.committed = lead_committed,
@@ -339,11 +349,9 @@
 	return l;
 }
 
-void lead_release(struct lead *l)
+void lead_release(struct lead *l, int64_t hold_ms)
 {
-	if (l->leading)
-		links_quiesce(l->links);
-	owner_release(l->owner);
+	owner_release(l->owner, hold_ms);
 }
 
 bool lead_released(const struct lead *l)
--- a/src/fleet/lead.h
+++ b/src/fleet/lead.h
@@ -8,7 +8,8 @@
 
 struct lead *lead_start(struct fleet *f, int32_t shard);
 
-void lead_release(struct lead *l);
+/* See owner_release. */
+void lead_release(struct lead *l, int64_t hold_ms);
 bool lead_released(const struct lead *l);
 
 void lead_configure(struct lead *l);
--- a/src/fleet/lead_int.h
+++ b/src/fleet/lead_int.h
@@ -23,6 +23,7 @@
 	bool loaded;
 	bool workers_synced;
 	bool opened;
+	bool releasing; /* nothing starts any more */
 	struct tmr *place_timer;
 	int64_t place_took_ms; /* the last pass of placement */
 	struct tmr *tick_timer;
--- a/src/state/owner.c
+++ b/src/state/owner.c
@@ -16,9 +16,12 @@
 /* A claim waits this many times the shortest way to the store, so that a VM
  * near it wins: each commit takes that way. */
 #define CLAIM_WAIT_TRIPS 8
-/* A stopping owner waits this long for the list of lives, in ms; reads take a
- * tenth of it. */
-#define LIVES_WAIT_MS 300
+/* A stopping owner reads the list of lives so many times between two polls, and
+ * waits no longer for an answer. */
+#define LIVES_READS_PER_POLL 2
+/* A VM that was started this long ago at most, in ms, belongs to the restarts
+ * under way: one takes three seconds, and the next ones stop two later. */
+#define UNDER_WAY_MS 5000
 /* Others leave a named successor one and a half times the gap of polls: its
  * next poll, the way there and that of its claim. */
 #define SUCCESSOR_WAIT_PERCENT 150
@@ -58,7 +61,9 @@
 	bool releasing;
 	bool announcing; /* our life's row is being written, ... */
 	bool announced; /* ... and was, or isn't wanted any more */
-	struct tmr *lives_timer; /* while we wait for the list of lives */
+	bool stopping; /* no claims any more */
+	int64_t hold_until_ms; /* how long we wait for a VM that is back */
+	struct tmr *lives_timer; /* while we do */
 	int64_t rest_until_ms; /* no claims before; 0: release for good */
 	int32_t n;
 	struct rows_change changes[COMMIT_ROWS_MAX];
@@ -68,6 +73,7 @@
 static void poll_soon(struct owner *o, int64_t ms);
 static void send_commit(struct owner *o);
 static void maybe_commit(struct owner *o);
+static void ask_for_lives(struct owner *o);
 
 static bool is_ours(const struct owner *o, const struct owner_row *row)
 {
@@ -96,7 +102,8 @@
 	o->committing = false;
 	o->unsure = false;
 	o->wanted = false;
-	o->phase = o->releasing ? RELEASED : WATCHING;
+	o->phase = o->releasing || o->stopping ? RELEASED : WATCHING;
+	TALLOC_FREE(o->lives_timer);
 	o->changed_ms = clk_mono_ms(o->clk);
 	if (led)
 		o->ops->lost(o->priv);
@@ -237,8 +244,7 @@
 	n = o->ops->collect(o->changes + 1, COMMIT_ROWS_MAX - 1, o->priv);
 	o->n = n + 1;
 	/* The last commit gives up only once there is no news left. */
-	o->row.released =
-		o->releasing && !o->lives_timer && n < COMMIT_ROWS_MAX - 1;
+	o->row.released = o->releasing && n < COMMIT_ROWS_MAX - 1;
 	begin_commit(o);
 }
 
@@ -254,9 +260,9 @@
 static void maybe_commit(struct owner *o)
 {
 	int64_t now = clk_mono_ms(o->clk);
-	bool soon = o->wanted || (o->releasing && !o->lives_timer);
-	int64_t due = o->last_commit_ms +
-		      (soon ? o->lim.group_ms : o->lim.heartbeat_ms);
+	int64_t due = o->last_commit_ms + (o->wanted || o->releasing
+						   ? o->lim.group_ms
+						   : o->lim.heartbeat_ms);
 
 	if (o->phase != LEADING || o->committing)
 		return;
@@ -269,7 +275,8 @@
 	struct owner *o = priv;
 
 	o->claim_timer = NULL;
-	if (o->phase != WATCHING || !is_free(o, clk_mono_ms(o->clk)))
+	if (o->phase != WATCHING || o->stopping ||
+	    !is_free(o, clk_mono_ms(o->clk)))
 		return;
 	o->phase = CLAIMING;
 	talloc_free(o->former.pending);
@@ -328,34 +335,50 @@
 			  "table=lives key=%s why=\"not removed\"", o->vm);
 }
 
+static void release_now(struct owner *o)
+{
+	TALLOC_FREE(o->lives_timer);
+	o->releasing = true;
+	o->ops->releasing(o->priv);
+	maybe_commit(o);
+}
+
 static void on_lives(const struct rows_answer *ans, void *priv)
 {
 	struct owner *o = priv;
 	struct life self = own_life(o);
-	struct life next;
+	struct life next = { 0 };
+	bool found;
 
-	/* It came too late. */
-	if (!o->lives_timer)
-		return;
-	TALLOC_FREE(o->lives_timer);
-	if (o->phase != LEADING)
+	/* It came too late, or the shard is somebody else's. */
+	if (!o->lives_timer || ans->result != ROWS_OK)
 		return;
-	if (ans->result == ROWS_OK &&
-	    lives_choose(ans, &self, o->row.strongest_milli, &next)) {
-		snprintf(o->row.successor, sizeof(o->row.successor), "%s",
-			 next.vm);
-		snprintf(o->row.successor_life, sizeof(o->row.successor_life),
-			 "%s", next.id);
-	}
-	maybe_commit(o);
+	found = lives_choose(ans, &self, o->row.strongest_milli, &next);
+	snprintf(o->row.successor, sizeof(o->row.successor), "%s", next.vm);
+	snprintf(o->row.successor_life, sizeof(o->row.successor_life), "%s",
+		 next.id);
+	if ((found && ans->now_ms - next.started_ms <= UNDER_WAY_MS) ||
+	    clk_mono_ms(o->clk) >= o->hold_until_ms)
+		release_now(o);
 }
 
-static void lives_late(void *priv)
+static void lives_due(void *priv)
 {
 	struct owner *o = priv;
 
 	o->lives_timer = NULL;
-	maybe_commit(o);
+	if (clk_mono_ms(o->clk) >= o->hold_until_ms)
+		release_now(o);
+	else
+		ask_for_lives(o);
+}
+
+static void ask_for_lives(struct owner *o)
+{
+	int64_t gap_ms = o->lim.poll_ms / LIVES_READS_PER_POLL;
+
+	o->lives_timer = tmr_after(o->timers, gap_ms, lives_due, o);
+	lives_read(&o->rows, o->part, on_lives, o);
 }
 
 static bool is_successor(const struct owner *o)
@@ -410,8 +433,8 @@
 	}
 	o->read = true;
 	announce(o, ans->now_ms);
-	if (o->phase == WATCHING && !o->claim_timer && is_free(o, now) &&
-	    now >= o->rest_until_ms)
+	if (o->phase == WATCHING && !o->stopping && !o->claim_timer &&
+	    is_free(o, now) && now >= o->rest_until_ms)
 		o->claim_timer =
 			tmr_after(o->timers, claim_wait_ms(o), claim, o);
 }
@@ -488,36 +511,36 @@
 	lives_withdraw(&o->rows, o->part, o->vm, on_withdrawn, o);
 }
 
-static void ask_for_lives(struct owner *o)
-{
-	o->lives_timer = tmr_after(o->timers, LIVES_WAIT_MS, lives_late, o);
-	lives_read(&o->rows, o->part, on_lives, o);
-	maybe_commit(o);
-}
-
 void owner_yield(struct owner *o, int64_t rest_ms)
 {
 	if (o->phase != LEADING || o->releasing)
 		return;
+	if (o->stopping) {
+		release_now(o);
+		return;
+	}
 	o->releasing = true;
 	o->rest_until_ms = clk_mono_ms(o->clk) + rest_ms;
 	leave_lives(o);
 	maybe_commit(o);
 }
 
-void owner_release(struct owner *o)
+void owner_release(struct owner *o, int64_t hold_ms)
 {
-	bool yielding = o->releasing && o->rest_until_ms;
-
-	o->rest_until_ms = 0;
-	if (o->releasing && !yielding)
+	if (o->stopping)
 		return;
-	o->releasing = true;
+	o->stopping = true;
+	o->rest_until_ms = 0;
 	TALLOC_FREE(o->claim_timer);
 	leave_lives(o);
-	if (o->phase == LEADING)
+	if (o->phase == LEADING && !o->releasing) {
+		o->hold_until_ms = clk_mono_ms(o->clk) + hold_ms;
 		ask_for_lives(o);
-	else if (o->phase == WATCHING)
+		return;
+	}
+	/* A claim under way is given up as soon as it is done. */
+	o->releasing = true;
+	if (o->phase == WATCHING)
 		o->phase = RELEASED;
 }
 
--- a/src/state/owner.h
+++ b/src/state/owner.h
@@ -23,6 +23,9 @@
 	/* The shard is ours; `former` is the row before. */
 	void (*gained)(const struct owner_row *former, int64_t version,
 		       void *priv);
+	/* What is committed from now on is the last before the shard is
+	 * given up by owner_release. */
+	void (*releasing)(void *priv);
 	/* Somebody else has it. */
 	void (*lost)(void *priv);
 	/* Up to `max` rows of news into `out`; returns how many. Texts stay
@@ -51,9 +54,11 @@
  * This process is about to stop and doesn't claim again. An owner commits what
  * there is, then gives the shard up for others to take at once. If VMs have
  * been restarted lately, it names the last of them as its successor, and others
- * claim only if that one doesn't.
+ * claim only if that one doesn't. Unless one was restarted just now, it goes on
+ * for up to `hold_ms` until one is: of several VMs that are restarted in turn
+ * any other may be the next to stop.
  */
-void owner_release(struct owner *o);
+void owner_release(struct owner *o, int64_t hold_ms);
 
 /*
  * The same, but this process may claim again after `rest_ms`: it is short of
--- a/tests/owners.h
+++ b/tests/owners.h
@@ -19,6 +19,7 @@
 struct node {
 	struct owner *owner;
 	int gained;
+	int releasing;
 	int lost;
 	int committed;
 	int64_t former_epoch;
