--- a/Makefile
+++ b/Makefile
@@ -40,7 +40,8 @@
 SCHED_SRC = $(wildcard src/sched/*.c) $(DAEMON_SRC)
 STANDIN_SRC = $(wildcard standins/*.c)
 FUZZ_SRC = tests/fuzz_calls.c tests/fuzz_rows.c tests/paper.c
-UNIT_SRC = $(wildcard tests/unit*.c) $(FUZZ_SRC) tests/fake_rows.c
+UNIT_SRC = $(wildcard tests/unit*.c) $(FUZZ_SRC) tests/fake_rows.c \
+	tests/owners.c
 HARNESS = $(call obj,$(wildcard tests/harness*.c)) $(B)/libgd.a
 obj = $(patsubst %.c,$(B)/%.o,$(1))
 
--- a/src/fleet/lead.c
+++ b/src/fleet/lead.c
@@ -83,7 +83,7 @@
 	int64_t began = mono(l);
 
 	l->place_timer = NULL;
-	if (!l->opened || l->f->stopping)
+	if (!l->opened || l->releasing)
 		return;
 	set_trust(l);
 	sched_place(&l->sched, began);
@@ -206,19 +206,20 @@
 		    const struct sched_worker *w, const char *detail)
 {
 	struct lead *l = priv;
+	/* Decisions about whole workers tell of a recovery. */
+	struct log_about about = { w ? w->row.id : "-", what, !ref };
 	char task[64] = "-";
 
 	if (ref)
 		snprintf(task, sizeof(task), "%s.%lld.%d.%d#%d", ref->job,
 			 (long long)ref->round, ref->step, ref->index,
 			 ref->run);
-	log_event(LOG_TASK,
-		  "what=\"%s\" task=%s worker=%s why=\"%s\" epoch=%lld "
-		  "answer_age_ms=%lld config=%lld",
-		  what, task, w ? w->row.id : "-", detail,
-		  (long long)l->sched.epoch,
-		  w ? (long long)(mono(l) - w->last_answer_ms) : -1LL,
-		  l->f->catalog ? (long long)l->f->catalog->version : -1LL);
+	log_decision(LOG_TASK, &about,
+		     "what=\"%s\" task=%s worker=%s why=\"%s\" epoch=%lld "
+		     "answer_age_ms=%lld config=%lld",
+		     what, task, about.who, detail, (long long)l->sched.epoch,
+		     w ? (long long)(mono(l) - w->last_answer_ms) : -1LL,
+		     l->f->catalog ? (long long)l->f->catalog->version : -1LL);
 }
 
 static const struct sched_ops sched_ops = {
@@ -294,6 +295,7 @@
 	l->loaded = false;
 	l->workers_synced = false;
 	l->opened = false;
+	l->releasing = false;
 	l->term = talloc_new(f->ev);
 	l->gained_version = version;
 	l->progress = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
@@ -323,6 +325,14 @@
 	lead_load(l);
 }
 
+static void on_releasing(void *priv)
+{
+	struct lead *l = priv;
+
+	l->releasing = true;
+	links_quiesce(l->links);
+}
+
 static void on_lost(void *priv)
 {
 	struct lead *l = priv;
@@ -344,6 +354,7 @@
 
 static const struct owner_ops owner_ops = {
 	.gained = on_gained,
+	.releasing = on_releasing,
 	.lost = on_lost,
 	.collect = lead_collect,
 	.committed = lead_committed,
@@ -362,11 +373,9 @@
 	return l;
 }
 
-void lead_release(struct lead *l)
+void lead_release(struct lead *l, int64_t hold_ms)
 {
-	if (l->leading)
-		links_quiesce(l->links);
-	owner_release(l->owner);
+	owner_release(l->owner, hold_ms);
 }
 
 bool lead_released(const struct lead *l)
--- a/src/state/owner.c
+++ b/src/state/owner.c
@@ -1,13 +1,13 @@
 /* Ownership of a shard by a row that is changed under its version. */
 #include "state/owner.h"
 
-#include <jansson.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <talloc.h>
 
 #include "base/log.h"
+#include "state/lives.h"
 
 #define OWNER_TABLE "owners"
 #define OWNER_KEY "owner"
@@ -16,6 +16,18 @@
 /* A claim waits this many times the shortest way to the store, so that a VM
  * near it wins: each commit takes that way. */
 #define CLAIM_WAIT_TRIPS 8
+/* A stopping owner reads the list of lives so many times between two polls, and
+ * waits no longer for an answer. */
+#define LIVES_READS_PER_POLL 2
+/* A VM that was started this long ago at most, in ms, belongs to the restarts
+ * under way: one takes three seconds, and the next ones stop two later. */
+#define UNDER_WAY_MS 5000
+/* For that long after its start a VM polls so many times as often: it is the
+ * one that a stopping owner names. */
+#define POLLS_AFTER_START 4
+/* Others leave a named successor one and a half times the gap of polls: its
+ * next poll, the way there and that of its claim. */
+#define SUCCESSOR_WAIT_PERCENT 150
 /* Pause after a commit that failed, in ms. */
 #define FAILED_PAUSE_MS 120
 
@@ -30,6 +42,7 @@
 	const struct owner_ops *ops;
 	void *priv;
 	struct owner_limits lim;
+	int64_t started_ms;
 	char part[16];
 	char vm[OWNER_VM_MAX];
 	char life[32];
@@ -51,6 +64,11 @@
 	bool unsure; /* a commit may be done without our knowing */
 	bool wanted; /* news came while a commit was under way */
 	bool releasing;
+	bool announcing; /* our life's row is being written, ... */
+	bool announced; /* ... and was, or isn't wanted any more */
+	bool stopping; /* no claims any more */
+	int64_t hold_until_ms; /* how long we wait for a VM that is back */
+	struct tmr *lives_timer; /* while we do */
 	int64_t rest_until_ms; /* no claims before; 0: release for good */
 	int32_t n;
 	struct rows_change changes[COMMIT_ROWS_MAX];
@@ -60,71 +78,7 @@
 static void poll_soon(struct owner *o, int64_t ms);
 static void send_commit(struct owner *o);
 static void maybe_commit(struct owner *o);
-
-static void row_clear(struct owner_row *row)
-{
-	talloc_free(row->pending);
-	talloc_free(row->handed);
-	memset(row, 0, sizeof(*row));
-}
-
-static char *text_of(struct owner *o, const json_t *j)
-{
-	char *text = json_dumps(j, JSON_COMPACT);
-	char *copy = talloc_strdup(o, text);
-
-	free(text);
-	return copy;
-}
-
-static void row_parse(struct owner *o, const char *text, struct owner_row *out)
-{
-	json_t *j = text ? json_loads(text, 0, NULL) : NULL;
-	const char *vm = json_string_value(json_object_get(j, "vm"));
-	const char *life = json_string_value(json_object_get(j, "life"));
-
-	const json_t *pending = json_object_get(j, "pending");
-	const json_t *handed = json_object_get(j, "handed");
-
-	row_clear(out);
-	if (j)
-		out->pending =
-			pending ? text_of(o, pending) : talloc_strdup(o, "{}");
-	if (handed)
-		out->handed = text_of(o, handed);
-	snprintf(out->vm, sizeof(out->vm), "%s", vm ? vm : "");
-	snprintf(out->life, sizeof(out->life), "%s", life ? life : "");
-	out->epoch = json_integer_value(json_object_get(j, "epoch"));
-	out->seq = json_integer_value(json_object_get(j, "seq"));
-	out->released = json_is_true(json_object_get(j, "released"));
-	out->strongest_milli =
-		json_integer_value(json_object_get(j, "strongest_milli"));
-	out->lease_ms = json_integer_value(json_object_get(j, "lease_ms"));
-	out->renews_ms = json_integer_value(json_object_get(j, "renews_ms"));
-	json_decref(j);
-}
-
-static char *row_text(const struct owner_row *row)
-{
-	json_t *pending =
-		json_loads(row->pending ? row->pending : "{}", 0, NULL);
-	json_t *j = json_pack(
-		"{s:s,s:s,s:I,s:I,s:b,s:I,s:I,s:I,s:o}", "vm", row->vm, "life",
-		row->life, "epoch", (json_int_t)row->epoch, "seq",
-		(json_int_t)row->seq, "released", row->released,
-		"strongest_milli", (json_int_t)row->strongest_milli, "lease_ms",
-		(json_int_t)row->lease_ms, "renews_ms",
-		(json_int_t)row->renews_ms, "pending",
-		pending ? pending : json_object());
-	char *text;
-
-	if (row->handed)
-		json_object_set_new(j, "handed",
-				    json_loads(row->handed, 0, NULL));
-	text = json_dumps(j, JSON_COMPACT);
-	json_decref(j);
-	return text;
-}
+static void ask_for_lives(struct owner *o);
 
 static bool is_ours(const struct owner *o, const struct owner_row *row)
 {
@@ -155,7 +109,8 @@
 	o->wanted = false;
 	/* One that only rests may claim again. */
 	o->releasing = o->releasing && !o->rest_until_ms;
-	o->phase = o->releasing ? RELEASED : WATCHING;
+	o->phase = o->releasing || o->stopping ? RELEASED : WATCHING;
+	TALLOC_FREE(o->lives_timer);
 	o->changed_ms = clk_mono_ms(o->clk);
 	if (led)
 		o->ops->lost(o->priv);
@@ -178,8 +133,9 @@
 	if (o->row.released) {
 		o->phase = o->rest_until_ms ? WATCHING : RELEASED;
 		o->releasing = !o->rest_until_ms;
-		log_event(LOG_SHARD_LOST, "part=%s epoch=%lld why=released",
-			  o->part, (long long)o->row.epoch);
+		log_event(LOG_SHARD_LOST,
+			  "part=%s epoch=%lld why=released successor=%s",
+			  o->part, (long long)o->row.epoch, o->row.successor);
 		o->ops->lost(o->priv);
 		poll_soon(o, o->lim.poll_ms);
 		return;
@@ -206,13 +162,13 @@
 
 		if (strcmp(ans->rows[i].key, OWNER_KEY))
 			continue;
-		row_parse(o, ans->rows[i].value, &row);
+		owner_row_parse(o, ans->rows[i].value, &row);
 		if (is_ours(o, &row) && row.seq == seq) {
-			row_clear(&row);
+			owner_row_clear(&row);
 			after_commit(o, ans->rows[i].version, o->first_sent_ms);
 			return;
 		}
-		row_clear(&o->row);
+		owner_row_clear(&o->row);
 		o->row = row;
 		o->version = ans->rows[i].version;
 		step_down(o, "another owner");
@@ -247,7 +203,7 @@
 	o->unsure |= ans->result == ROWS_UNKNOWN;
 	if (o->phase == CLAIMING && !o->unsure) {
 		o->committing = false;
-		row_clear(&o->row);
+		owner_row_clear(&o->row);
 		o->row = o->former;
 		memset(&o->former, 0, sizeof(o->former));
 		o->phase = WATCHING;
@@ -279,7 +235,7 @@
 				   : 0;
 	o->row.seq++;
 	free(o->value);
-	o->value = row_text(&o->row);
+	o->value = owner_row_text(&o->row);
 	o->changes[0] = (struct rows_change){
 		.table = OWNER_TABLE,
 		.key = OWNER_KEY,
@@ -347,11 +303,11 @@
 	int64_t now = clk_mono_ms(o->clk);
 
 	o->claim_timer = NULL;
-	if (o->phase != WATCHING || !is_free(o, now))
+	if (o->phase != WATCHING || o->stopping || !is_free(o, now))
 		return;
 	o->phase = CLAIMING;
 	o->former_until_ms = former_until_ms(o, now);
-	row_clear(&o->former);
+	owner_row_clear(&o->former);
 	o->former = o->row;
 	o->row.handed = NULL;
 	if (o->row.lease_ms < o->lim.lease_ms)
@@ -362,6 +318,7 @@
 	snprintf(o->row.life, sizeof(o->row.life), "%s", o->life);
 	o->row.epoch++;
 	o->row.released = false;
+	*o->row.successor = '\0';
 	if (o->row.strongest_milli < o->lim.strength_milli)
 		o->row.strongest_milli = o->lim.strength_milli;
 	o->n = 1;
@@ -369,10 +326,102 @@
 	begin_commit(o);
 }
 
+static struct life own_life(const struct owner *o)
+{
+	struct life l = { .strength_milli = o->lim.strength_milli,
+			  .trip_ms = o->trip_ms };
+
+	snprintf(l.vm, sizeof(l.vm), "%s", o->vm);
+	snprintf(l.id, sizeof(l.id), "%s", o->life);
+	return l;
+}
+
+static void on_announced(const struct rows_answer *ans, void *priv)
+{
+	struct owner *o = priv;
+
+	/* Otherwise the next poll that is answered tries again. */
+	o->announced |= ans->result == ROWS_OK;
+	o->announcing = false;
+}
+
+static void announce(struct owner *o, int64_t store_now_ms)
+{
+	struct life l = own_life(o);
+
+	if (o->announced || o->announcing || o->phase != WATCHING)
+		return;
+	o->announcing = true;
+	l.started_ms = store_now_ms;
+	lives_announce(&o->rows, o->part, &l, on_announced, o);
+}
+
+/* A row that stays costs the next handover the wait for this VM. */
+static void on_withdrawn(const struct rows_answer *ans, void *priv)
+{
+	const struct owner *o = priv;
+
+	if (ans->result != ROWS_OK)
+		log_event(LOG_ROW_UNUSABLE,
+			  "table=lives key=%s why=\"not removed\"", o->vm);
+}
+
+static void release_now(struct owner *o)
+{
+	TALLOC_FREE(o->lives_timer);
+	o->releasing = true;
+	o->ops->releasing(o->priv);
+	maybe_commit(o);
+}
+
+static void on_lives(const struct rows_answer *ans, void *priv)
+{
+	struct owner *o = priv;
+	struct life self = own_life(o);
+	struct life next = { 0 };
+	bool found;
+
+	/* It came too late, or the shard is somebody else's. */
+	if (!o->lives_timer || ans->result != ROWS_OK)
+		return;
+	found = lives_choose(ans, &self, o->row.strongest_milli, &next);
+	snprintf(o->row.successor, sizeof(o->row.successor), "%s", next.vm);
+	snprintf(o->row.successor_life, sizeof(o->row.successor_life), "%s",
+		 next.id);
+	if ((found && ans->now_ms - next.started_ms <= UNDER_WAY_MS) ||
+	    clk_mono_ms(o->clk) >= o->hold_until_ms)
+		release_now(o);
+}
+
+static void lives_due(void *priv)
+{
+	struct owner *o = priv;
+
+	o->lives_timer = NULL;
+	if (clk_mono_ms(o->clk) >= o->hold_until_ms)
+		release_now(o);
+	else
+		ask_for_lives(o);
+}
+
+static void ask_for_lives(struct owner *o)
+{
+	int64_t gap_ms = o->lim.poll_ms / LIVES_READS_PER_POLL;
+
+	o->lives_timer = tmr_after(o->timers, gap_ms, lives_due, o);
+	lives_read(&o->rows, o->part, on_lives, o);
+}
+
+static bool is_successor(const struct owner *o)
+{
+	return o->row.released && !strcmp(o->row.successor, o->vm) &&
+	       !strcmp(o->row.successor_life, o->life);
+}
+
 /*
  * VMs that are weaker than some former owner wait longer, by the square of the
  * ratio: a strong one that starts at the same time comes before them, and they
- * still take over when there is none.
+ * still take over when there is none. All leave a named successor time.
  */
 static int64_t claim_wait_ms(const struct owner *o)
 {
@@ -380,11 +429,22 @@
 	int64_t ours = o->lim.strength_milli;
 	int64_t wait = o->lim.handicap_ms;
 
+	if (is_successor(o))
+		return 0;
 	if (ours > 0 && most > ours)
 		wait = wait * most * most / (ours * ours);
+	if (o->row.released && *o->row.successor)
+		wait += o->lim.poll_ms * SUCCESSOR_WAIT_PERCENT / 100;
 	return wait + o->trip_ms * CLAIM_WAIT_TRIPS;
 }
 
+static int64_t poll_gap_ms(const struct owner *o, int64_t now_ms)
+{
+	bool young = now_ms - o->started_ms < UNDER_WAY_MS;
+
+	return young ? o->lim.poll_ms / POLLS_AFTER_START : o->lim.poll_ms;
+}
+
 static void on_poll(const struct rows_answer *ans, void *priv)
 {
 	struct owner *o = priv;
@@ -393,7 +453,7 @@
 
 	if (o->phase != WATCHING && o->phase != RELEASED)
 		return;
-	poll_soon(o, o->lim.poll_ms);
+	poll_soon(o, poll_gap_ms(o, now));
 	if (ans->result != ROWS_OK)
 		return;
 	o->answered_ms = now;
@@ -405,11 +465,14 @@
 	if (!o->read || version != o->version) {
 		o->changed_ms = now;
 		o->version = version;
-		row_parse(o, ans->n ? ans->rows[0].value : NULL, &o->row);
+		/* Another owner, who may have named another successor. */
+		TALLOC_FREE(o->claim_timer);
+		owner_row_parse(o, ans->n ? ans->rows[0].value : NULL, &o->row);
 	}
 	o->read = true;
-	if (o->phase == WATCHING && !o->claim_timer && is_free(o, now) &&
-	    now >= o->rest_until_ms)
+	announce(o, ans->now_ms);
+	if (o->phase == WATCHING && !o->stopping && !o->claim_timer &&
+	    is_free(o, now) && now >= o->rest_until_ms)
 		o->claim_timer =
 			tmr_after(o->timers, claim_wait_ms(o), claim, o);
 }
@@ -453,6 +516,7 @@
 	o->ops = ops;
 	o->priv = priv;
 	o->lim = *lim;
+	o->started_ms = clk_mono_ms(clk);
 	snprintf(o->part, sizeof(o->part), "s%d", shard);
 	snprintf(o->vm, sizeof(o->vm), "%s", vm);
 	snprintf(o->life, sizeof(o->life), "%s", life);
@@ -479,27 +543,43 @@
 	maybe_commit(o);
 }
 
+/* From now on this life is no good as a successor. */
+static void leave_lives(struct owner *o)
+{
+	o->announced = true;
+	lives_withdraw(&o->rows, o->part, o->vm, on_withdrawn, o);
+}
+
 void owner_yield(struct owner *o, int64_t rest_ms)
 {
 	if (o->phase != LEADING || o->releasing)
 		return;
+	if (o->stopping) {
+		release_now(o);
+		return;
+	}
 	o->releasing = true;
 	o->rest_until_ms = clk_mono_ms(o->clk) + rest_ms;
+	leave_lives(o);
 	maybe_commit(o);
 }
 
-void owner_release(struct owner *o)
+void owner_release(struct owner *o, int64_t hold_ms)
 {
-	bool yielding = o->releasing && o->rest_until_ms;
-
+	if (o->stopping)
+		return;
+	o->stopping = true;
 	o->rest_until_ms = 0;
-	if (o->releasing && !yielding)
+	TALLOC_FREE(o->claim_timer);
+	leave_lives(o);
+	if (o->phase == LEADING && !o->releasing) {
+		o->hold_until_ms = clk_mono_ms(o->clk) + hold_ms;
+		ask_for_lives(o);
 		return;
+	}
+	/* A claim under way is given up as soon as it is done. */
 	o->releasing = true;
-	TALLOC_FREE(o->claim_timer);
-	if (o->phase == LEADING)
-		maybe_commit(o);
-	else if (o->phase == WATCHING)
+	if (o->phase == WATCHING)
 		o->phase = RELEASED;
 }
 
--- a/src/state/owner.h
+++ b/src/state/owner.h
@@ -3,26 +3,10 @@
 #define OWNER_H
 
 #include "base/clk.h"
+#include "state/owner_row.h"
 #include "state/rows.h"
 #include "transport/tmr.h"
 
-#define OWNER_VM_MAX 64
-
-/* The owner's row: who owns the shard, and how many jobs wait in queues. */
-struct owner_row {
-	char vm[OWNER_VM_MAX];
-	char life[32]; /* tells the lives of a VM's process apart */
-	int64_t epoch; /* rises with each change of owner */
-	int64_t seq; /* rises with each commit */
-	bool released; /* handed over; nobody has to be waited for */
-	int64_t strongest_milli; /* processors of the strongest owner so far */
-	int64_t lease_ms; /* longest lease that an owner grants; 0: not said */
-	int64_t renews_ms; /* owners before may renew leases this much longer
-			      than when this was written */
-	char *pending; /* JSON object: queue to count; talloc child */
-	char *handed; /* JSON for the successor, on a release; NULL: none */
-};
-
 /* Times in ms. */
 struct owner_limits {
 	int64_t poll_ms; /* how often others read the row */
@@ -42,6 +26,9 @@
 	/* The shard is ours; `former` is the row before. */
 	void (*gained)(const struct owner_row *former, int64_t version,
 		       void *priv);
+	/* What is committed from now on is the last before the shard is
+	 * given up by owner_release. */
+	void (*releasing)(void *priv);
 	/* Somebody else has it. */
 	void (*lost)(void *priv);
 	/* Up to `max` rows of news into `out`; returns how many. Texts stay
@@ -70,10 +57,14 @@
 void owner_kick(struct owner *o);
 
 /*
- * Commits what there is, then gives the shard up for others to take at once;
- * this process doesn't claim again.
+ * This process is about to stop and doesn't claim again. An owner commits what
+ * there is, then gives the shard up for others to take at once. If VMs have
+ * been restarted lately, it names the last of them as its successor, and others
+ * claim only if that one doesn't. Unless one was restarted just now, it goes on
+ * for up to `hold_ms` until one is: of several VMs that are restarted in turn
+ * any other may be the next to stop.
  */
-void owner_release(struct owner *o);
+void owner_release(struct owner *o, int64_t hold_ms);
 
 /*
  * The same, but this process may claim again after `rest_ms`: it is short of
--- /dev/null
+++ b/src/state/owner_row.c
@@ -0,0 +1,86 @@
+/* The text of an owner's row. */
+#include "state/owner_row.h"
+
+#include <jansson.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <talloc.h>
+
+static void copy_text(char *out, size_t size, const json_t *j, const char *name)
+{
+	const char *text = json_string_value(json_object_get(j, name));
+
+	snprintf(out, size, "%s", text ? text : "");
+}
+
+void owner_row_clear(struct owner_row *row)
+{
+	talloc_free(row->pending);
+	talloc_free(row->handed);
+	memset(row, 0, sizeof(*row));
+}
+
+static char *text_of(void *ctx, const json_t *j)
+{
+	char *text = json_dumps(j, JSON_COMPACT);
+	char *copy = talloc_strdup(ctx, text);
+
+	free(text);
+	return copy;
+}
+
+void owner_row_parse(void *ctx, const char *text, struct owner_row *out)
+{
+	json_t *j = text ? json_loads(text, 0, NULL) : NULL;
+	const json_t *pending = json_object_get(j, "pending");
+	const json_t *handed = json_object_get(j, "handed");
+
+	owner_row_clear(out);
+	if (j)
+		out->pending = pending ? text_of(ctx, pending)
+				       : talloc_strdup(ctx, "{}");
+	if (handed)
+		out->handed = text_of(ctx, handed);
+	copy_text(out->vm, sizeof(out->vm), j, "vm");
+	copy_text(out->life, sizeof(out->life), j, "life");
+	out->epoch = json_integer_value(json_object_get(j, "epoch"));
+	out->seq = json_integer_value(json_object_get(j, "seq"));
+	out->released = json_is_true(json_object_get(j, "released"));
+	out->strongest_milli =
+		json_integer_value(json_object_get(j, "strongest_milli"));
+	out->lease_ms = json_integer_value(json_object_get(j, "lease_ms"));
+	out->renews_ms = json_integer_value(json_object_get(j, "renews_ms"));
+	copy_text(out->successor, sizeof(out->successor), j, "successor");
+	copy_text(out->successor_life, sizeof(out->successor_life), j,
+		  "successor_life");
+	json_decref(j);
+}
+
+char *owner_row_text(const struct owner_row *row)
+{
+	json_t *pending =
+		json_loads(row->pending ? row->pending : "{}", 0, NULL);
+	json_t *j = json_pack(
+		"{s:s,s:s,s:I,s:I,s:b,s:I,s:I,s:I,s:o}", "vm", row->vm, "life",
+		row->life, "epoch", (json_int_t)row->epoch, "seq",
+		(json_int_t)row->seq, "released", row->released,
+		"strongest_milli", (json_int_t)row->strongest_milli, "lease_ms",
+		(json_int_t)row->lease_ms, "renews_ms",
+		(json_int_t)row->renews_ms, "pending",
+		pending ? pending : json_object());
+	char *text;
+
+	if (*row->successor) {
+		json_object_set_new(j, "successor",
+				    json_string(row->successor));
+		json_object_set_new(j, "successor_life",
+				    json_string(row->successor_life));
+	}
+	if (row->handed)
+		json_object_set_new(j, "handed",
+				    json_loads(row->handed, 0, NULL));
+	text = json_dumps(j, JSON_COMPACT);
+	json_decref(j);
+	return text;
+}
--- a/tests/fake_rows.h
+++ b/tests/fake_rows.h
@@ -26,6 +26,8 @@
 	const char *refused_text; /* commits that hold it are refused; NULL */
 	const char *refused_parts; /* commits to parts that begin so, too */
 	const char *unread_table; /* reads of it are refused; NULL: none */
+	const char *silent_table; /* reads of it aren't answered; NULL */
+	int64_t clock_ahead_ms; /* of the monotonic clock */
 	int32_t commits;
 };
 
--- a/tests/unit.h
+++ b/tests/unit.h
@@ -4,7 +4,9 @@
 
 void unit_add_answers(void);
 void unit_add_coordination(void);
+void unit_add_log(void);
 void unit_add_protocol(void);
+void unit_add_restart(void);
 void unit_add_shard(void);
 void unit_add_door(void);
 void unit_add_platform(void);
--- a/tests/unit_lead.c
+++ b/tests/unit_lead.c
@@ -127,7 +127,7 @@
 	struct fleet *f = &stage->f;
 
 	stage->store.refused_parts = NULL;
-	fleet_stop(f);
+	fleet_stop(f, 0);
 	while (!lead_released(f->leads[0]))
 		tevent_loop_once(f->ev);
 	fake_rows_finish(&stage->store);
--- a/tests/unit_state.c
+++ b/tests/unit_state.c
@@ -3,141 +3,10 @@
 #include <string.h>
 #include <talloc.h>
 
-#include "base/clk.h"
 #include "state/follow.h"
-#include "state/owner.h"
-#include "tests/fake_rows.h"
+#include "tests/owners.h"
 #include "tests/unit.h"
 
-/* Long beside a turn of the loop, short beside a test. */
-#define SILENCE_MS 1000
-#define PATIENCE_MS 20000
-#define DOUBT_MS 30000
-#define LEASE_MS 4000
-
-struct bench {
-	struct tevent_context *ev;
-	struct tmr_set *timers;
-	struct fake_rows store;
-};
-
-/* One process that may own the shard. */
-struct node {
-	struct owner *owner;
-	int gained;
-	int lost;
-	int committed;
-	int64_t former_epoch;
-	char handed[32]; /* by the former owner; "" if nothing */
-	char handing[32]; /* what it tells its successor, if anything */
-	int64_t former_until_ms;
-	int64_t former_lease_ms;
-	char value[32]; /* what it wants written; "" if nothing */
-};
-
-static void bench_open(struct bench *b)
-{
-	b->ev = tevent_context_init(NULL);
-	b->timers = tmr_set_start(b->ev, b->ev);
-	fake_rows_init(&b->store, b->timers);
-}
-
-static void bench_close(struct bench *b)
-{
-	talloc_free(b->ev);
-	fake_rows_finish(&b->store);
-}
-
-static void on_gained(const struct owner_row *former, int64_t version,
-		      void *priv)
-{
-	struct node *n = priv;
-
-	(void)version;
-	n->gained++;
-	n->former_epoch = former->epoch;
-	n->former_lease_ms = former->lease_ms;
-	n->former_until_ms = n->owner ? owner_former_until_ms(n->owner) : 0;
-	g_strlcpy(n->handed, former->handed ? former->handed : "",
-		  sizeof(n->handed));
-}
-
-static void on_lost(void *priv)
-{
-	((struct node *)priv)->lost++;
-}
-
-static int32_t on_collect(struct rows_change *out, int32_t max, void *priv)
-{
-	struct node *n = priv;
-
-	if (!*n->value || max < 1)
-		return 0;
-	out[0] = (struct rows_change){ .table = "progress",
-				       .key = "k",
-				       .value = n->value };
-	return 1;
-}
-
-static void on_committed(void *priv)
-{
-	((struct node *)priv)->committed++;
-}
-
-static void on_fill(struct owner_row *row, void *priv)
-{
-	(void)row;
-	(void)priv;
-}
-
-static char *on_hand_over(void *ctx, void *priv)
-{
-	struct node *n = priv;
-
-	return *n->handing ? talloc_strdup(ctx, n->handing) : NULL;
-}
-
-static const struct owner_ops owner_ops = {
-	on_gained, on_lost, on_collect, on_committed, on_fill, on_hand_over
-};
-
-static void node_start(struct bench *b, struct node *n, const char *vm,
-		       const char *life)
-{
-	static const struct owner_limits lim = { .poll_ms = 20,
-						 .silence_ms = SILENCE_MS,
-						 .heartbeat_ms = 50,
-						 .group_ms = 5,
-						 .handicap_ms = 1,
-						 .strength_milli = 500,
-						 .doubt_ms = DOUBT_MS,
-						 .lease_ms = LEASE_MS };
-	struct rows rows = fake_rows_table(&b->store);
-
-	memset(n, 0, sizeof(*n));
-	n->owner = owner_start(b->ev, &rows, b->timers, &clk_system, 0, vm,
-			       life, &lim, &owner_ops, n);
-}
-
-/* Turns the loop until the number is reached; fails if it never is. */
-static void await(struct bench *b, const int *number, int wanted)
-{
-	int64_t end = clk_mono_ms(&clk_system) + PATIENCE_MS;
-
-	while (*number < wanted) {
-		g_assert_cmpint(clk_mono_ms(&clk_system), <, end);
-		tevent_loop_once(b->ev);
-	}
-}
-
-static void turn_for(struct bench *b, int64_t ms)
-{
-	int64_t end = clk_mono_ms(&clk_system) + ms;
-
-	while (clk_mono_ms(&clk_system) < end)
-		tevent_loop_once(b->ev);
-}
-
 /*
  * Pattern: VMs of 0.07 to 0.5 of a core, all without power at once. The weak
  * one that is back first leaves the shard to the strong one, and takes it if
@@ -162,7 +31,7 @@
 		      "{\"vm\":\"x\",\"epoch\":4,\"released\":true,"
 		      "\"strongest_milli\":500}");
 	weak.owner = owner_start(b.ev, &rows, b.timers, &clk_system, 0, "w",
-				 "1", &weak_lim, &owner_ops, &weak);
+				 "1", &weak_lim, &node_ops, &weak);
 	turn_for(&b, 100);
 	node_start(&b, &strong, "a", "1");
 	await(&b, &strong.gained, 1);
@@ -198,9 +67,11 @@
 
 	bench_open(&b);
 	b.store.mode = FAKE_LOSE_ANSWER;
-	b.store.mode_left = 1;
+	/* The row of its start, and the claim. */
+	b.store.mode_left = 2;
 	node_start(&b, &n, "a", "1");
 	await(&b, &n.gained, 1);
+	g_assert_cmpint(b.store.mode_left, <=, 0);
 	g_assert_cmpint(owner_epoch(n.owner), ==, 1);
 	b.store.mode = FAKE_LOSE_ANSWER;
 	b.store.mode_left = 2;
@@ -273,7 +144,7 @@
 	node_start(&b, &second, "b", "1");
 	turn_for(&b, 60);
 	began = clk_mono_ms(&clk_system);
-	owner_release(first.owner);
+	owner_release(first.owner, 0);
 	await(&b, &second.gained, 1);
 	g_assert_cmpint(clk_mono_ms(&clk_system) - began, <, SILENCE_MS);
 	g_assert_cmpint(first.lost, ==, 1);
@@ -302,14 +173,14 @@
 	await(&b, &first.gained, 1);
 	node_start(&b, &second, "b", "1");
 	turn_for(&b, 60);
-	owner_release(first.owner);
+	owner_release(first.owner, 0);
 	await(&b, &second.gained, 1);
 	g_assert_cmpstr(second.handed, ==, "[[\"w\",5,null]]");
 	g_assert_cmpint(second.former_lease_ms, ==, LEASE_MS);
 	g_assert_cmpint(second.former_until_ms, <=, clk_mono_ms(&clk_system));
 	node_start(&b, &third, "c", "1");
 	turn_for(&b, 60);
-	owner_release(second.owner);
+	owner_release(second.owner, 0);
 	await(&b, &third.gained, 1);
 	g_assert_cmpstr(third.handed, ==, "");
 	bench_close(&b);
@@ -341,7 +212,7 @@
 			clk_mono_ms(&clk_system) + DOUBT_MS - SILENCE_MS);
 	node_start(&b, &third, "c", "1");
 	turn_for(&b, 60);
-	owner_release(second.owner);
+	owner_release(second.owner, 0);
 	await(&b, &third.gained, 1);
 	g_assert_cmpint(third.former_until_ms, >=, until_ms);
 	node_start(&b, &again, "c", "2");
--- a/tests/unit_tests.c
+++ b/tests/unit_tests.c
@@ -14,6 +14,7 @@
 	log_level(LOG_LEVEL_ERRORS);
 	unit_add_answers();
 	unit_add_coordination();
+	unit_add_log();
 	unit_add_protocol();
 	unit_add_shard();
 	unit_add_door();
@@ -26,6 +27,7 @@
 	unit_add_lead();
 	unit_add_lives();
 	unit_add_state();
+	unit_add_restart();
 	unit_add_upkeep();
 	return g_test_run();
 }
