--- a/src/state/owner.c
+++ b/src/state/owner.c
@@ -418,21 +418,14 @@
 	       !strcmp(o->row.successor_life, o->life);
 }
 
-/*
- * VMs that are weaker than some former owner wait longer, by the square of the
- * ratio: a strong one that starts at the same time comes before them, and they
- * still take over when there is none. All leave a named successor time.
- */
+/* All leave a named successor time. */
 static int64_t claim_wait_ms(const struct owner *o)
 {
-	int64_t most = o->row.strongest_milli;
-	int64_t ours = o->lim.strength_milli;
-	int64_t wait = o->lim.handicap_ms;
+	int64_t wait = owner_row_handicap_ms(&o->row, o->lim.strength_milli,
+					     o->lim.handicap_ms);
 
 	if (is_successor(o))
 		return 0;
-	if (ours > 0 && most > ours)
-		wait = wait * most * most / (ours * ours);
 	if (o->row.released && *o->row.successor)
 		wait += o->lim.poll_ms * SUCCESSOR_WAIT_PERCENT / 100;
 	return wait + o->trip_ms * CLAIM_WAIT_TRIPS;
--- a/src/state/owner_row.c
+++ b/src/state/owner_row.c
@@ -57,6 +57,16 @@
 	json_decref(j);
 }
 
+int64_t owner_row_handicap_ms(const struct owner_row *row,
+			      int64_t strength_milli, int64_t handicap_ms)
+{
+	int64_t most = row->strongest_milli;
+
+	if (strength_milli <= 0 || most <= strength_milli)
+		return handicap_ms;
+	return handicap_ms * most * most / (strength_milli * strength_milli);
+}
+
 char *owner_row_text(const struct owner_row *row)
 {
 	json_t *pending =
--- a/src/state/owner_row.h
+++ b/src/state/owner_row.h
@@ -29,6 +29,14 @@
 void owner_row_parse(void *ctx, const char *text, struct owner_row *out);
 /* Frees the texts, and leaves zeros. */
 void owner_row_clear(struct owner_row *row);
+/*
+ * How long a VM leaves others the claim; `handicap_ms` is the strongest one's.
+ * VMs that are weaker than some former owner wait longer, by the square of the
+ * ratio: a strong one that starts at the same time comes before them, and they
+ * still take over when there is none.
+ */
+int64_t owner_row_handicap_ms(const struct owner_row *row,
+			      int64_t strength_milli, int64_t handicap_ms);
 /* Free it with free(). */
 char *owner_row_text(const struct owner_row *row);
 
