Wait for a handed worker that the roster lacks

A silent worker in the hand-over that the successor could not find was passed over, and what may run there would start at once (TWICE). It can't happen while the roster holds every worker with work; the wait costs nothing where that is so. Found reading the change. /sched/ handed-worker-off-the-roster failed before (1 start at 1,900 ms).

--- a/src/coordination/sched_former.c
+++ b/src/coordination/sched_former.c
@@ -112,21 +112,24 @@
 			   int64_t wall_ms)
 {
 	const char *id = json_string_value(json_array_get(entry, 0));
-	int64_t left_ms;
 	const json_t *runs = json_array_get(entry, 2);
 	struct sched_worker *w =
 		id ? g_hash_table_lookup(s->workers, id) : NULL;
+	int64_t lapse_ms;
 	const json_t *j;
 	size_t i;
 
 	/* Without it, the longest lease from the takeover on is waited for. */
-	if (!num_whole(json_array_get(entry, 1), 0, NUM_MOST, &left_ms))
+	if (!num_whole(json_array_get(entry, 1), 0, NUM_MOST, &lapse_ms))
 		return;
-	if (id && !strcmp(id, UNLISTED_WORKERS))
-		s->torn_until_ms = s->taken_over_ms + left_ms;
-	if (!w || w->known)
+	lapse_ms += s->taken_over_ms;
+	if (!w) {
+		s->torn_until_ms = MAX(s->torn_until_ms, lapse_ms);
 		return;
-	w->former_lapse_ms = s->taken_over_ms + left_ms;
+	}
+	if (w->known)
+		return;
+	w->former_lapse_ms = lapse_ms;
 	w->unreachable = true;
 	w->runs_known = json_is_array(runs);
 	json_array_foreach(runs, i, j)
--- a/tests/unit_handover.c
+++ b/tests/unit_handover.c
@@ -292,8 +292,26 @@
 	json_decref(handed);
 }
 
+/*
+ * Guards against a silent worker that was handed over and that the roster lacks
+ * (TWICE): what may run there is unknown, so all that is old waits.
+ */
+static void test_handed_worker_off_the_roster(void)
+{
+	struct paper p;
+	json_t *handed = json_pack("[[s,i,[]]]", "x", 2000);
+
+	open_handed(&p, handed);
+	paper_look_at(&p, "w", NULL, 0, NULL, 0, 20);
+	g_assert_cmpuint(starts_at(&p, 1900), ==, 0);
+	g_assert_cmpuint(starts_at(&p, 2000), ==, 1);
+	paper_close(&p);
+}
+
 void unit_add_handover(void)
 {
+	g_test_add_func("/sched/handed-worker-off-the-roster",
+			test_handed_worker_off_the_roster);
 	g_test_add_func("/sched/torn-roster-is-handed-over",
 			test_torn_roster_is_handed_over);
 	g_test_add_func("/sched/handover-with-little-room",
