--- a/tests/fleet_tests.c
+++ b/tests/fleet_tests.c
@@ -1,10 +1,13 @@
 /* gd-fleet as real processes against the platform's stand-in. */
+#include <arpa/inet.h>
 #include <curl/curl.h>
 #include <glib.h>
+#include <netinet/in.h>
 #include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -304,6 +307,63 @@
 	hf_close(&s);
 }
 
+/* Asks a VM's readiness on a connection that stays open. */
+static int ask_and_stay(const struct hf *s, int vm)
+{
+	static const char text[] = "GET /v1/readyz HTTP/1.1\r\nHost: a\r\n\r\n";
+	struct sockaddr_in sa = { .sin_family = AF_INET,
+				  .sin_port = htons(
+					  (uint16_t)(s->ports + vm * 3 + 1)) };
+	char answer[1024];
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+
+	inet_pton(AF_INET, "127.0.0.1", &sa.sin_addr);
+	g_assert_cmpint(connect(fd, (struct sockaddr *)&sa, sizeof(sa)), ==, 0);
+	g_assert_cmpint(write(fd, text, sizeof(text) - 1), >, 0);
+	g_assert_cmpint(read(fd, answer, sizeof(answer)), >, 0);
+	return fd;
+}
+
+/* Guards against a port that is taken by connections of the former life. */
+static void test_comes_back(void)
+{
+	struct hf s;
+	int caller;
+
+	site_open(&s);
+	caller = ask_and_stay(&s, 0);
+	hf_kill_vm(&s, 0);
+	/* The end that closed first keeps the connection for a minute. */
+	close(caller);
+	hf_start_vm(&s, 0);
+	hf_wait_ready(&s, 0);
+	hf_close(&s);
+}
+
+/* Guards against an end whose reason stays in the log's buffer. */
+static void test_taken_port(void)
+{
+	struct hf s;
+	char path[128];
+	gchar *log = NULL;
+	pid_t first;
+	int status = 0;
+
+	site_open(&s);
+	snprintf(path, sizeof(path), "%s/vm0.log", s.dir);
+	/* A second one while the first still holds the ports. */
+	first = s.vms[0];
+	hf_start_vm(&s, 0);
+	waitpid(s.vms[0], &status, 0);
+	s.vms[0] = first;
+	g_assert_true(WIFEXITED(status));
+	g_assert_cmpint(WEXITSTATUS(status), ==, 1);
+	g_assert_true(g_file_get_contents(path, &log, NULL, NULL));
+	g_assert_nonnull(strstr(log, "event=GD1005"));
+	g_free(log);
+	hf_close(&s);
+}
+
 /* A cancelled job stops, and stays cancelled. */
 static void test_cancel(void)
 {
@@ -382,6 +442,8 @@
 	g_test_add_func("/fleet/lost-answers", test_lost_answers);
 	g_test_add_func("/fleet/owner-killed", test_owner_killed);
 	g_test_add_func("/fleet/planned-stop", test_planned_stop);
+	g_test_add_func("/fleet/taken-port", test_taken_port);
+	g_test_add_func("/fleet/comes-back", test_comes_back);
 	g_test_add_func("/fleet/restarted-at-once", test_restarted_at_once);
 	g_test_add_func("/fleet/says-why-not-listening",
 			test_says_why_not_listening);
