--- a/src/state/owner.c
+++ b/src/state/owner.c
@@ -7,23 +7,15 @@
 #include <talloc.h>
 
 #include "base/log.h"
-#include "state/incarnation.h"
+#include "state/owner_int.h"
 
 #define OWNER_TABLE "owners"
 #define OWNER_KEY "owner"
-/* Rows in one transaction, the owner's included; the platform takes 100. */
-#define COMMIT_ROWS_MAX 90
 /* A claim is delayed by this many round trips to the store, so that a VM close
  * to it wins: each commit takes a round trip. */
 #define CLAIM_WAIT_RTTS 8
-/* A stopping owner reads the incarnations this many times per poll interval. At
- * the end of its wait it releases the shard even if reads went unanswered. */
-#define LIST_READS_PER_POLL 2
-/* A VM started within this time, in ms, counts as part of a rolling restart in
- * progress: a restart takes 3 s, and the next VMs stop 2 s later. */
-#define RESTART_WINDOW_MS 5000
-/* Within RESTART_WINDOW_MS of its start a VM polls this many times as often,
- * because it is the one that a stopping owner names as successor. */
+/* Within OWNER_RESTART_WINDOW_MS of its start a VM polls this many times as
+ * often, because it is the one that a stopping owner names as successor. */
 #define STARTUP_POLL_FACTOR 4
 /* Other VMs delay their claim by this part of the poll interval in favour of a
  * named successor: its next poll, and the round trips of poll and claim. */
@@ -31,54 +23,8 @@
 /* Pause after a commit that failed, in ms. */
 #define FAILED_PAUSE_MS 120
 
-enum phase { WATCHING, CLAIMING, OWNING, RELEASED };
-
-struct owner {
-	struct rows rows;
-	struct tmr_set *timers;
-	struct tmr *timer;
-	struct tmr *claim_timer;
-	const struct clk *clk;
-	const struct owner_ops *ops;
-	void *priv;
-	struct owner_limits lim;
-	int64_t started_ms;
-	char part[16];
-	char vm[OWNER_VM_MAX];
-	char incarnation[32];
-	enum phase phase;
-	struct owner_row row; /* last read, or as we write it */
-	struct owner_row previous; /* the row that our claim replaced */
-	int64_t version; /* of the row; 0: no row */
-	bool row_read; /* at least once */
-	int64_t changed_ms; /* when the row was last seen to change */
-	int64_t answered_ms; /* when the store last answered a poll */
-	int64_t polled_ms; /* when the last poll was sent */
-	int64_t rtt_ms; /* shortest time that a poll took; 0: none yet */
-	int64_t first_sent_ms; /* first attempt of the current commit */
-	int64_t sent_ms; /* last attempt of the current commit */
-	int64_t confirmed_ms; /* when the last confirmed commit was sent */
-	int64_t previous_renew_end_ms; /* see owner.h */
-	int64_t last_commit_ms;
-	bool committing;
-	bool outcome_unknown; /* an attempt may have been committed */
-	bool commit_wanted; /* there are changes to collect */
-	bool releasing; /* the next commit without a backlog releases */
-	bool publishing; /* our incarnation's row is being written */
-	bool published; /* it was written, or is no longer wanted */
-	bool stopping; /* never claims again */
-	int64_t successor_wait_end_ms; /* of a stopping owner */
-	struct tmr *wait_timer; /* set during that wait */
-	int64_t no_claim_until_ms; /* after a yield; 0: release for good */
-	int32_t n_changes;
-	struct rows_change changes[COMMIT_ROWS_MAX];
-	char *value; /* the owner's row in the current commit */
-};
-
 static void schedule_poll(struct owner *o, int64_t ms);
 static void send_commit(struct owner *o);
-static void schedule_commit(struct owner *o);
-static void read_incarnations(struct owner *o);
 
 static bool is_ours(const struct owner *o, const struct owner_row *row)
 {
@@ -101,7 +47,7 @@
 
 static void step_down(struct owner *o, const char *why)
 {
-	bool was_owner = o->phase == OWNING;
+	bool was_owner = o->phase == OWNER_OWNING;
 
 	if (was_owner)
 		log_event(LOG_SHARD_LOST, "part=%s epoch=%lld why=%s", o->part,
@@ -111,7 +57,8 @@
 	o->commit_wanted = false;
 	/* An owner that yielded may claim again. */
 	o->releasing = o->releasing && !o->no_claim_until_ms;
-	o->phase = o->releasing || o->stopping ? RELEASED : WATCHING;
+	o->phase =
+		o->releasing || o->stopping ? OWNER_RELEASED : OWNER_WATCHING;
 	TALLOC_FREE(o->wait_timer);
 	o->changed_ms = clk_mono_ms(o->clk);
 	if (was_owner)
@@ -123,7 +70,7 @@
  * from `done_ms` at the earliest. */
 static void commit_done(struct owner *o, int64_t version, int64_t done_ms)
 {
-	enum phase old_phase = o->phase;
+	enum owner_phase old_phase = o->phase;
 
 	o->version = version;
 	o->committing = false;
@@ -131,7 +78,8 @@
 	o->confirmed_ms = done_ms;
 	o->changed_ms = clk_mono_ms(o->clk);
 	if (o->row.released) {
-		o->phase = o->no_claim_until_ms ? WATCHING : RELEASED;
+		o->phase =
+			o->no_claim_until_ms ? OWNER_WATCHING : OWNER_RELEASED;
 		o->releasing = !o->no_claim_until_ms;
 		log_event(LOG_SHARD_LOST,
 			  "part=%s epoch=%lld why=released successor=%s",
@@ -140,15 +88,15 @@
 		schedule_poll(o, o->lim.poll_ms);
 		return;
 	}
-	o->phase = OWNING;
-	if (old_phase == CLAIMING) {
+	o->phase = OWNER_OWNING;
+	if (old_phase == OWNER_CLAIMING) {
 		log_event(LOG_SHARD_GAINED, "part=%s epoch=%lld from=%s",
 			  o->part, (long long)o->row.epoch, o->previous.vm);
 		o->ops->gained(&o->previous, version, o->priv);
 	} else {
 		o->ops->committed(o->priv);
 	}
-	schedule_commit(o);
+	owner_schedule_commit(o);
 }
 
 /* If an earlier attempt took effect, the row in the conflict is our own. */
@@ -200,12 +148,12 @@
 	}
 	/* Retried unchanged: the condition lets only one attempt succeed. */
 	o->outcome_unknown |= ans->result == ROWS_UNKNOWN;
-	if (o->phase == CLAIMING && !o->outcome_unknown) {
+	if (o->phase == OWNER_CLAIMING && !o->outcome_unknown) {
 		o->committing = false;
 		owner_row_clear(&o->row);
 		o->row = o->previous;
 		memset(&o->previous, 0, sizeof(o->previous));
-		o->phase = WATCHING;
+		o->phase = OWNER_WATCHING;
 		schedule_poll(o, o->lim.poll_ms);
 		return;
 	}
@@ -252,10 +200,10 @@
 	int32_t n;
 
 	o->ops->fill_row(&o->row, o->priv);
-	n = o->ops->collect(o->changes + 1, COMMIT_ROWS_MAX - 1, o->priv);
+	n = o->ops->collect(o->changes + 1, OWNER_COMMIT_ROWS_MAX - 1, o->priv);
 	o->n_changes = n + 1;
 	/* Releases only once all collected changes fit into this commit. */
-	o->row.released = o->releasing && n < COMMIT_ROWS_MAX - 1;
+	o->row.released = o->releasing && n < OWNER_COMMIT_ROWS_MAX - 1;
 	if (o->row.released)
 		o->row.handover = o->ops->get_handover(o, o->priv);
 	start_commit(o);
@@ -266,18 +214,18 @@
 	struct owner *o = priv;
 
 	o->timer = NULL;
-	if (o->phase == OWNING && !o->committing)
+	if (o->phase == OWNER_OWNING && !o->committing)
 		commit_now(o);
 }
 
-static void schedule_commit(struct owner *o)
+void owner_schedule_commit(struct owner *o)
 {
 	int64_t now = clk_mono_ms(o->clk);
 	int64_t due = o->last_commit_ms + (o->commit_wanted || o->releasing
 						   ? o->lim.commit_gap_ms
 						   : o->lim.heartbeat_ms);
 
-	if (o->phase != OWNING || o->committing)
+	if (o->phase != OWNER_OWNING || o->committing)
 		return;
 	TALLOC_FREE(o->timer);
 	o->timer = tmr_after(o->timers, due - now, on_commit_timer, o);
@@ -302,9 +250,9 @@
 	int64_t now = clk_mono_ms(o->clk);
 
 	o->claim_timer = NULL;
-	if (o->phase != WATCHING || o->stopping || !is_claimable(o, now))
+	if (o->phase != OWNER_WATCHING || o->stopping || !is_claimable(o, now))
 		return;
-	o->phase = CLAIMING;
+	o->phase = OWNER_CLAIMING;
 	o->previous_renew_end_ms = previous_renew_end_ms(o, now);
 	owner_row_clear(&o->previous);
 	o->previous = o->row;
@@ -326,92 +274,6 @@
 	start_commit(o);
 }
 
-static struct incarnation own_incarnation(const struct owner *o)
-{
-	struct incarnation inc = { .cpu_milli = o->lim.cpu_milli,
-				   .rtt_ms = o->rtt_ms };
-
-	snprintf(inc.vm, sizeof(inc.vm), "%s", o->vm);
-	snprintf(inc.id, sizeof(inc.id), "%s", o->incarnation);
-	return inc;
-}
-
-static void on_published(const struct rows_answer *ans, void *priv)
-{
-	struct owner *o = priv;
-
-	/* If this failed, the next answered poll tries again. */
-	o->published |= ans->result == ROWS_OK;
-	o->publishing = false;
-}
-
-static void publish(struct owner *o, int64_t store_now_ms)
-{
-	struct incarnation inc = own_incarnation(o);
-
-	if (o->published || o->publishing || o->phase != WATCHING)
-		return;
-	o->publishing = true;
-	inc.started_ms = store_now_ms;
-	incarnation_publish(&o->rows, o->part, &inc, on_published, o);
-}
-
-/* A row that stays makes the others wait for this VM at the next release. */
-static void on_unpublished(const struct rows_answer *ans, void *priv)
-{
-	const struct owner *o = priv;
-
-	if (ans->result != ROWS_OK)
-		log_event(LOG_ROW_UNUSABLE,
-			  "table=lives key=%s why=\"row not removed\"", o->vm);
-}
-
-static void start_release(struct owner *o)
-{
-	TALLOC_FREE(o->wait_timer);
-	o->releasing = true;
-	o->ops->releasing(o->priv);
-	schedule_commit(o);
-}
-
-static void on_incarnations(const struct rows_answer *ans, void *priv)
-{
-	struct owner *o = priv;
-	struct incarnation self = own_incarnation(o);
-	struct incarnation next = { 0 };
-	bool found;
-
-	/* The answer is late, or the shard has another owner by now. */
-	if (!o->wait_timer || ans->result != ROWS_OK)
-		return;
-	found = incarnation_choose(ans, &self, o->row.max_cpu_milli, &next);
-	snprintf(o->row.successor, sizeof(o->row.successor), "%s", next.vm);
-	snprintf(o->row.successor_incarnation,
-		 sizeof(o->row.successor_incarnation), "%s", next.id);
-	if ((found && ans->now_ms - next.started_ms <= RESTART_WINDOW_MS) ||
-	    clk_mono_ms(o->clk) >= o->successor_wait_end_ms)
-		start_release(o);
-}
-
-static void incarnations_due(void *priv)
-{
-	struct owner *o = priv;
-
-	o->wait_timer = NULL;
-	if (clk_mono_ms(o->clk) >= o->successor_wait_end_ms)
-		start_release(o);
-	else
-		read_incarnations(o);
-}
-
-static void read_incarnations(struct owner *o)
-{
-	int64_t gap_ms = o->lim.poll_ms / LIST_READS_PER_POLL;
-
-	o->wait_timer = tmr_after(o->timers, gap_ms, incarnations_due, o);
-	incarnation_read_all(&o->rows, o->part, on_incarnations, o);
-}
-
 static bool is_successor(const struct owner *o)
 {
 	return o->row.released && !strcmp(o->row.successor, o->vm) &&
@@ -432,7 +294,7 @@
 
 static int64_t poll_interval_ms(const struct owner *o, int64_t now_ms)
 {
-	bool young = now_ms - o->started_ms < RESTART_WINDOW_MS;
+	bool young = now_ms - o->started_ms < OWNER_RESTART_WINDOW_MS;
 
 	return young ? o->lim.poll_ms / STARTUP_POLL_FACTOR : o->lim.poll_ms;
 }
@@ -443,7 +305,7 @@
 	int64_t now = clk_mono_ms(o->clk);
 	int64_t version = ans->n ? ans->rows[0].version : 0;
 
-	if (o->phase != WATCHING && o->phase != RELEASED)
+	if (o->phase != OWNER_WATCHING && o->phase != OWNER_RELEASED)
 		return;
 	schedule_poll(o, poll_interval_ms(o, now));
 	if (ans->result != ROWS_OK)
@@ -462,8 +324,8 @@
 		owner_row_parse(o, ans->n ? ans->rows[0].value : NULL, &o->row);
 	}
 	o->row_read = true;
-	publish(o, ans->now_ms);
-	if (o->phase == WATCHING && !o->stopping && !o->claim_timer &&
+	owner_publish(o, ans->now_ms);
+	if (o->phase == OWNER_WATCHING && !o->stopping && !o->claim_timer &&
 	    is_claimable(o, now) && now >= o->no_claim_until_ms)
 		o->claim_timer =
 			tmr_after(o->timers, claim_wait_ms(o), claim, o);
@@ -478,7 +340,7 @@
 
 	o->timer = NULL;
 	o->polled_ms = clk_mono_ms(o->clk);
-	if (o->phase == WATCHING || o->phase == RELEASED)
+	if (o->phase == OWNER_WATCHING || o->phase == OWNER_RELEASED)
 		o->rows.ops->read(o->rows.self, &range, on_poll, o);
 }
 
@@ -520,7 +382,7 @@
 
 bool owner_owns_shard(const struct owner *o)
 {
-	return o->phase == OWNING;
+	return o->phase == OWNER_OWNING;
 }
 
 int64_t owner_epoch(const struct owner *o)
@@ -533,48 +395,7 @@
 	if (o->commit_wanted)
 		return;
 	o->commit_wanted = true;
-	schedule_commit(o);
-}
-
-/* Withdraws this incarnation as a possible successor. */
-static void unpublish(struct owner *o)
-{
-	o->published = true;
-	incarnation_remove(&o->rows, o->part, o->vm, on_unpublished, o);
-}
-
-void owner_yield(struct owner *o, int64_t no_claim_ms)
-{
-	if (o->phase != OWNING || o->releasing)
-		return;
-	if (o->stopping) {
-		start_release(o);
-		return;
-	}
-	o->releasing = true;
-	o->no_claim_until_ms = clk_mono_ms(o->clk) + no_claim_ms;
-	unpublish(o);
-	schedule_commit(o);
-}
-
-void owner_release(struct owner *o, int64_t successor_wait_ms)
-{
-	if (o->stopping)
-		return;
-	o->stopping = true;
-	o->no_claim_until_ms = 0;
-	TALLOC_FREE(o->claim_timer);
-	unpublish(o);
-	if (o->phase == OWNING && !o->releasing) {
-		o->successor_wait_end_ms =
-			clk_mono_ms(o->clk) + successor_wait_ms;
-		read_incarnations(o);
-		return;
-	}
-	/* A claim in flight is released as soon as it is committed. */
-	o->releasing = true;
-	if (o->phase == WATCHING)
-		o->phase = RELEASED;
+	owner_schedule_commit(o);
 }
 
 int64_t owner_confirm_age_ms(const struct owner *o)
@@ -596,5 +417,5 @@
 				       int64_t *changed_ms)
 {
 	*changed_ms = o->changed_ms;
-	return o->row_read || o->phase == OWNING ? &o->row : NULL;
+	return o->row_read || o->phase == OWNER_OWNING ? &o->row : NULL;
 }
