Write the log in whole lines

Cause: log_flush gives all of the buffer to one write(). A reader may take less of it, and a pipe may, which cuts a line. Change: writes end at a line's end and are at most PIPE_BUF long, which a pipe takes whole. At most 64 writes a second. Test: /log/whole-lines-per-write; fails with one write a flush.

--- a/src/base/log.c
+++ b/src/base/log.c
@@ -16,6 +16,9 @@
 /* Buffered lines are written at this interval. */
 #define FLUSH_INTERVAL_MS 100
 #define BUFFER_BYTES (128 * 1024)
+/* A pipe takes writes of up to this length whole (PIPE_BUF); a longer one that
+ * it takes in part cuts a line. */
+#define WRITE_BYTES_MAX 4096
 /* Rate limit; a burst may fill one buffer. */
 #define BYTES_PER_S (256 * 1024)
 /* Part of the buffer and of a burst that is reserved for important lines. Holds
@@ -59,13 +62,24 @@
 	      fcntl(STDOUT_FILENO, F_GETFL) | O_NONBLOCK);
 }
 
+/* Returns the length of the whole lines at `text` that one write takes. */
+static size_t chunk_len(const char *text, size_t len)
+{
+	const char *end;
+
+	if (len <= WRITE_BYTES_MAX)
+		return len;
+	end = memrchr(text, '\n', WRITE_BYTES_MAX);
+	return end ? (size_t)(end - text) + 1 : WRITE_BYTES_MAX;
+}
+
 void log_flush(void)
 {
 	size_t done = 0;
 
 	while (done < out.used) {
-		ssize_t n =
-			write(STDOUT_FILENO, out.text + done, out.used - done);
+		ssize_t n = write(STDOUT_FILENO, out.text + done,
+				  chunk_len(out.text + done, out.used - done));
 
 		if (n <= 0)
 			break;
--- a/tests/unit_log.c
+++ b/tests/unit_log.c
@@ -1,8 +1,10 @@
 /* Tests which lines the log drops when more is logged than may be written. */
 #include <fcntl.h>
 #include <glib.h>
+#include <limits.h>
 #include <stdio.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include "base/log.h"
@@ -227,6 +229,41 @@
 			==, 50 * 500);
 }
 
+/*
+ * Guards against cut log lines: a collector that takes a limited length from
+ * each write lost the rest of all longer ones, 80 of 100 lines of an owner.
+ */
+static void test_whole_lines_per_write(void)
+{
+	char packet[2 * PIPE_BUF];
+	int ends[2];
+	int lines = 0;
+
+	if (!g_test_subprocess()) {
+		g_test_trap_subprocess(NULL, 0, G_TEST_SUBPROCESS_DEFAULT);
+		g_test_trap_assert_passed();
+		return;
+	}
+	capture_output();
+	/* Keeps the boundaries of writes. */
+	g_assert_cmpint(socketpair(AF_UNIX, SOCK_SEQPACKET, 0, ends), ==, 0);
+	g_assert_cmpint(dup2(ends[1], STDOUT_FILENO), ==, STDOUT_FILENO);
+	log_to_stdout();
+	log_task_lines(200);
+	tick(1);
+	while (lines < 200) {
+		ssize_t n =
+			recv(ends[0], packet, sizeof(packet) - 1, MSG_DONTWAIT);
+
+		g_assert_cmpint(n, >, 0);
+		g_assert_cmpint(n, <=, PIPE_BUF);
+		g_assert_cmpint(packet[n - 1], ==, '\n');
+		packet[n] = '\0';
+		lines += count_matches(packet, "event=GD4001");
+	}
+	g_assert_cmpint(lines, ==, 200);
+}
+
 /* The rate limit holds for lines of every priority. */
 static void test_volume_is_bounded(void)
 {
@@ -257,5 +294,7 @@
 			test_decisions_are_summed_up);
 	g_test_add_func("/log/sums-are-bounded", test_sums_are_bounded);
 	g_test_add_func("/log/reader-that-stalls", test_reader_that_stalls);
+	g_test_add_func("/log/whole-lines-per-write",
+			test_whole_lines_per_write);
 	g_test_add_func("/log/volume-is-bounded", test_volume_is_bounded);
 }
