Log what callers are told about jobs, and how old its source is

A reader's bound on the age needs no clock but the store's: the clock that its last answer gave, and the time since that call was sent. - GD4002 what=state: version of the row that the state was read from. A progress row without a state is logged (GD4005); it was taken for none in silence. No answer changes.

--- a/src/fleet/job_api.c
+++ b/src/fleet/job_api.c
@@ -87,6 +87,7 @@
 	bool is_cancel;
 	bool cancel_sent; /* the cancel row was sent at least once */
 	bool fresh_connection;
+	int64_t row_version; /* of the row that the answer is taken from */
 	void (*retry_fn)(struct job_request *rq); /* repeats the last call */
 	job_api_cb done;
 	void *priv;
@@ -329,9 +330,10 @@
 				      .state = state };
 
 	log_event(LOG_JOB,
-		  "job=%s what=%s outcome=%s state=%s why=\"%s\" took_ms=%lld",
+		  "job=%s what=%s outcome=%s state=%s why=\"%s\" version=%lld "
+		  "took_ms=%lld",
 		  rq->id, rq->is_cancel ? "cancel" : "state", result_names[res],
-		  sched_job_state_name(state), why,
+		  sched_job_state_name(state), why, (long long)rq->row_version,
 		  (long long)(now_ms(api) - rq->received_ms));
 	api->counts.cancelled += rq->is_cancel && res == JOB_API_OK;
 	api->counts.lookups += !rq->is_cancel;
@@ -409,6 +411,7 @@
 			       "no such job");
 		return;
 	}
+	rq->row_version = ans->rows[ans->n - 1].version;
 	if (!rq->is_cancel) {
 		answer_request(rq, JOB_API_OK,
 			       ans->n > 1 ? SCHED_JOB_CANCELLED
@@ -462,12 +465,21 @@
 	struct job_request *rq = priv;
 	enum sched_job_state state = SCHED_JOB_QUEUED;
 
-	if (ans->result != ROWS_OK)
+	if (ans->result != ROWS_OK) {
 		retry_request(rq, ans);
-	else if (parse_state(ans, &state))
+		return;
+	}
+	if (parse_state(ans, &state)) {
+		rq->row_version = ans->rows[0].version;
 		answer_request(rq, JOB_API_OK, state, "progress");
-	else
-		read_job(rq);
+		return;
+	}
+	if (ans->n)
+		log_event(LOG_ROW_UNUSABLE,
+			  "table=" SHARD_CTL_PROGRESS_TABLE
+			  " key=%s why=\"no state in it\"",
+			  rq->id);
+	read_job(rq);
 }
 
 static void read_progress(struct job_request *rq)
@@ -520,21 +532,41 @@
 	read_progress(new_request(api, id, deadline_ms, done, priv));
 }
 
+/* Returns the number of pending jobs of one shard, and logs how it is known. */
+static int64_t shard_pending(struct job_api *api, int32_t shard,
+			     const char *queue)
+{
+	const struct shard_ctl *sc = api->f->shard_ctls[shard];
+	int64_t changed_ms;
+	const struct owner_row *row = shard_ctl_owner_row(sc, &changed_ms);
+	json_t *j =
+		row && row->pending ? json_loads(row->pending, 0, NULL) : NULL;
+	int64_t n = json_integer_value(json_object_get(j, queue));
+
+	json_decref(j);
+	if (row)
+		log_event(LOG_JOB,
+			  "what=pending queue=%s shard=%d count=%lld "
+			  "counted_age_ms=%lld jobs_version=%lld owner=%s "
+			  "epoch=%lld seq=%lld row_age_ms=%lld",
+			  queue, shard, (long long)n,
+			  (long long)shard_ctl_pending_age_ms(sc),
+			  (long long)row->pending_version, row->vm,
+			  (long long)row->epoch, (long long)row->seq,
+			  (long long)(now_ms(api) - changed_ms));
+	else
+		log_event(LOG_JOB,
+			  "what=pending queue=%s shard=%d count=0 owner=-",
+			  queue, shard);
+	return n;
+}
+
 int64_t job_api_pending(struct job_api *api, const char *queue)
 {
 	int64_t sum = 0;
 
-	for (int32_t i = 0; i < api->f->set.shards; i++) {
-		int64_t changed_ms;
-		const struct owner_row *row =
-			shard_ctl_owner_row(api->f->shard_ctls[i], &changed_ms);
-		json_t *j = row && row->pending
-				    ? json_loads(row->pending, 0, NULL)
-				    : NULL;
-
-		sum += json_integer_value(json_object_get(j, queue));
-		json_decref(j);
-	}
+	for (int32_t i = 0; i < api->f->set.shards; i++)
+		sum += shard_pending(api, i, queue);
 	return sum;
 }
 
--- a/src/fleet/shard_ctl.c
+++ b/src/fleet/shard_ctl.c
@@ -447,6 +447,11 @@
 	return owner_last_row(sc->owner, changed_ms);
 }
 
+int64_t shard_ctl_pending_age_ms(const struct shard_ctl *sc)
+{
+	return owner_pending_age_ms(sc->owner);
+}
+
 const struct sched *shard_ctl_sched(const struct shard_ctl *sc)
 {
 	return sc->is_owner && sc->active ? &sc->sched : NULL;
--- a/src/fleet/shard_ctl.h
+++ b/src/fleet/shard_ctl.h
@@ -28,6 +28,8 @@
  * was not read yet. */
 const struct owner_row *shard_ctl_owner_row(const struct shard_ctl *sc,
 					    int64_t *changed_ms);
+/* Returns the age of the counts in that row; see owner_pending_age_ms. */
+int64_t shard_ctl_pending_age_ms(const struct shard_ctl *sc);
 
 /* Returns NULL unless we own the shard and it is loaded. */
 const struct sched *shard_ctl_sched(const struct shard_ctl *sc);
--- a/src/fleet/shard_ctl_commit.c
+++ b/src/fleet/shard_ctl_commit.c
@@ -203,6 +203,8 @@
 	text = json_dumps(pending, JSON_COMPACT);
 	talloc_free(row->pending);
 	row->pending = talloc_strdup(sc, text);
+	row->pending_ms = sc->jobs_store_ms;
+	row->pending_version = sc->jobs_version;
 	free(text);
 	json_decref(pending);
 }
--- a/src/fleet/shard_ctl_int.h
+++ b/src/fleet/shard_ctl_int.h
@@ -22,7 +22,8 @@
 	char *progress_from; /* first key of the next page; NULL: the start */
 	json_t *handover; /* left by the previous owner; NULL: none */
 	int64_t acquired_version; /* store version of our claim */
-	int64_t jobs_version;
+	int64_t jobs_version; /* all jobs up to it are known */
+	int64_t jobs_store_ms; /* store's clock when that was the newest */
 	bool roster_loaded; /* until then its rows must not be written */
 	char *roster_from; /* first key of the next page; NULL: the start */
 	bool jobs_loaded;
--- a/src/fleet/shard_ctl_load.c
+++ b/src/fleet/shard_ctl_load.c
@@ -123,11 +123,12 @@
 	shard_ctl_place_soon(sc);
 }
 
-static void on_jobs_synced(int64_t version, void *priv)
+static void on_jobs_synced(int64_t version, int64_t store_ms, void *priv)
 {
 	struct shard_ctl *sc = priv;
 
 	sc->jobs_version = version;
+	sc->jobs_store_ms = store_ms;
 	sc->jobs_loaded = true;
 	shard_ctl_maybe_activate(sc);
 }
--- a/src/state/owner.c
+++ b/src/state/owner.c
@@ -133,10 +133,19 @@
 	send_commit(o);
 }
 
+static void note_store_clock(struct owner *o, int64_t store_ms, int64_t sent_ms)
+{
+	if (!store_ms)
+		return;
+	o->store_ms = store_ms;
+	o->store_sent_ms = sent_ms;
+}
+
 static void on_commit(const struct rows_answer *ans, void *priv)
 {
 	struct owner *o = priv;
 
+	note_store_clock(o, ans->now_ms, o->sent_ms);
 	if (ans->result == ROWS_OK) {
 		/* Had an earlier attempt succeeded, this one would conflict. */
 		commit_done(o, ans->version, o->sent_ms);
@@ -311,6 +320,7 @@
 	if (ans->result != ROWS_OK)
 		return;
 	o->answered_ms = now;
+	note_store_clock(o, ans->now_ms, o->polled_ms);
 	if (!o->rtt_ms || now - o->polled_ms < o->rtt_ms)
 		o->rtt_ms = now - o->polled_ms + 1;
 	/* Reads may lag and show an older row. */
@@ -419,3 +429,14 @@
 	*changed_ms = o->changed_ms;
 	return o->row_read || o->phase == OWNER_OWNING ? &o->row : NULL;
 }
+
+int64_t owner_pending_age_ms(const struct owner *o)
+{
+	int64_t now = clk_mono_ms(o->clk);
+
+	if (!o->row.pending_ms || !o->store_ms)
+		return now - o->changed_ms;
+	/* The store read its clock after the call was sent, so this is an upper
+	 * bound. */
+	return o->store_ms + (now - o->store_sent_ms) - o->row.pending_ms;
+}
--- a/src/state/owner_int.h
+++ b/src/state/owner_int.h
@@ -38,6 +38,9 @@
 	int64_t changed_ms; /* when the row was last seen to change */
 	int64_t answered_ms; /* when the store last answered a poll */
 	int64_t polled_ms; /* when the last poll was sent */
+	/* The store's clock in its last answer, and when that call was sent. */
+	int64_t store_ms;
+	int64_t store_sent_ms;
 	int64_t rtt_ms; /* shortest time that a poll took; 0: none yet */
 	int64_t first_sent_ms; /* first attempt of the current commit */
 	int64_t sent_ms; /* last attempt of the current commit */
--- a/src/state/owner_row.c
+++ b/src/state/owner_row.c
@@ -52,6 +52,9 @@
 	out->lease_ms = json_integer_value(json_object_get(j, "lease_ms"));
 	out->previous_renews_ms =
 		json_integer_value(json_object_get(j, "renews_ms"));
+	out->pending_ms = json_integer_value(json_object_get(j, "pending_ms"));
+	out->pending_version =
+		json_integer_value(json_object_get(j, "pending_version"));
 	copy_text(out->successor, sizeof(out->successor), j, "successor");
 	copy_text(out->successor_incarnation,
 		  sizeof(out->successor_incarnation), j, "successor_life");
@@ -82,6 +85,9 @@
 			      "pending", pending ? pending : json_object());
 	char *text;
 
+	json_object_set_new(j, "pending_ms", json_integer(row->pending_ms));
+	json_object_set_new(j, "pending_version",
+			    json_integer(row->pending_version));
 	if (*row->successor) {
 		json_object_set_new(j, "successor",
 				    json_string(row->successor));
--- a/src/state/owner_row.h
+++ b/src/state/owner_row.h
@@ -21,6 +21,11 @@
 	int64_t previous_renews_ms; /* earlier owners may renew leases for this
 				       long after the row was written */
 	char *pending; /* JSON object of queue to job count; talloc child */
+	/* `pending` covers all jobs that were accepted by then, by the store's
+	 * clock; 0: unknown. A new owner keeps the counts of the previous one
+	 * until it has its own. */
+	int64_t pending_ms;
+	int64_t pending_version; /* of the store at that time */
 	char *handover; /* JSON for the successor, set on release, or NULL */
 };
 
--- a/src/state/row_watch.c
+++ b/src/state/row_watch.c
@@ -31,6 +31,7 @@
 	int32_t part_index; /* index of the part being read */
 	char *page_from; /* first key of the next page; NULL: the first page */
 	int64_t read_version; /* of the first page */
+	int64_t read_ms; /* store's clock at the first page */
 	int64_t version; /* all changes up to it were reported */
 	bool loaded; /* the read is done: ask for changes */
 };
@@ -124,8 +125,10 @@
 		schedule_call(w, RETRY_MS);
 		return;
 	}
-	if (!w->page_from && !w->part_index)
+	if (!w->page_from && !w->part_index) {
 		w->read_version = ans->version;
+		w->read_ms = ans->now_ms;
+	}
 	for (int32_t i = 0; i < ans->n; i++) {
 		g_hash_table_add(w->keys_read, g_strdup(ans->rows[i].key));
 		deliver(w, &ans->rows[i]);
@@ -149,7 +152,7 @@
 	deliver_deletions(w);
 	w->version = w->read_version;
 	w->loaded = true;
-	w->ops->synced(w->version, w->priv);
+	w->ops->synced(w->version, w->read_ms, w->priv);
 	schedule_call(w, w->opt.gap_ms);
 }
 
@@ -180,7 +183,7 @@
 	}
 	if (ans->version > w->version)
 		w->version = ans->version;
-	w->ops->synced(w->version, w->priv);
+	w->ops->synced(w->version, ans->now_ms, w->priv);
 	schedule_call(w, w->opt.gap_ms);
 }
 
--- a/tests/unit_state.c
+++ b/tests/unit_state.c
@@ -290,9 +290,10 @@
 	g_hash_table_replace(s->rows, g_strdup(row->key), g_strdup(row->value));
 }
 
-static void on_synced(int64_t version, void *priv)
+static void on_synced(int64_t version, int64_t store_ms, void *priv)
 {
 	(void)version;
+	(void)store_ms;
 	((struct watched_rows *)priv)->synced++;
 }
 
