--- a/standins/site.h
+++ b/standins/site.h
@@ -41,6 +41,7 @@
 	/* Faults. */
 	int64_t fault_until_ms[SITE_FAULT_COUNT];
 	int64_t slow_ms; /* response time under SITE_FAULT_SLOW */
+	char silent_table[32]; /* SITE_FAULT_SILENT for reads of it; "": all */
 	int64_t lossy_requests; /* served under SITE_FAULT_LOSE */
 	GPtrArray *delayed; /* struct site_delayed_req */
 	bool suppress_response; /* of the request being served */
@@ -75,7 +76,8 @@
 void faults_init(struct site *s);
 /*
  * Starts or extends a fault of the store. `body` is {"how": "refuse",
- * "silent", "lose" or "slow", "for_ms": N, "slow_ms": N}.
+ * "silent", "lose" or "slow", "for_ms": N, "slow_ms": N, "table": TABLE}. With
+ * "table", "silent" affects reads of that table only.
  */
 void faults_set_store(struct site *s, const json_t *body);
 /* Serves a request to the store under the faults that are active. */
--- a/standins/site_faults.c
+++ b/standins/site_faults.c
@@ -2,6 +2,7 @@
  * Fault injection of the platform simulator, set by tests through /control/:
  * faults of the store, and requests that are served late.
  */
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -41,6 +42,8 @@
 		if (!strcmp(fault, names[i]) && end_ms > s->fault_until_ms[i])
 			s->fault_until_ms[i] = end_ms;
 	}
+	snprintf(s->silent_table, sizeof(s->silent_table), "%s",
+		 json_string_value(json_object_get(body, "table")) ?: "");
 	if (int_field(body, "slow_ms"))
 		s->slow_ms = int_field(body, "slow_ms");
 }
@@ -50,10 +53,23 @@
 	return site_now_ms() < s->fault_until_ms[fault];
 }
 
+static bool is_silent(const struct site *s)
+{
+	return is_active(s, SITE_FAULT_SILENT) && !*s->silent_table;
+}
+
+/* Is the request a read of the silent table? */
+static bool is_silent_read(const struct site *s, struct hts_req *req)
+{
+	const char *table = hts_query(req, "table");
+
+	return is_active(s, SITE_FAULT_SILENT) && table &&
+	       !strcmp(table, s->silent_table);
+}
+
 bool faults_store_unavailable(const struct site *s)
 {
-	return is_active(s, SITE_FAULT_REFUSE) ||
-	       is_active(s, SITE_FAULT_SILENT);
+	return is_active(s, SITE_FAULT_REFUSE) || is_silent(s);
 }
 
 void faults_delay(struct site *s, struct hts_req *req, int64_t for_ms,
@@ -86,7 +102,7 @@
 
 void faults_handle_store(struct site *s, struct hts_req *req)
 {
-	if (is_active(s, SITE_FAULT_SILENT))
+	if (is_silent(s) || is_silent_read(s, req))
 		return;
 	if (is_active(s, SITE_FAULT_REFUSE))
 		site_reply(s, req, 503, json_object());
--- a/tests/fleet_tests.c
+++ b/tests/fleet_tests.c
@@ -14,6 +14,9 @@
 #include "tests/harness_fleet.h"
 
 #define VMS 3
+/* After this time an accepted job must be in the number of pending jobs, in
+ * ms. */
+#define PENDING_VISIBLE_MS 5000
 
 static void drop_next(const struct hf *s, int responses, int requests)
 {
@@ -156,6 +159,9 @@
 	"[{\"count\":4,\"cpu\":2000,\"mem_mb\":100,\"estimate_ms\":100,"       \
 	"\"long_running\":true,\"max_unavailable\":1}]"
 
+#define NEVER_FITS                                                             \
+	"[{\"count\":1,\"cpu\":9000000,\"mem_mb\":100,\"estimate_ms\":100}]"
+
 static void wait_all_done(struct hf *s, int jobs)
 {
 	for (int i = 0; i < jobs; i++)
@@ -393,6 +399,53 @@
 	hf_stop(&s);
 }
 
+/* Returns the number of pending jobs; -1 if the VM doesn't know it now. */
+static int64_t pending_at(const struct hf *s, int vm)
+{
+	struct hx_response resp = hf_call(s, NULL, vm, "GET", "/q/", NULL);
+	int64_t n = -1;
+
+	g_assert_true(resp.status == 200 || resp.status == 503);
+	if (resp.status == 200)
+		n = json_integer_value(json_object_get(resp.json, "pending"));
+	hx_response_free(&resp);
+	return n;
+}
+
+/*
+ * Guards against a number of pending jobs from before the owner was lost: its
+ * successor, which could not load the shard, renewed the row with the counts of
+ * its predecessor, and all VMs answered 0 while jobs waited.
+ */
+static void test_pending_after_owner_lost(void)
+{
+	enum { JOBS = 4 };
+	struct hf s;
+	int64_t end;
+	int owner;
+
+	start_cluster(&s);
+	owner = wait_owner(&s);
+	hf_control(s.platform_port, "/control/store",
+		   "{\"how\":\"silent\",\"table\":\"roster\",\"for_ms\":%d}",
+		   PENDING_VISIBLE_MS + 4000);
+	hf_kill_vm(&s, owner);
+	for (int i = 0; i < JOBS; i++)
+		submit(&s, NEVER_FITS, "waits");
+	hx_sleep_ms(PENDING_VISIBLE_MS);
+	for (int vm = 0; vm < VMS; vm++) {
+		int64_t n = vm == owner ? -1 : pending_at(&s, vm);
+
+		g_assert_true(n < 0 || n * 2 >= JOBS);
+	}
+	end = hx_now_ms() + HF_TIMEOUT_MS;
+	while (pending_at(&s, (owner + 1) % VMS) != JOBS) {
+		g_assert_cmpint(hx_now_ms(), <, end);
+		hx_sleep_ms(50);
+	}
+	hf_stop(&s);
+}
+
 static bool wave_is_done(const struct hf *s)
 {
 	struct hx_response resp =
@@ -457,6 +510,8 @@
 	g_test_add_func("/fleet/says-why-not-listening",
 			test_listen_error_logged);
 	g_test_add_func("/fleet/cancel", test_cancel);
+	g_test_add_func("/fleet/pending-after-owner-lost",
+			test_pending_after_owner_lost);
 	g_test_add_func("/fleet/upkeep-wave", test_upkeep_wave);
 	return g_test_run();
 }
