Tell callers a number of pending jobs only if it is at most 2 s old

A VM answered a count from before owners were lost. Cause: an owner writes its row from its claim on, but until it has loaded jobs, roster and workers, with the counts of its predecessor. While owners are lost in series (each about when it claims) nothing starts, jobs pile up, and every VM answers the old count; nothing looked at its age. The same holds for a VM whose polls go unanswered, and a row that was not read or never had counts was taken for 0. Class: a value of another process is used at any age, and the age of its carrier is taken for its own. A VM answers if that is at most 2 s ago for every shard, as promised to callers, else 503 with Retry-After: a fresh count would need all rows of jobs and progress. Both times are the store's, so no clocks are compared, and the age is an upper bound. An owner counts as soon as the jobs are loaded, without waiting for the list of workers, and dates its counts twice a second when nothing happens (JOBS_WAIT_MS 2000 -> 500). Rows of older releases aren't dated: they count as old as their last change, and a successor doesn't take their counts over. Why it works: an answer given at t now holds all jobs accepted before t - 2 s, unless they have begun. Ruled out: reading the rows of jobs for each question (MBs); a shorter silence before claims (says nothing of the next loss); answering with the old count (it breaks the promise of 2 s). /fleet/restarted-at-once asked for the count right after the start, when it is unknown; it now waits for it first, and checks the same. Tests that failed in effect before (the call's form changed with the fix): /lead/pending-of-lost-owner, /lead/pending-unknown-at-first, /lead/pending-undated; new: /lead/pending-before-workers.

--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -295,6 +295,8 @@
 	text = add_metric(text, "gd_unsure_answers_total", c->unknown);
 	text = add_metric(text, "gd_cancelled_total", c->cancelled);
 	text = add_metric(text, "gd_state_asked_total", c->lookups);
+	text = add_metric(text, "gd_pending_asked_total", c->counted);
+	text = add_metric(text, "gd_pending_refused_total", c->count_refused);
 	text = add_metric(text, "gd_accept_us_p50", hist_quantile_us(h, 0.5));
 	text = add_metric(text, "gd_accept_us_p99", hist_quantile_us(h, 0.99));
 	for (int32_t i = 0; i < f->set.shards; i++)
--- a/src/fleet/job_api.c
+++ b/src/fleet/job_api.c
@@ -29,9 +29,8 @@
 /* Retry-After of refusals, in ms. Shorter outages of the store are over by
  * then. */
 #define RETRY_AFTER_MS 1000
-/* Age in ms from which the number of pending jobs in an owner row is outdated.
- * Not enforced: job_api_pending uses rows of any age. */
-#define PENDING_STALE_MS 2000
+/* Callers are told the number of pending jobs only if it is no older, in ms. */
+#define PENDING_AGE_MAX_MS 2000
 
 /* A submitted job that is not answered yet. */
 struct submission {
@@ -532,11 +531,14 @@
 	read_progress(new_request(api, id, deadline_ms, done, priv));
 }
 
-/* Returns the number of pending jobs of one shard, and logs how it is known. */
-static int64_t shard_pending(struct job_api *api, int32_t shard,
-			     const char *queue)
+/* Adds the pending jobs of one shard to `ans`, unless their number is unknown
+ * or too old. Logs it with its source. */
+static void add_shard_pending(struct job_api *api, int32_t shard,
+			      const char *queue, struct job_api_answer *ans)
 {
 	const struct shard_ctl *sc = api->f->shard_ctls[shard];
+	int64_t age = shard_ctl_pending_age_ms(sc);
+	bool usable = age >= 0 && age <= PENDING_AGE_MAX_MS;
 	int64_t changed_ms;
 	const struct owner_row *row = shard_ctl_owner_row(sc, &changed_ms);
 	json_t *j =
@@ -544,30 +546,31 @@
 	int64_t n = json_integer_value(json_object_get(j, queue));
 
 	json_decref(j);
-	if (row)
-		log_event(LOG_JOB,
-			  "what=pending queue=%s shard=%d count=%lld "
-			  "counted_age_ms=%lld jobs_version=%lld owner=%s "
-			  "epoch=%lld seq=%lld row_age_ms=%lld",
-			  queue, shard, (long long)n,
-			  (long long)shard_ctl_pending_age_ms(sc),
-			  (long long)row->pending_version, row->vm,
-			  (long long)row->epoch, (long long)row->seq,
-			  (long long)(now_ms(api) - changed_ms));
-	else
-		log_event(LOG_JOB,
-			  "what=pending queue=%s shard=%d count=0 owner=-",
-			  queue, shard);
-	return n;
+	log_event(LOG_JOB,
+		  "what=pending queue=%s outcome=%s shard=%d count=%lld "
+		  "counted_age_ms=%lld jobs_version=%lld owner=%s epoch=%lld "
+		  "seq=%lld row_age_ms=%lld",
+		  queue, result_names[usable ? JOB_API_OK : JOB_API_REFUSED],
+		  shard, (long long)n, (long long)age,
+		  row ? (long long)row->pending_version : 0LL,
+		  row ? row->vm : "-", row ? (long long)row->epoch : 0LL,
+		  row ? (long long)row->seq : 0LL,
+		  row ? (long long)(now_ms(api) - changed_ms) : -1LL);
+	ans->pending += n;
+	if (!usable)
+		ans->result = JOB_API_REFUSED;
 }
 
-int64_t job_api_pending(struct job_api *api, const char *queue)
+struct job_api_answer job_api_pending(struct job_api *api, const char *queue)
 {
-	int64_t sum = 0;
+	struct job_api_answer ans = { .result = JOB_API_OK,
+				      .retry_after_ms = RETRY_AFTER_MS };
 
 	for (int32_t i = 0; i < api->f->set.shards; i++)
-		sum += shard_pending(api, i, queue);
-	return sum;
+		add_shard_pending(api, i, queue, &ans);
+	api->counts.counted += ans.result == JOB_API_OK;
+	api->counts.count_refused += ans.result != JOB_API_OK;
+	return ans;
 }
 
 int32_t job_api_active(const struct job_api *api)
--- a/src/fleet/job_api.h
+++ b/src/fleet/job_api.h
@@ -19,6 +19,7 @@
 	enum job_api_result result;
 	int64_t retry_after_ms; /* valid for JOB_API_REFUSED */
 	enum sched_job_state state; /* valid for job_api_state, JOB_API_OK */
+	int64_t pending; /* valid for job_api_pending, JOB_API_OK */
 };
 
 /* Called exactly once for each call, after that has returned. */
@@ -34,17 +35,22 @@
 void job_api_state(struct job_api *api, const char *id, int64_t deadline_ms,
 		   job_api_cb done, void *priv);
 
-/* Returns how many jobs of the queue have not started yet, summed over the
- * shards; reads the owner rows seen last, without a check of their age. */
-int64_t job_api_pending(struct job_api *api, const char *queue);
+/*
+ * Counts the jobs of the queue that have not started yet, from the owner rows
+ * seen last. The result is JOB_API_REFUSED if the counts of some shard are
+ * missing or older than 2 s: the owner was lost, or the store doesn't answer.
+ */
+struct job_api_answer job_api_pending(struct job_api *api, const char *queue);
 
 /* Returns the number of calls that are not yet answered. */
 int32_t job_api_active(const struct job_api *api);
 
 /* Numbers of calls. `repeated` counts submissions of jobs already stored,
- * `lookups` calls of job_api_state. */
+ * `lookups` calls of job_api_state; `counted` and `count_refused` count calls
+ * of job_api_pending. */
 struct job_api_counts {
 	int64_t accepted, repeated, refused, unknown, cancelled, lookups;
+	int64_t counted, count_refused;
 };
 
 const struct job_api_counts *job_api_counts(const struct job_api *api);
--- a/src/fleet/shard_ctl_commit.c
+++ b/src/fleet/shard_ctl_commit.c
@@ -189,11 +189,11 @@
 	char *text;
 
 	/* Until the jobs are loaded, the row keeps the counts of the previous
-	 * owner. */
-	if (!sc->active)
+	 * owner, and their time. */
+	if (!sc->jobs_loaded || !c)
 		return;
 	pending = json_object();
-	for (int32_t i = 0; c && i < c->n_queues; i++) {
+	for (int32_t i = 0; i < c->n_queues; i++) {
 		int32_t n = sched_count_queued(&sc->sched, c->queues[i].name);
 
 		if (n)
--- a/src/fleet/shard_ctl_load.c
+++ b/src/fleet/shard_ctl_load.c
@@ -9,9 +9,9 @@
 #include "base/log.h"
 #include "fleet/shard_ctl_int.h"
 
-/* Maximum time that one call waits for new jobs, in ms. A stalled connection is
- * noticed within it. */
-#define JOBS_WAIT_MS 2000
+/* Maximum time that one call waits for new jobs, in ms. An answer without any
+ * dates the job counts, which VMs don't use past an age of 2 s. */
+#define JOBS_WAIT_MS 500
 
 /* Copies the job id in a key of the jobs table to `id`. Returns true if the row
  * cancels the job. */
@@ -129,6 +129,9 @@
 
 	sc->jobs_version = version;
 	sc->jobs_store_ms = store_ms;
+	/* Other VMs have no counts younger than the previous owner's. */
+	if (!sc->jobs_loaded)
+		owner_request_commit(sc->owner);
 	sc->jobs_loaded = true;
 	shard_ctl_maybe_activate(sc);
 }
--- a/src/state/owner.c
+++ b/src/state/owner.c
@@ -270,6 +270,8 @@
 		o->row.lease_ms = o->lim.lease_ms;
 	/* Keep the previous owner's counts until we have our own. */
 	o->row.pending = talloc_strdup(o, o->previous.pending);
+	if (o->row.pending_ms == OWNER_ROW_UNDATED)
+		o->row.pending_ms = 0;
 	snprintf(o->row.vm, sizeof(o->row.vm), "%s", o->vm);
 	snprintf(o->row.incarnation, sizeof(o->row.incarnation), "%s",
 		 o->incarnation);
@@ -423,18 +425,25 @@
 	return o->version;
 }
 
+static bool has_row(const struct owner *o)
+{
+	return o->row_read || o->phase == OWNER_OWNING;
+}
+
 const struct owner_row *owner_last_row(const struct owner *o,
 				       int64_t *changed_ms)
 {
 	*changed_ms = o->changed_ms;
-	return o->row_read || o->phase == OWNER_OWNING ? &o->row : NULL;
+	return has_row(o) ? &o->row : NULL;
 }
 
 int64_t owner_pending_age_ms(const struct owner *o)
 {
 	int64_t now = clk_mono_ms(o->clk);
 
-	if (!o->row.pending_ms || !o->store_ms)
+	if (!has_row(o) || !o->row.pending || !o->row.pending_ms)
+		return -1;
+	if (o->row.pending_ms == OWNER_ROW_UNDATED || !o->store_ms)
 		return now - o->changed_ms;
 	/* The store read its clock after the call was sent, so this is an upper
 	 * bound. */
--- a/src/state/owner.h
+++ b/src/state/owner.h
@@ -93,8 +93,8 @@
  * was read yet. */
 const struct owner_row *owner_last_row(const struct owner *o,
 				       int64_t *changed_ms);
-/* Returns how old the counts in that row are at most; if the row doesn't say
- * it, the time since the row changed. Valid if owner_last_row isn't NULL. */
+/* Returns how old the job counts in that row are at most; -1 if it has none or
+ * was not read yet. */
 int64_t owner_pending_age_ms(const struct owner *o);
 
 #endif
--- a/src/state/owner_row.c
+++ b/src/state/owner_row.c
@@ -7,6 +7,8 @@
 #include <string.h>
 #include <talloc.h>
 
+#include "protocol/num.h"
+
 static void copy_text(char *out, size_t size, const json_t *j, const char *name)
 {
 	const char *text = json_string_value(json_object_get(j, name));
@@ -52,7 +54,9 @@
 	out->lease_ms = json_integer_value(json_object_get(j, "lease_ms"));
 	out->previous_renews_ms =
 		json_integer_value(json_object_get(j, "renews_ms"));
-	out->pending_ms = json_integer_value(json_object_get(j, "pending_ms"));
+	if (j)
+		out->pending_ms = num_clamp(json_object_get(j, "pending_ms"), 0,
+					    NUM_MAX, OWNER_ROW_UNDATED);
 	out->pending_version =
 		json_integer_value(json_object_get(j, "pending_version"));
 	copy_text(out->successor, sizeof(out->successor), j, "successor");
--- a/src/state/owner_row.h
+++ b/src/state/owner_row.h
@@ -6,6 +6,7 @@
 #include <stdint.h>
 
 #define OWNER_VM_MAX 64
+#define OWNER_ROW_UNDATED (-1)
 
 /* Says who owns the shard, and how many jobs wait in its queues. */
 struct owner_row {
@@ -22,8 +23,9 @@
 				       long after the row was written */
 	char *pending; /* JSON object of queue to job count; talloc child */
 	/* `pending` covers all jobs that were accepted by then, by the store's
-	 * clock; 0: unknown. A new owner keeps the counts of the previous one
-	 * until it has its own. */
+	 * clock. A new owner keeps the counts of the previous one, and their
+	 * time, until it has its own. 0: there are none yet;
+	 * OWNER_ROW_UNDATED: the owner's release doesn't tell the time. */
 	int64_t pending_ms;
 	int64_t pending_version; /* of the store at that time */
 	char *handover; /* JSON for the successor, set on release, or NULL */
--- a/tests/fleet_tests.c
+++ b/tests/fleet_tests.c
@@ -266,6 +266,29 @@
 	hf_stop(&s);
 }
 
+/* Returns the number of pending jobs; -1 if the VM doesn't know it now. */
+static int64_t pending_at(const struct hf *s, int vm)
+{
+	struct hx_response resp = hf_call(s, NULL, vm, "GET", "/q/", NULL);
+	int64_t n = -1;
+
+	g_assert_true(resp.status == 200 || resp.status == 503);
+	if (resp.status == 200)
+		n = json_integer_value(json_object_get(resp.json, "pending"));
+	hx_response_free(&resp);
+	return n;
+}
+
+static void wait_pending(const struct hf *s, int vm, int64_t want)
+{
+	int64_t end = hx_now_ms() + HF_TIMEOUT_MS;
+
+	while (pending_at(s, vm) != want) {
+		g_assert_cmpint(hx_now_ms(), <, end);
+		hx_sleep_ms(50);
+	}
+}
+
 /*
  * Guards against a VM that can't listen for a minute after it was killed while
  * a caller was connected: it ended with an error.
@@ -278,6 +301,9 @@
 	int status;
 
 	start_cluster(&s);
+	/* Until it has been counted by an owner, the number is unknown. */
+	wait_owner(&s);
+	wait_pending(&s, 1, 0);
 	resp = hf_call(&s, easy, 1, "GET", "/q/", NULL);
 	g_assert_cmpint(resp.status, ==, 200);
 	hx_response_free(&resp);
@@ -399,19 +425,6 @@
 	hf_stop(&s);
 }
 
-/* Returns the number of pending jobs; -1 if the VM doesn't know it now. */
-static int64_t pending_at(const struct hf *s, int vm)
-{
-	struct hx_response resp = hf_call(s, NULL, vm, "GET", "/q/", NULL);
-	int64_t n = -1;
-
-	g_assert_true(resp.status == 200 || resp.status == 503);
-	if (resp.status == 200)
-		n = json_integer_value(json_object_get(resp.json, "pending"));
-	hx_response_free(&resp);
-	return n;
-}
-
 /*
  * Guards against a number of pending jobs from before the owner was lost: its
  * successor, which could not load the shard, renewed the row with the counts of
@@ -421,7 +434,6 @@
 {
 	enum { JOBS = 4 };
 	struct hf s;
-	int64_t end;
 	int owner;
 
 	start_cluster(&s);
@@ -438,11 +450,7 @@
 
 		g_assert_true(n < 0 || n * 2 >= JOBS);
 	}
-	end = hx_now_ms() + HF_TIMEOUT_MS;
-	while (pending_at(&s, (owner + 1) % VMS) != JOBS) {
-		g_assert_cmpint(hx_now_ms(), <, end);
-		hx_sleep_ms(50);
-	}
+	wait_pending(&s, (owner + 1) % VMS, JOBS);
 	hf_stop(&s);
 }
 
--- a/tests/unit_shard_ctl.c
+++ b/tests/unit_shard_ctl.c
@@ -4,6 +4,7 @@
 #include <string.h>
 #include <talloc.h>
 
+#include "fleet/job_api.h"
 #include "fleet/shard_ctl.h"
 #include "fleet/shard_ctl_int.h"
 #include "tests/fake_rows.h"
@@ -15,6 +16,8 @@
 #define LOAD_FAILS_MS 400
 #define HEARTBEAT_MS 50
 #define TIMEOUT_MS 10000
+/* Age up to which callers are told the number of pending jobs, in ms. */
+#define PENDING_MAX_MS 2000
 
 /* One fleet process. Its list of workers holds v1 and v2. */
 struct ctl_fixture {
@@ -22,6 +25,7 @@
 	struct fake_rows store;
 	struct tmr_set *timers;
 	GQueue polls; /* not answered yet */
+	bool list_unanswered; /* the list of workers never arrives */
 };
 
 static struct ctl_fixture *fx;
@@ -49,7 +53,7 @@
 static void subscribe_list(void *self, bool on)
 {
 	(void)self;
-	if (on)
+	if (on && !fx->list_unanswered)
 		tmr_after(fx->timers, 10, list_workers, NULL);
 }
 
@@ -121,6 +125,9 @@
 	struct catalog *c = talloc_zero(fx->f.ev, struct catalog);
 
 	c->version = 1;
+	c->queues = talloc_zero_array(c, struct catalog_queue, 1);
+	c->n_queues = 1;
+	g_strlcpy(c->queues[0].name, "short", sizeof(c->queues[0].name));
 	fleet_start(&fx->f);
 	fleet_set_catalog(&fx->f, c);
 }
@@ -151,6 +158,7 @@
 	struct fleet *f = &fx->f;
 
 	fx->store.refused_part_prefix = NULL;
+	fx->store.refused_table = NULL;
 	fleet_shut_down(f, 0);
 	while (!shard_ctl_is_released(f->shard_ctls[0]))
 		tevent_loop_once(f->ev);
@@ -283,8 +291,141 @@
 	ctl_fixture_close();
 }
 
+static void put_waiting_job(const char *id)
+{
+	struct jobspec *spec = fixture_spec(id, "short", 1, 1);
+	json_t *j = jobspec_pack(spec);
+	char *text = json_dumps(j, JSON_COMPACT);
+	char table[SHARD_CTL_NAME_MAX];
+	char part[SHARD_CTL_NAME_MAX];
+
+	fake_rows_put(&fx->store, shard_ctl_jobs_table(0, table),
+		      shard_ctl_job_part(0, shard_ctl_job_part_of(id), part),
+		      id, text);
+	free(text);
+	json_decref(j);
+	talloc_free(spec);
+}
+
+/* Writes the owner's row as VM "b" would. `fields` follow the counts. */
+static void put_owner_row(const char *fields, int64_t seq)
+{
+	g_autofree char *row = g_strdup_printf(
+		"{\"vm\":\"b\",\"life\":\"7\",\"epoch\":3,\"seq\":%lld,"
+		"\"lease_ms\":1000,\"pending\":{\"short\":0}%s}",
+		(long long)seq, fields);
+
+	fake_rows_put(&fx->store, "owners", "s0", "owner", row);
+}
+
+static struct job_api_answer ask_pending(void)
+{
+	return job_api_pending(fx->f.job_api, "short");
+}
+
+static void await_pending(int64_t want)
+{
+	int64_t end = clk_mono_ms(&clk_system) + TIMEOUT_MS;
+	struct job_api_answer ans = ask_pending();
+
+	while (ans.result != JOB_API_OK || ans.pending != want) {
+		g_assert_cmpint(clk_mono_ms(&clk_system), <, end);
+		tevent_loop_once(fx->f.ev);
+		ans = ask_pending();
+	}
+}
+
+/*
+ * Guards against a count from before the owner was lost: a successor that
+ * cannot load the shard renews the row, but not its counts.
+ */
+static void test_pending_of_lost_owner(void)
+{
+	g_autofree char *dated = g_strdup_printf(
+		",\"pending_ms\":%lld",
+		(long long)clk_mono_ms(&clk_system) - PENDING_MAX_MS);
+
+	ctl_fixture_open();
+	put_waiting_job("waits");
+	put_owner_row(dated, 1);
+	fx->store.refused_table = SHARD_CTL_ROSTER_TABLE;
+	ctl_fixture_start();
+	run_loop_ms(3000);
+	g_assert_true(fx->store.commits > 5);
+	g_assert_cmpint(ask_pending().result, ==, JOB_API_REFUSED);
+	g_assert_cmpint(ask_pending().retry_after_ms, >, 0);
+	fx->store.refused_table = NULL;
+	await_pending(1);
+	ctl_fixture_close();
+}
+
+/* Guards against a row that was not read yet, or has no counts yet, being taken
+ * for a count of 0. */
+static void test_pending_unknown_at_first(void)
+{
+	ctl_fixture_open();
+	put_waiting_job("waits");
+	fx->store.refused_table = SHARD_CTL_ROSTER_TABLE;
+	ctl_fixture_start();
+	g_assert_cmpint(ask_pending().result, ==, JOB_API_REFUSED);
+	run_loop_ms(300);
+	g_assert_true(fx->store.commits > 1);
+	g_assert_cmpint(ask_pending().result, ==, JOB_API_REFUSED);
+	fx->store.refused_table = NULL;
+	await_pending(1);
+	ctl_fixture_close();
+}
+
+/* An owner that lacks the list of workers starts nothing, but counts. */
+static void test_pending_before_workers(void)
+{
+	ctl_fixture_open();
+	fx->list_unanswered = true;
+	put_waiting_job("waits");
+	ctl_fixture_start();
+	await_pending(1);
+	g_assert_null(shard_ctl_sched(fx->f.shard_ctls[0]));
+	run_loop_ms(PENDING_MAX_MS + 500);
+	g_assert_cmpint(ask_pending().result, ==, JOB_API_OK);
+	ctl_fixture_close();
+}
+
+/* A row of a release that doesn't date its counts is as old as its last change,
+ * and its counts are not taken over. */
+static void test_pending_undated(void)
+{
+	ctl_fixture_open();
+	fx->f.set.owner.silence_ms = 3000;
+	put_waiting_job("waits");
+	fx->store.refused_table = SHARD_CTL_ROSTER_TABLE;
+	put_owner_row("", 1);
+	ctl_fixture_start();
+	for (int64_t seq = 2; ask_pending().result != JOB_API_OK; seq++) {
+		put_owner_row("", seq);
+		run_loop_ms(100);
+	}
+	g_assert_cmpint(ask_pending().pending, ==, 0);
+	run_loop_ms(PENDING_MAX_MS + 100);
+	g_assert_cmpint(ask_pending().result, ==, JOB_API_REFUSED);
+	while (!strstr(fake_rows_get(&fx->store, "owners", "s0", "owner"),
+		       "\"vm\":\"a\""))
+		tevent_loop_once(fx->f.ev);
+	run_loop_ms(3 * HEARTBEAT_MS);
+	g_assert_cmpint(ask_pending().result, ==, JOB_API_REFUSED);
+	fx->store.refused_table = NULL;
+	await_pending(1);
+	ctl_fixture_close();
+}
+
 void unit_add_shard_ctl(void)
 {
+	g_test_add_func("/lead/pending-of-lost-owner",
+			test_pending_of_lost_owner);
+	g_test_add_func("/lead/pending-unknown-at-first",
+			test_pending_unknown_at_first);
+	g_test_add_func("/lead/pending-before-workers",
+			test_pending_before_workers);
+	g_test_add_func("/lead/pending-undated", test_pending_undated);
 	g_test_add_func("/lead/progress-outlives-the-job",
 			test_progress_outlives_the_job);
 	g_test_add_func("/lead/roster-read-before-written",
