Keep the number of queued jobs of each queue

Many queues and many ended jobs. What callers saw: an owner with little processor time falls behind; its counts get old and its commands late. Cause: each commit (2 to 40 a second) fills the owner's row, and that called sched_count_queued() for each configured queue, which walked all jobs, ended ones too. The cost is queues times jobs. Change: all changes of a job's state go through sched_set_job_state(), which keeps the numbers by queue; the row is filled from these. A fill costs as much as there are queues with queued jobs. The row now holds queues too that the owner's configuration doesn't.

--- a/src/coordination/sched.c
+++ b/src/coordination/sched.c
@@ -38,6 +38,8 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	interfere_init(&s->interfere);
 	s->jobs = g_hash_table_new(g_str_hash, g_str_equal);
+	s->queued =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	s->workers = g_hash_table_new(g_str_hash, g_str_equal);
 	s->worker_list = g_ptr_array_new();
 	g_queue_init(&s->ready_steps);
@@ -65,6 +67,7 @@
 		free_worker(s, g_ptr_array_index(s->worker_list, 0));
 	g_hash_table_destroy(s->mean_work);
 	g_hash_table_destroy(s->jobs);
+	g_hash_table_destroy(s->queued);
 	g_hash_table_destroy(s->workers);
 	g_ptr_array_free(s->worker_list, TRUE);
 	interfere_finish(&s->interfere);
--- a/src/coordination/sched.h
+++ b/src/coordination/sched.h
@@ -189,7 +189,7 @@
 	const struct catalog_queue *queue; /* NULL if not configured now */
 	int64_t critical_path_ms; /* estimate of the longest chain of steps */
 	double work; /* see sched_estimate_work() */
-	enum sched_job_state state;
+	enum sched_job_state state; /* set by sched_set_job_state() */
 	int64_t accepted_ms;
 	int64_t version; /* of the row that accepted the job */
 	int64_t ended_wall_ms;
@@ -338,6 +338,7 @@
 	GHashTable *mean_work; /* queue to double; see sched_rank.c */
 	GHashTable *domains_out; /* names of failure domains out of service */
 	GHashTable *jobs; /* id to struct sched_job */
+	GHashTable *queued; /* queue to number of queued jobs, if not 0 */
 	GHashTable *workers; /* id to struct sched_worker */
 	GPtrArray *worker_list;
 	uint32_t roster_dirty; /* bit set of roster rows to store */
@@ -517,7 +518,8 @@
 int64_t sched_lease_end(struct sched *s, struct sched_worker *w,
 			int64_t now_ms);
 
-/* Returns the number of jobs in the queue of which no task has started. */
+/* Returns the number of jobs in the queue of which no task has started. The
+ * queue need not be configured. */
 int32_t sched_count_queued(const struct sched *s, const char *queue);
 
 const char *sched_job_state_name(enum sched_job_state state);
--- a/src/coordination/sched_int.h
+++ b/src/coordination/sched_int.h
@@ -13,6 +13,13 @@
 					    int64_t now_ms, int64_t wall_ms);
 void sched_run_ref(const struct sched_run *run, struct sched_ref *ref);
 
+/* Changes the state of a job that was counted by sched_count_added(). Nothing
+ * else does, so that the numbers of queued jobs stay right. */
+void sched_set_job_state(struct sched *s, struct sched_job *job,
+			 enum sched_job_state state);
+void sched_count_added(struct sched *s, const struct sched_job *job);
+void sched_count_removed(struct sched *s, const struct sched_job *job);
+
 /* Queues the job's progress to be stored. */
 void sched_mark_dirty(struct sched *s, struct sched_job *job);
 
--- a/src/coordination/sched_job.c
+++ b/src/coordination/sched_job.c
@@ -194,7 +194,7 @@
 void sched_job_end(struct sched *s, struct sched_job *job,
 		   enum sched_job_state state, int64_t now_ms, int64_t wall_ms)
 {
-	job->state = state;
+	sched_set_job_state(s, job, state);
 	job->ended_wall_ms = wall_ms;
 	if (state == SCHED_JOB_DONE)
 		s->counts.jobs_done++;
@@ -455,7 +455,7 @@
 	const json_t *r;
 	size_t i;
 
-	job->state = parse_state(row);
+	sched_set_job_state(s, job, parse_state(row));
 	job->ended_wall_ms =
 		json_integer_value(json_object_get(row, "ended_ms"));
 	if (sched_job_has_ended(job))
@@ -515,6 +515,7 @@
 			MAX(job->critical_path_ms,
 			    jobspec_critical_path_ms(job->spec, i));
 	g_hash_table_insert(s->jobs, job->spec->id, job);
+	sched_count_added(s, job);
 	if (progress)
 		unpack_progress(s, job, progress, now_ms, wall_ms);
 	if (!sched_job_has_ended(job))
@@ -549,30 +550,11 @@
 		free_round(s, job->rounds);
 	if (job->dirty)
 		g_queue_unlink(&s->dirty_jobs, &job->dirty_link);
+	sched_count_removed(s, job);
 	g_hash_table_remove(s->jobs, id);
 	talloc_free(job);
 }
 
-static bool has_started(const struct sched_job *job)
-{
-	return job->state != SCHED_JOB_QUEUED;
-}
-
-int32_t sched_count_queued(const struct sched *s, const char *queue)
-{
-	GHashTableIter it;
-	gpointer value;
-	int32_t n = 0;
-
-	g_hash_table_iter_init(&it, s->jobs);
-	while (g_hash_table_iter_next(&it, NULL, &value)) {
-		const struct sched_job *job = value;
-
-		n += !has_started(job) && !strcmp(job->spec->queue, queue);
-	}
-	return n;
-}
-
 struct sched_task *sched_find_task(struct sched *s, const struct sched_ref *ref)
 {
 	struct sched_job *job = g_hash_table_lookup(s->jobs, ref->job);
--- a/src/coordination/sched_run.c
+++ b/src/coordination/sched_run.c
@@ -253,7 +253,7 @@
 {
 	if (job->state != SCHED_JOB_QUEUED)
 		return;
-	job->state = SCHED_JOB_RUNNING;
+	sched_set_job_state(s, job, SCHED_JOB_RUNNING);
 	sched_mark_dirty(s, job);
 }
 
--- a/src/fleet/shard_ctl_commit.c
+++ b/src/fleet/shard_ctl_commit.c
@@ -184,7 +184,9 @@
 void shard_ctl_fill_row(struct owner_row *row, void *priv)
 {
 	struct shard_ctl *sc = priv;
-	const struct catalog *c = sc->f->catalog;
+	GHashTableIter it;
+	gpointer queue;
+	gpointer n;
 	json_t *pending;
 	char *text;
 
@@ -193,13 +195,12 @@
 	if (!sc->active)
 		return;
 	pending = json_object();
-	for (int32_t i = 0; c && i < c->n_queues; i++) {
-		int32_t n = sched_count_queued(&sc->sched, c->queues[i].name);
-
-		if (n)
-			json_object_set_new(pending, c->queues[i].name,
-					    json_integer(n));
-	}
+	/* Queues that are not configured here are included: another VM may have
+	 * a newer configuration and accept jobs for them. */
+	g_hash_table_iter_init(&it, sc->sched.queued);
+	while (g_hash_table_iter_next(&it, &queue, &n))
+		json_object_set_new(pending, queue,
+				    json_integer(GPOINTER_TO_INT(n)));
 	text = json_dumps(pending, JSON_COMPACT);
 	talloc_free(row->pending);
 	row->pending = talloc_strdup(sc, text);
