Test the count of a queue that the owner doesn't know yet

What a caller could see: "pending" 0 for a route that was just added, although its jobs were accepted. VMs read a new configuration at different times: one that has it accepts jobs for a new queue and answers its count from the owner's row, while the owner's own configuration lacks the queue. Cause: the row held only queues of the owner's configuration.

--- a/tests/unit_count.c
+++ b/tests/unit_count.c
@@ -125,6 +125,20 @@
 	g_assert_cmpint(many_ns, <=, few_ns * SLOWER_MAX);
 }
 
+/* Guards against a count of 0 for a queue that the owner's configuration does
+ * not hold yet, although other VMs already accept jobs for it. */
+static void test_queue_unknown_to_the_owner(void)
+{
+	struct shard_ctl *sc = open_owner(1);
+	struct owner_row row = { 0 };
+
+	add_queued_job(sc, "a", "new");
+	shard_ctl_fill_row(&row, sc);
+	g_assert_cmpstr(row.pending, ==, "{\"new\":1}");
+	owner_row_clear(&row);
+	close_owner(sc);
+}
+
 /* Queue 2 is not in the configuration. */
 static const char *const queues[] = { "short", "long", "unknown" };
 
@@ -291,5 +305,7 @@
 {
 	g_test_add_func("/count/many-queues-many-ended-jobs",
 			test_many_queues_many_ended_jobs);
+	g_test_add_func("/count/queue-unknown-to-the-owner",
+			test_queue_unknown_to_the_owner);
 	g_test_add_func("/count/match-jobs", test_counts_match_jobs);
 }
