Look up a job's queue by hash

Many queues and many jobs. What callers saw: nothing of its own; a new configuration, or a failure domain that goes out of service, holds up the owner while it is applied. Change: the scheduler keeps an index of the configured queues, made anew by sched_configure().

--- a/src/coordination/sched.c
+++ b/src/coordination/sched.c
@@ -37,6 +37,7 @@
 	s->mean_work =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	interfere_init(&s->interfere);
+	s->queues = g_hash_table_new(g_str_hash, g_str_equal);
 	s->jobs = g_hash_table_new(g_str_hash, g_str_equal);
 	s->queued =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
@@ -66,6 +67,7 @@
 	while (s->worker_list->len)
 		free_worker(s, g_ptr_array_index(s->worker_list, 0));
 	g_hash_table_destroy(s->mean_work);
+	g_hash_table_destroy(s->queues);
 	g_hash_table_destroy(s->jobs);
 	g_hash_table_destroy(s->queued);
 	g_hash_table_destroy(s->workers);
@@ -73,6 +75,19 @@
 	interfere_finish(&s->interfere);
 }
 
+static void index_queues(struct sched *s)
+{
+	const struct catalog *c = s->catalog;
+
+	g_hash_table_remove_all(s->queues);
+	/* Of several queues of one name, the first one counts. */
+	for (int32_t i = c ? c->n_queues : 0; i > 0; i--) {
+		struct catalog_queue *q = &c->queues[i - 1];
+
+		g_hash_table_insert(s->queues, q->name, q);
+	}
+}
+
 void sched_configure(struct sched *s, const struct catalog *catalog,
 		     GHashTable *domains_out)
 {
@@ -81,11 +96,12 @@
 
 	s->catalog = catalog;
 	s->domains_out = domains_out;
+	index_queues(s);
 	g_hash_table_iter_init(&it, s->jobs);
 	while (g_hash_table_iter_next(&it, NULL, &value)) {
 		struct sched_job *job = value;
 
-		job->queue = catalog_find_queue(catalog, job->spec->queue);
+		job->queue = g_hash_table_lookup(s->queues, job->spec->queue);
 	}
 }
 
--- a/src/coordination/sched.h
+++ b/src/coordination/sched.h
@@ -335,6 +335,7 @@
 	struct sched_limits lim;
 	const struct sched_rank_policy *rank_policy;
 	const struct catalog *catalog;
+	GHashTable *queues; /* name to struct catalog_queue of `catalog` */
 	GHashTable *mean_work; /* queue to double; see sched_rank.c */
 	GHashTable *domains_out; /* names of failure domains out of service */
 	GHashTable *jobs; /* id to struct sched_job */
--- a/tests/unit_count.c
+++ b/tests/unit_count.c
@@ -125,6 +125,25 @@
 	g_assert_cmpint(many_ns, <=, few_ns * SLOWER_MAX);
 }
 
+static void configure(struct shard_ctl *sc)
+{
+	sched_configure(&sc->sched, sc->f->catalog, NULL);
+}
+
+/* Guards against a new configuration that holds up the owner because it costs
+ * queues times jobs. */
+static void test_configure_many_queues_many_jobs(void)
+{
+	int64_t queues_ns = measure_ns(configure, MANY_QUEUES, 0);
+	int64_t jobs_ns = measure_ns(configure, 1, MANY_JOBS);
+	int64_t both_ns = measure_ns(configure, MANY_QUEUES, MANY_JOBS);
+
+	g_test_message("queues %" G_GINT64_FORMAT " ns, jobs %" G_GINT64_FORMAT
+		       " ns, both %" G_GINT64_FORMAT " ns",
+		       queues_ns, jobs_ns, both_ns);
+	g_assert_cmpint(both_ns, <=, (queues_ns + jobs_ns) * 10);
+}
+
 /* Guards against a count of 0 for a queue that the owner's configuration does
  * not hold yet, although other VMs already accept jobs for it. */
 static void test_queue_unknown_to_the_owner(void)
@@ -305,6 +324,8 @@
 {
 	g_test_add_func("/count/many-queues-many-ended-jobs",
 			test_many_queues_many_ended_jobs);
+	g_test_add_func("/count/configure-many-queues-many-jobs",
+			test_configure_many_queues_many_jobs);
 	g_test_add_func("/count/queue-unknown-to-the-owner",
 			test_queue_unknown_to_the_owner);
 	g_test_add_func("/count/match-jobs", test_counts_match_jobs);
