Bound the part of the owner's row that job counts take

What callers would see: nothing starts any more, all counts stay old. Change: counts of a quarter of a row or more are left out, and VMs refuse to answer, as with any count that they don't know. The handover's bound (half a row) uses the same function.

--- a/src/fleet/shard_ctl_commit.c
+++ b/src/fleet/shard_ctl_commit.c
@@ -17,6 +17,10 @@
  * as much. */
 #define COMMIT_BYTES_MAX (512 * 1024)
 
+/* Parts of the owner's row that the handover and the job counts may take: a row
+ * that the store rejects would block all later commits. */
+#define HANDOVER_PART 2
+#define PENDING_PART 4
 /* Estimated size of one run in the handover, by which the number of runs is
  * limited: ids of 16 characters and four numbers. */
 #define HANDOVER_RUN_BYTES 50
@@ -181,6 +185,20 @@
 	wkr_links_committed(sc->links);
 }
 
+/* Returns `j` as text, a talloc child of `ctx`, or NULL if it takes
+ * `bytes_max` or more. Releases `j`. */
+static char *text_if_fits(void *ctx, json_t *j, int64_t bytes_max)
+{
+	char *text = json_dumps(j, JSON_COMPACT);
+	char *copy = NULL;
+
+	if ((int64_t)strlen(text) < bytes_max)
+		copy = talloc_strdup(ctx, text);
+	free(text);
+	json_decref(j);
+	return copy;
+}
+
 void shard_ctl_fill_row(struct owner_row *row, void *priv)
 {
 	struct shard_ctl *sc = priv;
@@ -188,7 +206,6 @@
 	gpointer queue;
 	gpointer n;
 	json_t *pending;
-	char *text;
 
 	/* Until the jobs are loaded, the row keeps the counts of the previous
 	 * owner, and their time. */
@@ -201,27 +218,12 @@
 	while (g_hash_table_iter_next(&it, &queue, &n))
 		json_object_set_new(pending, queue,
 				    json_integer(GPOINTER_TO_INT(n)));
-	text = json_dumps(pending, JSON_COMPACT);
 	talloc_free(row->pending);
-	row->pending = talloc_strdup(sc, text);
-	row->pending_ms = sc->jobs_store_ms;
+	/* Counts that don't fit in the row are unknown to callers. */
+	row->pending = text_if_fits(sc, pending,
+				    sc->f->set.row_bytes_max / PENDING_PART);
+	row->pending_ms = row->pending ? sc->jobs_store_ms : 0;
 	row->pending_version = sc->jobs_version;
-	free(text);
-	json_decref(pending);
-}
-
-/* Returns `j` as text, a talloc child of `ctx`, or NULL if it takes half a row
- * or more: the owner row holds other data too. Releases `j`. */
-static char *text_if_fits(const struct shard_ctl *sc, void *ctx, json_t *j)
-{
-	char *text = json_dumps(j, JSON_COMPACT);
-	char *copy = NULL;
-
-	if ((int64_t)strlen(text) < sc->f->set.row_bytes_max / 2)
-		copy = talloc_strdup(ctx, text);
-	free(text);
-	json_decref(j);
-	return copy;
 }
 
 char *shard_ctl_handover(void *ctx, void *priv)
@@ -229,6 +231,7 @@
 	struct shard_ctl *sc = priv;
 	int64_t now = clk_mono_ms(sc->f->clk);
 	int64_t waited_ms = now - sc->sched.taken_over_ms;
+	int64_t bytes_max = sc->f->set.row_bytes_max / HANDOVER_PART;
 	int64_t runs_max;
 	char *text;
 
@@ -236,14 +239,14 @@
 	 * received from the previous owner. */
 	if (!sc->active) {
 		text = text_if_fits(
-			sc, ctx,
-			sched_handover_forward(sc->handover, waited_ms));
+			ctx, sched_handover_forward(sc->handover, waited_ms),
+			bytes_max);
 	} else {
 		runs_max = sc->f->set.row_bytes_max / 4 / HANDOVER_RUN_BYTES;
-		text = text_if_fits(sc, ctx,
-				    sched_handover_pack(&sc->sched,
-							(int32_t)runs_max,
-							now));
+		text = text_if_fits(
+			ctx,
+			sched_handover_pack(&sc->sched, (int32_t)runs_max, now),
+			bytes_max);
 	}
 	log_event(LOG_SHARD_HANDED, "shard=%d epoch=%lld bytes=%zu", sc->shard,
 		  (long long)sc->sched.epoch, text ? strlen(text) : 0);
--- a/tests/unit_count.c
+++ b/tests/unit_count.c
@@ -32,6 +32,7 @@
 		g_snprintf(c->queues[i].name, CATALOG_NAME_MAX, "q%d", i);
 	sc->f = talloc_zero(sc, struct fleet);
 	sc->f->catalog = c;
+	sc->f->set.row_bytes_max = 65536;
 	sc->jobs_loaded = true;
 	sc->active = true;
 	sched_init(&sc->sched, &no_ops, sc, &lim, 1, 0);
--- a/tests/unit_shard_ctl.c
+++ b/tests/unit_shard_ctl.c
@@ -1,6 +1,7 @@
 /* Tests how a shard's owner loads and writes its rows, over a store in
  * memory. */
 #include <glib.h>
+#include <inttypes.h>
 #include <string.h>
 #include <talloc.h>
 
@@ -291,9 +292,9 @@
 	ctl_fixture_close();
 }
 
-static void put_waiting_job(const char *id)
+static void put_waiting_job(const char *id, const char *queue)
 {
-	struct jobspec *spec = fixture_spec(id, "short", 1, 1);
+	struct jobspec *spec = fixture_spec(id, queue, 1, 1);
 	json_t *j = jobspec_pack(spec);
 	char *text = json_dumps(j, JSON_COMPACT);
 	char table[SHARD_CTL_NAME_MAX];
@@ -346,7 +347,7 @@
 		(long long)clk_mono_ms(&clk_system) - PENDING_MAX_MS);
 
 	ctl_fixture_open();
-	put_waiting_job("waits");
+	put_waiting_job("waits", "short");
 	put_owner_row(dated, 1);
 	fx->store.refused_table = SHARD_CTL_ROSTER_TABLE;
 	ctl_fixture_start();
@@ -364,7 +365,7 @@
 static void test_pending_unknown_at_first(void)
 {
 	ctl_fixture_open();
-	put_waiting_job("waits");
+	put_waiting_job("waits", "short");
 	fx->store.refused_table = SHARD_CTL_ROSTER_TABLE;
 	ctl_fixture_start();
 	g_assert_cmpint(ask_pending().result, ==, JOB_API_REFUSED);
@@ -381,7 +382,7 @@
 {
 	ctl_fixture_open();
 	fx->list_unanswered = true;
-	put_waiting_job("waits");
+	put_waiting_job("waits", "short");
 	ctl_fixture_start();
 	await_pending(1);
 	g_assert_null(shard_ctl_sched(fx->f.shard_ctls[0]));
@@ -390,13 +391,38 @@
 	ctl_fixture_close();
 }
 
+/*
+ * Guards against an owner whose commits are all rejected because jobs wait in
+ * so many queues that its row is too long. Of such counts nothing is known.
+ */
+static void test_pending_of_many_queues(void)
+{
+	int64_t row_bytes_max;
+	const char *row;
+
+	ctl_fixture_open();
+	row_bytes_max = fx->f.set.row_bytes_max;
+	for (int64_t i = 0; i < row_bytes_max / 10; i++) {
+		g_autofree char *name = g_strdup_printf("queue%" PRId64, i);
+
+		put_waiting_job(name, name);
+	}
+	ctl_fixture_start();
+	await_active();
+	run_loop_ms(3 * HEARTBEAT_MS);
+	row = fake_rows_get(&fx->store, "owners", "s0", "owner");
+	g_assert_cmpint((int64_t)strlen(row), <=, row_bytes_max);
+	g_assert_cmpint(ask_pending().result, ==, JOB_API_REFUSED);
+	ctl_fixture_close();
+}
+
 /* A row of a release that doesn't date its counts is as old as its last change,
  * and its counts are not taken over. */
 static void test_pending_undated(void)
 {
 	ctl_fixture_open();
 	fx->f.set.owner.silence_ms = 3000;
-	put_waiting_job("waits");
+	put_waiting_job("waits", "short");
 	fx->store.refused_table = SHARD_CTL_ROSTER_TABLE;
 	put_owner_row("", 1);
 	ctl_fixture_start();
@@ -426,6 +452,8 @@
 	g_test_add_func("/lead/pending-before-workers",
 			test_pending_before_workers);
 	g_test_add_func("/lead/pending-undated", test_pending_undated);
+	g_test_add_func("/lead/pending-of-many-queues",
+			test_pending_of_many_queues);
 	g_test_add_func("/lead/progress-outlives-the-job",
 			test_progress_outlives_the_job);
 	g_test_add_func("/lead/roster-read-before-written",
