Show a job as running when the end of a run comes before its start's answer

What callers saw: nothing reported. A job of which a task has ended was shown as queued and counted as pending, until another of its tasks was answered or listed as active, which takes long when workers are full. Cause: only the answer to a start command and the list of active runs made a job running. A report that lists the end may overtake the answer, or the answer is lost. Change: an end of a run, whatever its reason, shows that it had started. Test: /count/end-before-start-answer, which failed before.

--- a/src/coordination/sched_run.c
+++ b/src/coordination/sched_run.c
@@ -204,6 +204,14 @@
 	return t->step->def->gang ? &t->step->tasks[0] : t;
 }
 
+static void mark_job_running(struct sched *s, struct sched_job *job)
+{
+	if (job->state != SCHED_JOB_QUEUED)
+		return;
+	sched_set_job_state(s, job, SCHED_JOB_RUNNING);
+	sched_mark_dirty(s, job);
+}
+
 static void process_end(struct sched *s, struct sched_worker *w,
 			const struct sched_end *e, int64_t now_ms,
 			int64_t wall_ms)
@@ -225,6 +233,8 @@
 	if (run)
 		sched_run_free(s, run);
 	t->ever_started = true;
+	/* The end may be reported before the answer to the start command. */
+	mark_job_running(s, t->step->round->job);
 	if (t->last_run < e->ref.run)
 		t->last_run = e->ref.run;
 	if (t->done || sched_job_has_ended(t->step->round->job))
@@ -249,14 +259,6 @@
 	}
 }
 
-static void mark_job_running(struct sched *s, struct sched_job *job)
-{
-	if (job->state != SCHED_JOB_QUEUED)
-		return;
-	sched_set_job_state(s, job, SCHED_JOB_RUNNING);
-	sched_mark_dirty(s, job);
-}
-
 static void stop_unknown_run(struct sched *s, struct sched_worker *w,
 			     const struct sched_ref *ref, const char *why)
 {
--- a/tests/unit_count.c
+++ b/tests/unit_count.c
@@ -211,6 +211,36 @@
 	close_owner(sc);
 }
 
+/*
+ * Guards against a job that is reported as queued, and counted as pending,
+ * although a task of it has ended: the worker's report overtook the answer to
+ * the start command, or that was lost.
+ */
+static void test_end_before_start_answer(void)
+{
+	static const enum sched_end_reason reasons[] = { SCHED_END_DONE,
+							 SCHED_END_FAILED,
+							 SCHED_END_STOPPED };
+
+	for (size_t i = 0; i < G_N_ELEMENTS(reasons); i++) {
+		struct sched_fixture p;
+		struct sched_job *job;
+		struct sched_end end;
+
+		fixture_open(&p, 1, NULL);
+		fixture_add_worker(&p, "w", "r");
+		fixture_poll(&p, "w", NULL, 0, NULL, 0, 10);
+		job = fixture_add_job(&p, fixture_spec("job", "short", 1, 4));
+		sched_place(&p.s, 20);
+		g_assert_cmpint(sched_count_queued(&p.s, "short"), ==, 1);
+		end = fixture_end(fixture_start(&p, 0), 1, reasons[i]);
+		fixture_poll(&p, "w", NULL, 0, &end, 1, 30);
+		g_assert_cmpint(job->state, ==, SCHED_JOB_RUNNING);
+		g_assert_cmpint(sched_count_queued(&p.s, "short"), ==, 0);
+		fixture_close(&p);
+	}
+}
+
 /* Queue 2 is not in the configuration. */
 static const char *const queues[] = { "short", "long", "unknown" };
 
@@ -383,5 +413,7 @@
 			test_place_with_many_pools);
 	g_test_add_func("/count/queue-unknown-to-the-owner",
 			test_queue_unknown_to_the_owner);
+	g_test_add_func("/count/end-before-start-answer",
+			test_end_before_start_answer);
 	g_test_add_func("/count/match-jobs", test_counts_match_jobs);
 }
