Load a shard's jobs only from answers that are not older than the claim

What callers would see: a count, dated now, that lacks jobs which were accepted before the owner changed. Cause: progress and roster are read again while the store answers with a version older than our claim; the watch of the jobs was not checked so. Test: /lead/pending-from-stale-read, which failed before (the count was answered).

--- a/src/fleet/shard_ctl_load.c
+++ b/src/fleet/shard_ctl_load.c
@@ -127,6 +127,9 @@
 {
 	struct shard_ctl *sc = priv;
 
+	/* An answer older than our claim could lack accepted jobs. */
+	if (version < sc->acquired_version)
+		return;
 	sc->jobs_version = version;
 	sc->jobs_store_ms = store_ms;
 	/* Other VMs have no counts younger than the previous owner's. */
--- a/tests/fake_rows.c
+++ b/tests/fake_rows.c
@@ -235,6 +235,13 @@
 	return list;
 }
 
+static void limit_version(const struct fake_rows *f, const char *table,
+			  struct reply *r)
+{
+	if (f->stale_table && !strcmp(table, f->stale_table))
+		r->ans.version = f->stale_version;
+}
+
 static void fake_read(void *self, const struct rows_range *range,
 		      rows_done done, void *priv)
 {
@@ -248,10 +255,13 @@
 	if (f->unanswered_table && !strcmp(range->table, f->unanswered_table))
 		return;
 	r = new_reply(f, refused ? ROWS_NO_EFFECT : ROWS_OK, done, priv);
+	limit_version(f, range->table, r);
 	list = rows_of(f, range->table, compare_key);
 	for (guint i = 0; !refused && i < list->len; i++) {
 		struct fake_row *row = g_ptr_array_index(list, i);
 
+		if (row->version > r->ans.version)
+			continue;
 		if (!row->value || strcmp(row->part, range->part) ||
 		    (range->from && strcmp(row->key, range->from) < 0) ||
 		    (range->to && strcmp(row->key, range->to) >= 0))
@@ -275,10 +285,11 @@
 	GPtrArray *list = rows_of(f, table, compare_version);
 
 	(void)wait_ms;
+	limit_version(f, table, r);
 	for (guint i = 0; res == ROWS_OK && i < list->len; i++) {
 		struct fake_row *row = g_ptr_array_index(list, i);
 
-		if (row->version > after)
+		if (row->version > after && row->version <= r->ans.version)
 			add_row(r, row, row->part, row->key);
 	}
 	g_ptr_array_free(list, TRUE);
--- a/tests/fake_rows.h
+++ b/tests/fake_rows.h
@@ -28,6 +28,9 @@
 		*refused_part_prefix; /* commits to such parts fail; or NULL */
 	const char *refused_table; /* reads of it fail; or NULL */
 	const char *unanswered_table; /* reads of it aren't answered; or NULL */
+	const char *stale_table; /* answers about it show no rows of late; or
+				    NULL */
+	int64_t stale_version; /* up to which they show rows */
 	int64_t clock_ahead_ms; /* of the store's clock to the monotonic one */
 	int32_t commits;
 };
--- a/tests/unit_shard_ctl.c
+++ b/tests/unit_shard_ctl.c
@@ -416,6 +416,25 @@
 	ctl_fixture_close();
 }
 
+/* Guards against counts that lack jobs accepted before the shard was claimed,
+ * since an answer about the jobs is older than the claim. */
+static void test_pending_from_stale_read(void)
+{
+	char table[SHARD_CTL_NAME_MAX];
+
+	ctl_fixture_open();
+	fx->store.stale_table = shard_ctl_jobs_table(0, table);
+	fx->store.stale_version = fx->store.version;
+	put_waiting_job("waits", "short");
+	ctl_fixture_start();
+	run_loop_ms(LOAD_FAILS_MS);
+	g_assert_true(fx->store.commits > 1);
+	g_assert_cmpint(ask_pending().result, ==, JOB_API_REFUSED);
+	fx->store.stale_table = NULL;
+	await_pending(1);
+	ctl_fixture_close();
+}
+
 /* A row of a release that doesn't date its counts is as old as its last change,
  * and its counts are not taken over. */
 static void test_pending_undated(void)
@@ -452,6 +471,8 @@
 	g_test_add_func("/lead/pending-before-workers",
 			test_pending_before_workers);
 	g_test_add_func("/lead/pending-undated", test_pending_undated);
+	g_test_add_func("/lead/pending-from-stale-read",
+			test_pending_from_stale_read);
 	g_test_add_func("/lead/pending-of-many-queues",
 			test_pending_of_many_queues);
 	g_test_add_func("/lead/progress-outlives-the-job",
