Don't show a job of which only the cancel row is left

What callers would see: a job that was removed long ago is shown as queued, for good. Cause: a cancel is written after the job's row was read; if the job is cleaned up in between, the cancel row stays, and a look-up took the first row from the id on for the job. Test: /door/cancel-row-alone, which failed before.

--- a/src/fleet/job_api.c
+++ b/src/fleet/job_api.c
@@ -405,7 +405,8 @@
 		retry_request(rq, ans);
 		return;
 	}
-	if (!ans->n) {
+	/* A cancel row may be left of a job that was removed meanwhile. */
+	if (!ans->n || strcmp(ans->rows[0].key, rq->id) != 0) {
 		answer_request(rq, JOB_API_NOT_FOUND, SCHED_JOB_QUEUED,
 			       "no such job");
 		return;
--- a/tests/unit_job_api.c
+++ b/tests/unit_job_api.c
@@ -219,8 +219,30 @@
 	api_fixture_close(&fx);
 }
 
+/* Guards against a job that nobody submitted being shown as queued: only the
+ * cancel row is left of a job that was removed while it was cancelled. */
+static void test_cancel_row_alone(void)
+{
+	static const char id[] = "aaaa000000000000";
+	struct api_fixture fx;
+	struct outcome o = { 0 };
+	char table[SHARD_CTL_NAME_MAX];
+	char part[SHARD_CTL_NAME_MAX];
+
+	api_fixture_open(&fx);
+	fake_rows_put(&fx.store, shard_ctl_jobs_table(0, table),
+		      shard_ctl_job_part(0, shard_ctl_job_part_of(id), part),
+		      "aaaa000000000000" SHARD_CTL_CANCEL_SUFFIX, "{}");
+	job_api_state(fx.f.job_api, id, clk_mono_ms(&clk_system) + 3000,
+		      on_answer, &o);
+	await(&fx, &o);
+	g_assert_cmpint(o.ans.result, ==, JOB_API_NOT_FOUND);
+	api_fixture_close(&fx);
+}
+
 void unit_add_job_api(void)
 {
+	g_test_add_func("/door/cancel-row-alone", test_cancel_row_alone);
 	g_test_add_func("/door/accepts-once", test_accepts_once);
 	g_test_add_func("/door/lost-answers", test_lost_answers);
 	g_test_add_func("/door/refusals-are-true", test_refusals_are_true);
