Remove progress rows whose jobs are gone

What callers would see: the last state of a job that is long gone, for good; a later job of the same id would count as ended. Cause: job rows are removed first and the progress rows by the owner's next commit; if the owner is lost in between, nobody removes them. Change: when all jobs are loaded, progress of ended jobs without a job row is removed by the next commit. That of a job row that can't be read stays. Test: /lead/orphaned-progress, which failed before.

--- a/src/fleet/shard_ctl_load.c
+++ b/src/fleet/shard_ctl_load.c
@@ -66,8 +66,11 @@
 
 	if (!spec)
 		spec = read_spec(sc, row, id);
-	if (!spec)
+	if (!spec) {
+		/* Not an orphan: its progress stays in the store. */
+		g_hash_table_remove(sc->loaded_progress, id);
 		return;
+	}
 	if (sc->f->store_clock_known && spec->accepted_ms)
 		age = now + sc->f->store_offset_ms - spec->accepted_ms;
 	job = sched_job_add(&sc->sched, spec, progress, row->version,
@@ -123,6 +126,34 @@
 	shard_ctl_place_soon(sc);
 }
 
+/* Removes the progress of jobs whose rows are gone: the previous owner was lost
+ * between the removal of both. */
+static void remove_orphans(struct shard_ctl *sc)
+{
+	GHashTableIter it;
+	gpointer id;
+	gpointer progress;
+
+	g_hash_table_iter_init(&it, sc->loaded_progress);
+	while (g_hash_table_iter_next(&it, &id, &progress)) {
+		if (sched_progress_has_ended(progress))
+			g_ptr_array_add(sc->removed_ids,
+					talloc_strdup(sc->term_ctx, id));
+	}
+	g_hash_table_remove_all(sc->loaded_progress);
+}
+
+/* The first time, all jobs are loaded. */
+static void finish_loading(struct shard_ctl *sc)
+{
+	if (sc->jobs_loaded)
+		return;
+	sc->jobs_loaded = true;
+	remove_orphans(sc);
+	/* Other VMs have no counts younger than the previous owner's. */
+	owner_request_commit(sc->owner);
+}
+
 static void on_jobs_synced(int64_t version, int64_t store_ms, void *priv)
 {
 	struct shard_ctl *sc = priv;
@@ -132,10 +163,7 @@
 		return;
 	sc->jobs_version = version;
 	sc->jobs_store_ms = store_ms;
-	/* Other VMs have no counts younger than the previous owner's. */
-	if (!sc->jobs_loaded)
-		owner_request_commit(sc->owner);
-	sc->jobs_loaded = true;
+	finish_loading(sc);
 	shard_ctl_maybe_activate(sc);
 }
 
--- a/tests/unit_shard_ctl.c
+++ b/tests/unit_shard_ctl.c
@@ -292,6 +292,37 @@
 	ctl_fixture_close();
 }
 
+/*
+ * Guards against progress rows that stay for good, and show a job that is gone:
+ * the previous owner was lost after it had removed the job's row.
+ */
+static void test_orphaned_progress(void)
+{
+	static const char ended[] = "{\"state\":\"done\",\"ended_ms\":1,"
+				    "\"queue\":\"short\"}";
+	static const char unreadable[] = "unreadable";
+	char table[SHARD_CTL_NAME_MAX];
+	char part[SHARD_CTL_NAME_MAX];
+
+	ctl_fixture_open();
+	fake_rows_put(&fx->store, SHARD_CTL_PROGRESS_TABLE, "s0", "orphan",
+		      ended);
+	fake_rows_put(&fx->store, SHARD_CTL_PROGRESS_TABLE, "s0", unreadable,
+		      "{\"state\":\"running\"}");
+	fake_rows_put(
+		&fx->store, shard_ctl_jobs_table(0, table),
+		shard_ctl_job_part(0, shard_ctl_job_part_of(unreadable), part),
+		unreadable, "[]");
+	ctl_fixture_start();
+	await_active();
+	run_loop_ms(3 * HEARTBEAT_MS);
+	g_assert_null(fake_rows_get(&fx->store, SHARD_CTL_PROGRESS_TABLE, "s0",
+				    "orphan"));
+	g_assert_nonnull(fake_rows_get(&fx->store, SHARD_CTL_PROGRESS_TABLE,
+				       "s0", unreadable));
+	ctl_fixture_close();
+}
+
 static void put_waiting_job(const char *id, const char *queue)
 {
 	struct jobspec *spec = fixture_spec(id, queue, 1, 1);
@@ -477,6 +508,7 @@
 			test_pending_of_many_queues);
 	g_test_add_func("/lead/progress-outlives-the-job",
 			test_progress_outlives_the_job);
+	g_test_add_func("/lead/orphaned-progress", test_orphaned_progress);
 	g_test_add_func("/lead/roster-read-before-written",
 			test_roster_read_before_written);
 	g_test_add_func("/lead/roster-in-pages", test_roster_in_pages);
