Wait for a second list before a VM of a wave counts as gone

What callers would see: status/wave/N says done although a VM that stays has not begun its upkeep (MIXED), and it never has it. Cause: the list of VMs is read page by page. Change: a VM is gone when two lists in a row lack it, is back in the wave when it is listed again before the wave is done, and while a command is under way only its answer counts.

--- a/src/coordination/upkeep.c
+++ b/src/coordination/upkeep.c
@@ -19,7 +19,8 @@
 	COMMANDED, /* a command is under way, or its outcome is unknown */
 	DOWN, /* upkeep has begun, VM not yet listed as up again */
 	BACK, /* listed as up again, with a new worker */
-	SKIPPED, /* not listed any more, or not in the wave per the platform */
+	GONE, /* not listed any more */
+	SKIPPED, /* not in the wave per the platform */
 };
 
 /* One VM of one wave. */
@@ -30,6 +31,7 @@
 	bool in_flight; /* a command awaits its answer */
 	bool begun; /* its upkeep has begun */
 	int64_t retry_ms; /* no command is sent before */
+	int64_t missing_ms; /* list that lacked it first; 0: the last has it */
 };
 
 /* One wave and the progress of its VMs. */
@@ -132,10 +134,15 @@
 	m->stage = DOWN;
 }
 
+static bool is_left_out(const struct wave_member *m)
+{
+	return m->stage == GONE || m->stage == SKIPPED;
+}
+
 static bool is_done(const struct upkeep_wave_state *w)
 {
 	for (int32_t i = 0; i < w->n; i++) {
-		if (!w->members[i].begun && w->members[i].stage != SKIPPED)
+		if (!w->members[i].begun && !is_left_out(&w->members[i]))
 			return false;
 	}
 	return true;
@@ -183,10 +190,10 @@
 	u->ops->changed(u->priv, w->number);
 }
 
-static void skip_vm(struct upkeep *u, const struct upkeep_wave_state *w,
-		    struct wave_member *m, const char *why)
+static void leave_out(struct upkeep *u, const struct upkeep_wave_state *w,
+		      struct wave_member *m, enum stage stage, const char *why)
 {
-	m->stage = SKIPPED;
+	m->stage = stage;
 	u->ops->log_decision(u->priv, why, w->number, m->vm);
 	u->ops->set_evacuating(u->priv, m->vm, false);
 	u->ops->changed(u->priv, w->number);
@@ -207,7 +214,7 @@
 		set_begun(u, w, m);
 		break;
 	case UPKEEP_NOT_IN_WAVE:
-		skip_vm(u, w, m, "not of the wave");
+		leave_out(u, w, m, SKIPPED, "not of the wave");
 		break;
 	case UPKEEP_BUSY:
 	case UPKEEP_FENCED:
@@ -219,8 +226,22 @@
 	}
 }
 
-/* Applies the VM list: skips VMs that are no longer listed, and finds those
- * that run a new worker after their upkeep. */
+/* A list is read page by page and may lack a VM that moved between two pages,
+ * so the VM has left only if the next list lacks it too. */
+static void note_missing(struct upkeep *u, const struct upkeep_wave_state *w,
+			 struct wave_member *m)
+{
+	if (!m->missing_ms)
+		m->missing_ms = u->listed_ms;
+	/* The answer to a command tells whether the VM has left. */
+	if (m->stage == DOWN || m->stage == COMMANDED || m->stage == GONE)
+		return;
+	if (u->listed_ms > m->missing_ms)
+		leave_out(u, w, m, GONE, "left the platform");
+}
+
+/* Applies the VM list: leaves out VMs that are no longer listed, and finds
+ * those that run a new worker after their upkeep. */
 static void apply_list(struct upkeep *u, struct upkeep_wave_state *w)
 {
 	for (int32_t i = 0; i < w->n; i++) {
@@ -231,10 +252,12 @@
 		if (m->stage == SKIPPED || m->stage == BACK)
 			continue;
 		if (!v) {
-			if (m->stage != DOWN)
-				skip_vm(u, w, m, "left the platform");
+			note_missing(u, w, m);
 			continue;
 		}
+		m->missing_ms = 0;
+		if (m->stage == GONE)
+			m->stage = WAITING;
 		if (m->stage != DOWN || v->state != UPKEEP_UP ||
 		    !strcmp(v->worker, m->worker))
 			continue;
@@ -249,7 +272,7 @@
 {
 	const struct upkeep_vm *v = g_hash_table_lookup(u->states, m->vm);
 
-	if (m->stage == SKIPPED || m->stage == BACK)
+	if (is_left_out(m) || m->stage == BACK)
 		return false;
 	return m->stage == COMMANDED || m->stage == DOWN ||
 	       (v && v->state == UPKEEP_NOT_UP);
--- /dev/null
+++ b/tests/unit_stale.c
@@ -0,0 +1,217 @@
+/* Decisions on what was read from others: lists that are incomplete or older
+ * than the event in question, and rows that were not read. */
+#include <glib.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "coordination/upkeep.h"
+#include "pf_vms.h"
+#include "tests/fuzz.h"
+#include "tests/unit.h"
+
+#define WAVE 7
+
+/* A wave of the VMs m1 and m2, and the VMs whose upkeep it commanded. */
+struct wave_fixture {
+	struct upkeep u;
+	GPtrArray *commanded;
+};
+
+static void ignore_evacuation(void *priv, const char *vm, bool on)
+{
+	(void)priv;
+	(void)vm;
+	(void)on;
+}
+
+static bool always_may_terminate(void *priv, const char *vm, bool late)
+{
+	(void)priv;
+	(void)vm;
+	(void)late;
+	return true;
+}
+
+static void record_command(void *priv, int64_t wave, const char *vm)
+{
+	struct wave_fixture *f = priv;
+
+	(void)wave;
+	g_ptr_array_add(f->commanded, g_strdup(vm));
+}
+
+static void ignore_change(void *priv, int64_t wave)
+{
+	(void)priv;
+	(void)wave;
+}
+
+static void ignore_decision(void *priv, const char *what, int64_t wave,
+			    const char *vm)
+{
+	(void)priv;
+	(void)what;
+	(void)wave;
+	(void)vm;
+}
+
+static const struct upkeep_ops wave_ops = { ignore_evacuation,
+					    always_may_terminate,
+					    record_command, ignore_change,
+					    ignore_decision };
+
+static void wave_open(struct wave_fixture *f, int32_t at_once)
+{
+	static const char *const vms[] = { "m1", "m2" };
+	struct upkeep_wave wave = { WAVE, at_once, 60000, 2, vms };
+
+	f->commanded = g_ptr_array_new_with_free_func(g_free);
+	upkeep_init(&f->u, &wave_ops, f, 0);
+	upkeep_add(&f->u, &wave, 0);
+}
+
+static void wave_close(struct wave_fixture *f)
+{
+	upkeep_finish(&f->u);
+	g_ptr_array_free(f->commanded, TRUE);
+}
+
+/* Reads a list with the workers of m1 and m2 and advances the wave. A worker ""
+ * means that the VM is down, NULL that the list lacks it. */
+static void wave_list(struct wave_fixture *f, const char *w1, const char *w2,
+		      int64_t now_ms)
+{
+	upkeep_begin_listing(&f->u);
+	if (w1)
+		upkeep_add_listed(&f->u, "m1", *w1 ? UPKEEP_UP : UPKEEP_NOT_UP,
+				  w1);
+	if (w2)
+		upkeep_add_listed(&f->u, "m2", *w2 ? UPKEEP_UP : UPKEEP_NOT_UP,
+				  w2);
+	upkeep_end_listing(&f->u, now_ms);
+	upkeep_step(&f->u, true, now_ms);
+}
+
+static bool wave_is_done(const struct wave_fixture *f)
+{
+	bool done;
+
+	g_ptr_array_free(upkeep_list_begun(&f->u, WAVE, &done), TRUE);
+	return done;
+}
+
+/*
+ * Guards against a wave that is reported as done before the upkeep of a VM
+ * (MIXED): the VM was between two pages while the list was read.
+ */
+static void test_missing_from_one_list(void)
+{
+	struct wave_fixture f;
+
+	wave_open(&f, 2);
+	wave_list(&f, "w1", NULL, 1000);
+	upkeep_note_result(&f.u, WAVE, "m1", UPKEEP_BEGUN, 1100);
+	g_assert_false(wave_is_done(&f));
+	upkeep_step(&f.u, true, 1200);
+	g_assert_false(wave_is_done(&f));
+	wave_list(&f, "", "w2", 2000);
+	g_assert_cmpuint(f.commanded->len, ==, 2);
+	upkeep_note_result(&f.u, WAVE, "m2", UPKEEP_BEGUN, 2100);
+	g_assert_true(wave_is_done(&f));
+	wave_close(&f);
+}
+
+/* A VM that two lists lack is not waited for, but has its upkeep if it is
+ * listed again before the wave is done. */
+static void test_missing_from_two_lists(void)
+{
+	struct wave_fixture f;
+
+	wave_open(&f, 1);
+	wave_list(&f, "w1", NULL, 1000);
+	wave_list(&f, "w1", NULL, 2000);
+	wave_list(&f, "w1", "w2", 3000);
+	upkeep_note_result(&f.u, WAVE, "m1", UPKEEP_BEGUN, 3100);
+	g_assert_false(wave_is_done(&f));
+	wave_list(&f, "", NULL, 4000);
+	wave_list(&f, "", NULL, 5000);
+	g_assert_true(wave_is_done(&f));
+	wave_close(&f);
+}
+
+/*
+ * Guards against the same for a VM with a command under way: only the answer
+ * says whether its upkeep has begun.
+ */
+static void test_commanded_and_missing(void)
+{
+	struct wave_fixture f;
+
+	wave_open(&f, 2);
+	wave_list(&f, "w1", "w2", 1000);
+	upkeep_note_result(&f.u, WAVE, "m1", UPKEEP_BEGUN, 1100);
+	wave_list(&f, "", NULL, 2000);
+	wave_list(&f, "", NULL, 3000);
+	g_assert_false(wave_is_done(&f));
+	upkeep_note_result(&f.u, WAVE, "m2", UPKEEP_NOT_IN_WAVE, 3100);
+	g_assert_true(wave_is_done(&f));
+	wave_close(&f);
+}
+
+static void ignore_vm(const char *vm, enum upkeep_state state,
+		      const char *worker, void *priv)
+{
+	(void)vm;
+	(void)state;
+	(void)worker;
+	(void)priv;
+}
+
+static void note_complete(bool complete, void *priv)
+{
+	*(bool *)priv = complete;
+}
+
+/* Returns whether a list of these pages counts as complete. */
+static bool is_list_complete(const char *const *pages)
+{
+	static const struct rows rows;
+	struct pf_vms *p = pf_vms_start(NULL, NULL, "", &rows);
+	struct vms vms = pf_vms_iface(p);
+	bool complete = false;
+
+	vms.ops->list(vms.self, ignore_vm, note_complete, &complete);
+	for (int i = 0; pages[i]; i++)
+		fuzz_respond(pages[i], strlen(pages[i]));
+	talloc_free(p);
+	return complete;
+}
+
+/*
+ * Guards against VMs that seem to have left (MIXED): a page, or an entry of a
+ * page, could not be read.
+ */
+static void test_unreadable_list(void)
+{
+	static const char last[] =
+		"{\"machines\":[{\"machine\":\"m2\",\"state\":\"up\"}]}";
+	const char *const good[] = { "{\"machines\":[],\"next_token\":\"a\"}",
+				     last, NULL };
+	const char *const no_page[] = { "{\"next_token\":\"a\"}", last, NULL };
+	const char *const no_name[] = { "{\"machines\":[{\"state\":\"up\"}],"
+					"\"next_token\":\"a\"}",
+					last, NULL };
+
+	g_assert_true(is_list_complete(good));
+	g_assert_false(is_list_complete(no_page));
+	g_assert_false(is_list_complete(no_name));
+}
+
+void unit_add_stale(void)
+{
+	g_test_add_func("/stale/vm-missing-once", test_missing_from_one_list);
+	g_test_add_func("/stale/vm-missing-twice", test_missing_from_two_lists);
+	g_test_add_func("/stale/commanded-vm-missing",
+			test_commanded_and_missing);
+	g_test_add_func("/stale/unreadable-list", test_unreadable_list);
+}
