Judge a VM's return by a list that was begun after its upkeep

What callers would see: more VMs of a wave down than its cap (LIMIT), or a wave that stands still and is late while one of its VMs gets no tasks. Cause: a VM counted as back as soon as the last list named another worker than the one before the command. If the worker had restarted in between, a list from before the platform began the upkeep said so, and the next VM was commanded. The other way round, a successor that commands an upkeep which its predecessor began and didn't store is told that it has begun, with the new worker running already; no list ever shows another, so the VM counted as down for good. Test: /stale/list-before-upkeep, /stale/upkeep-over-before-command; without the change the first sends a second command with a cap of one, the second never sends it. Change: only a list that was begun after the upkeep was known to have begun shows that a VM is back, by a new worker, or by the same one once an upkeep would be over. The answer to a command comes after all on the VM was terminated, so that such a list can't show the time before.

--- a/src/coordination/upkeep.c
+++ b/src/coordination/upkeep.c
@@ -18,7 +18,7 @@
 	EVACUATING,
 	COMMANDED, /* a command is under way, or its outcome is unknown */
 	DOWN, /* upkeep has begun, VM not yet listed as up again */
-	BACK, /* listed as up again, with a new worker */
+	BACK, /* listed as up again */
 	GONE, /* not listed any more */
 	SKIPPED, /* not in the wave per the platform */
 };
@@ -30,6 +30,7 @@
 	enum stage stage;
 	bool in_flight; /* a command awaits its answer */
 	bool begun; /* its upkeep has begun */
+	int64_t begun_ms; /* when this was known; 0: to a previous owner */
 	int64_t retry_ms; /* no command is sent before */
 	int64_t missing_ms; /* list that lacked it first; 0: the last has it */
 };
@@ -161,8 +162,9 @@
 	return false;
 }
 
-void upkeep_begin_listing(struct upkeep *u)
+void upkeep_begin_listing(struct upkeep *u, int64_t now_ms)
 {
+	u->list_began_ms = now_ms;
 	g_hash_table_remove_all(u->states);
 }
 
@@ -182,10 +184,11 @@
 }
 
 static void set_begun(struct upkeep *u, const struct upkeep_wave_state *w,
-		      struct wave_member *m)
+		      struct wave_member *m, int64_t now_ms)
 {
 	m->stage = DOWN;
 	m->begun = true;
+	m->begun_ms = now_ms;
 	u->ops->log_decision(u->priv, "begun", w->number, m->vm);
 	u->ops->changed(u->priv, w->number);
 }
@@ -211,7 +214,7 @@
 	m->retry_ms = now_ms + RETRY_MS;
 	switch (res) {
 	case UPKEEP_BEGUN:
-		set_begun(u, w, m);
+		set_begun(u, w, m, now_ms);
 		break;
 	case UPKEEP_NOT_IN_WAVE:
 		leave_out(u, w, m, SKIPPED, "not of the wave");
@@ -240,8 +243,23 @@
 		leave_out(u, w, m, GONE, "left the platform");
 }
 
-/* Applies the VM list: leaves out VMs that are no longer listed, and finds
- * those that run a new worker after their upkeep. */
+/*
+ * Returns whether the VM is up again, given that it is listed as up. Only a
+ * list that was begun after the upkeep shows it. The worker is a new one then,
+ * unless the upkeep was over before our command: the platform confirms an
+ * upkeep that a previous owner began.
+ */
+static bool is_back(const struct upkeep *u, const struct wave_member *m,
+		    const struct upkeep_vm *v)
+{
+	if (u->list_began_ms <= m->begun_ms)
+		return false;
+	return strcmp(v->worker, m->worker) != 0 ||
+	       u->list_began_ms - m->begun_ms >= VM_DOWN_MS;
+}
+
+/* Leaves out VMs that are no longer listed, and finds those that are up again
+ * after their upkeep. */
 static void apply_list(struct upkeep *u, struct upkeep_wave_state *w)
 {
 	for (int32_t i = 0; i < w->n; i++) {
@@ -259,7 +277,7 @@
 		if (m->stage == GONE)
 			m->stage = WAITING;
 		if (m->stage != DOWN || v->state != UPKEEP_UP ||
-		    !strcmp(v->worker, m->worker))
+		    !is_back(u, m, v))
 			continue;
 		m->stage = BACK;
 		u->ops->set_evacuating(u->priv, m->vm, false);
--- a/src/coordination/upkeep.h
+++ b/src/coordination/upkeep.h
@@ -61,6 +61,7 @@
 	int64_t commands_from_ms; /* no command is sent before */
 	GHashTable *waves; /* number to struct upkeep_wave_state */
 	GHashTable *states; /* VM to struct upkeep_vm, from the last list */
+	int64_t list_began_ms; /* when the last reading of the list began */
 	int64_t listed_ms; /* when the list was last read; 0: never */
 };
 
@@ -81,8 +82,8 @@
 bool upkeep_is_active(const struct upkeep *u);
 
 /* Replace the VM list: one call of upkeep_add_listed for each VM, between the
- * other two. */
-void upkeep_begin_listing(struct upkeep *u);
+ * other two. The list shows no state older than the time of the first call. */
+void upkeep_begin_listing(struct upkeep *u, int64_t now_ms);
 void upkeep_add_listed(struct upkeep *u, const char *vm,
 		       enum upkeep_state state, const char *worker);
 void upkeep_end_listing(struct upkeep *u, int64_t now_ms);
--- a/src/fleet/upkeep_runner.c
+++ b/src/fleet/upkeep_runner.c
@@ -277,7 +277,7 @@
 		return;
 	r->list_running = true;
 	r->last_list_ms = now_ms;
-	upkeep_begin_listing(&r->upkeep);
+	upkeep_begin_listing(&r->upkeep, now_ms);
 	r->f->vms.ops->list(r->f->vms.self, on_list_entry, on_list_ended,
 			    new_call(r, 0, ""));
 }
--- a/tests/fuzz_rows.c
+++ b/tests/fuzz_rows.c
@@ -95,7 +95,7 @@
 	for (int32_t i = 0; i <= w.n_vms && upkeep_is_active(&u); i++) {
 		int64_t now = 100000 + i;
 
-		upkeep_begin_listing(&u);
+		upkeep_begin_listing(&u, now);
 		for (int32_t k = 0; k < w.n_vms; k++) {
 			g_autofree char *incarnation = g_strdup_printf("%d", i);
 
--- a/tests/unit_stale.c
+++ b/tests/unit_stale.c
@@ -81,7 +81,7 @@
 static void wave_list(struct wave_fixture *f, const char *w1, const char *w2,
 		      int64_t now_ms)
 {
-	upkeep_begin_listing(&f->u);
+	upkeep_begin_listing(&f->u, now_ms);
 	if (w1)
 		upkeep_add_listed(&f->u, "m1", *w1 ? UPKEEP_UP : UPKEEP_NOT_UP,
 				  w1);
@@ -158,6 +158,50 @@
 	wave_close(&f);
 }
 
+/*
+ * Guards against more VMs down than allowed (LIMIT): m1 got a new worker before
+ * the platform began its upkeep, and a list from in between seemed to show it
+ * back.
+ */
+static void test_list_before_upkeep(void)
+{
+	struct wave_fixture f;
+
+	wave_open(&f, 1);
+	wave_list(&f, "w1", "w2", 1000);
+	upkeep_begin_listing(&f.u, 2400);
+	upkeep_add_listed(&f.u, "m1", UPKEEP_UP, "w1b");
+	upkeep_add_listed(&f.u, "m2", UPKEEP_UP, "w2");
+	upkeep_note_result(&f.u, WAVE, "m1", UPKEEP_BEGUN, 2500);
+	upkeep_end_listing(&f.u, 2600);
+	upkeep_step(&f.u, true, 2600);
+	g_assert_cmpuint(f.commanded->len, ==, 1);
+	wave_list(&f, "", "w2", 3000);
+	g_assert_cmpuint(f.commanded->len, ==, 1);
+	wave_list(&f, "w1c", "w2", 4500);
+	g_assert_cmpuint(f.commanded->len, ==, 2);
+	wave_close(&f);
+}
+
+/*
+ * Guards against a wave that stands still, and a VM that gets no more tasks: a
+ * previous owner had begun the upkeep, so the VM had its new worker before the
+ * command, whose answer says just that the upkeep has begun.
+ */
+static void test_upkeep_over_before_command(void)
+{
+	struct wave_fixture f;
+
+	wave_open(&f, 1);
+	wave_list(&f, "w1b", "w2", 1000);
+	upkeep_note_result(&f.u, WAVE, "m1", UPKEEP_BEGUN, 1100);
+	wave_list(&f, "w1b", "w2", 2000);
+	g_assert_cmpuint(f.commanded->len, ==, 1);
+	wave_list(&f, "w1b", "w2", 4000);
+	g_assert_cmpuint(f.commanded->len, ==, 2);
+	wave_close(&f);
+}
+
 static void ignore_vm(const char *vm, enum upkeep_state state,
 		      const char *worker, void *priv)
 {
@@ -213,5 +257,8 @@
 	g_test_add_func("/stale/vm-missing-twice", test_missing_from_two_lists);
 	g_test_add_func("/stale/commanded-vm-missing",
 			test_commanded_and_missing);
+	g_test_add_func("/stale/list-before-upkeep", test_list_before_upkeep);
+	g_test_add_func("/stale/upkeep-over-before-command",
+			test_upkeep_over_before_command);
 	g_test_add_func("/stale/unreadable-list", test_unreadable_list);
 }
--- a/tests/unit_upkeep.c
+++ b/tests/unit_upkeep.c
@@ -68,7 +68,7 @@
 {
 	static const char *const vms[] = { "m1", "m2", "m3" };
 
-	upkeep_begin_listing(&f->u);
+	upkeep_begin_listing(&f->u, now_ms);
 	for (int i = 0; i < n; i++)
 		upkeep_add_listed(&f->u, vms[i],
 				  *states[i] ? UPKEEP_UP : UPKEEP_NOT_UP,
