Hold upkeep back while the VM of an unlisted worker is unknown

What callers would see: a long-running task is ended by an upkeep although its step can spare none (AVAIL). Cause: the roster names a worker's id and address, not its VM. An owner that takes over while entries have expired from the list of workers, as they do when the store loses what workers write, matched such a worker to no VM, so that its VM seemed to be empty and might be terminated. Test: /stale/unlisted-worker-after-takeover; without the change the VM may be terminated before the worker has answered, and while its task runs. Change: a worker that is not listed and whose VM is unknown counts for every VM. It holds upkeep back until it is listed, has proved empty, or its lease has expired; by then it has left the scheduler or has a VM.

--- a/src/coordination/sched_drain.c
+++ b/src/coordination/sched_drain.c
@@ -112,6 +112,13 @@
 	return !strcmp(w->row.vm, vm);
 }
 
+/* Returns whether the worker may run on the VM: the roster doesn't name the VM
+ * of a worker, so it is unknown until the worker is listed. */
+static bool may_run_on_vm(const struct sched_worker *w, const char *vm)
+{
+	return runs_on_vm(w, vm) || (!w->listed && !*w->row.vm);
+}
+
 void sched_vm_evacuate(struct sched *s, const char *vm, bool on)
 {
 	for (guint i = 0; i < s->worker_list->len; i++) {
@@ -159,7 +166,7 @@
 		const struct sched_worker *w =
 			g_ptr_array_index(s->worker_list, i);
 
-		if (runs_on_vm(w, vm) &&
+		if (may_run_on_vm(w, vm) &&
 		    !worker_may_terminate(s, w, late, now_ms))
 			return false;
 	}
--- a/tests/unit_stale.c
+++ b/tests/unit_stale.c
@@ -7,6 +7,7 @@
 #include "coordination/upkeep.h"
 #include "pf_vms.h"
 #include "tests/fuzz.h"
+#include "tests/sched_fixture.h"
 #include "tests/unit.h"
 
 #define WAVE 7
@@ -251,6 +252,41 @@
 	g_assert_false(is_list_complete(no_name));
 }
 
+/*
+ * Guards against upkeep of a VM whose task must stay available (AVAIL): a
+ * successor knew the worker from the roster only, which doesn't name its VM,
+ * since its entry had expired from the list. So the VM seemed to be empty.
+ */
+static void test_unlisted_worker_after_takeover(void)
+{
+	json_t *roster = json_pack("[[s,s,i]]", "w", "1.2.3.4:5", 1);
+	struct jobspec *spec = fixture_spec("a", "short", 1, 1);
+	struct sched_active a = { .ref = { "a", 0, 0, 0, 1 }, .percent = 100 };
+	struct sched_worker_row row = { .id = "w",
+					.pool = "p",
+					.domain = "d",
+					.address = "1.2.3.4:5",
+					.vm = "m1",
+					.born_ms = 1,
+					.total = { 8000, 8000, 0 } };
+	struct sched_fixture p;
+
+	fixture_open(&p, 2, NULL);
+	sched_roster_restore(&p.s, roster, 0);
+	json_decref(roster);
+	spec->steps[0].is_long_running = true;
+	spec->steps[0].unavailable_max = 0;
+	sched_job_add(&p.s, spec, NULL, 5, true, 0, 1000000);
+	g_assert_false(sched_vm_may_terminate(&p.s, "m1", true, 10));
+	fixture_poll(&p, "w", &a, 1, NULL, 0, 20);
+	g_assert_false(sched_vm_may_terminate(&p.s, "m1", true, 30));
+	row.vm[1] = '2';
+	sched_worker_listed(&p.s, &row, 40);
+	g_assert_true(sched_vm_may_terminate(&p.s, "m1", true, 50));
+	g_assert_false(sched_vm_may_terminate(&p.s, "m2", true, 50));
+	fixture_close(&p);
+}
+
 void unit_add_stale(void)
 {
 	g_test_add_func("/stale/vm-missing-once", test_missing_from_one_list);
@@ -260,5 +296,7 @@
 	g_test_add_func("/stale/list-before-upkeep", test_list_before_upkeep);
 	g_test_add_func("/stale/upkeep-over-before-command",
 			test_upkeep_over_before_command);
+	g_test_add_func("/stale/unlisted-worker-after-takeover",
+			test_unlisted_worker_after_takeover);
 	g_test_add_func("/stale/unreadable-list", test_unreadable_list);
 }
