Refuse calls while the configuration may be outdated

What callers would see: 404 for a queue that was added, or success in one that was removed (CONFIG), from a VM that says it is ready, for as long as the calls that report changes of the configuration fail while others of the store succeed, for instance when they find connections that went silent one after another. Cause: a VM with a configuration answered by it whatever its age; the time at which the watch of the operators' table was last answered was dropped. Test: /stale/old-configuration; with the calls of the new functions left out it fails without the change: the VM is ready 5 s after the last answer. Change: the time of the last answer is kept. One lost answer is not enough for that: the watch's call is given up after 2 s, repeated after 0.25 s and answered within another second. Placement goes on with the configuration that the owner has.

--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -39,6 +39,9 @@
 #define UNAVAILABLE_AFTER_MS 600
 /* A VM is not ready if the store has not answered it for this long, in ms. */
 #define READY_SILENCE_MAX_MS 2500
+/* Callers are answered by a configuration that was confirmed this recently, in
+ * ms. One lost answer of the store leaves a shorter gap. */
+#define CONFIG_AGE_MAX_MS 4000
 /* Time in ms until the load balancer sends no more requests: it checks
  * readiness once a second and acts on the second failure. */
 #define BALANCER_DRAIN_MS 2500
@@ -129,6 +132,17 @@
 	talloc_free((void *)old);
 }
 
+void fleet_config_synced(struct fleet *f)
+{
+	f->config_synced_ms = clk_mono_ms(f->clk);
+}
+
+bool fleet_config_is_current(const struct fleet *f)
+{
+	return f->catalog &&
+	       clk_mono_ms(f->clk) - f->config_synced_ms < CONFIG_AGE_MAX_MS;
+}
+
 void fleet_set_domain_out(struct fleet *f, const char *domain, bool out)
 {
 	if (out == (bool)g_hash_table_contains(f->domains_out, domain))
@@ -214,7 +228,7 @@
 
 bool fleet_is_ready(const struct fleet *f)
 {
-	return f->catalog && !f->stopping &&
+	return fleet_config_is_current(f) && !f->stopping &&
 	       f->rows.ops->silent_ms(f->rows.self) < READY_SILENCE_MAX_MS;
 }
 
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -69,6 +69,7 @@
 	struct vms vms; /* `ops` is NULL if VMs get no upkeep commands */
 	GHashTable *waves; /* number to struct fleet_wave */
 	const struct catalog *catalog; /* NULL until the first one is set */
+	int64_t config_synced_ms; /* when all changes of it were last known */
 	GHashTable *domains_out; /* names of domains out of service */
 	struct shard_ctl *shard_ctls[FLEET_SHARDS_MAX];
 	struct job_api *job_api;
@@ -105,6 +106,12 @@
 /* Takes ownership of `catalog`, which may have any talloc parent. Frees it if
  * it is older than the current one. */
 void fleet_set_catalog(struct fleet *f, struct catalog *catalog);
+/* Called when the store has answered that no other change of the configuration
+ * is there. */
+void fleet_config_synced(struct fleet *f);
+/* Returns true if there is a configuration and the store has confirmed it
+ * recently. Calls must not be answered by one that may be outdated. */
+bool fleet_config_is_current(const struct fleet *f);
 /* Takes a failure domain out of service or puts it back. */
 void fleet_set_domain_out(struct fleet *f, const char *domain, bool out);
 
--- a/tests/fuzz_calls.c
+++ b/tests/fuzz_calls.c
@@ -181,6 +181,7 @@
 
 	if (!f)
 		f = start_frontend();
+	fleet_config_synced(f);
 	/* Skips the path for the number of waiting jobs, which asks owners. */
 	if (g_strv_length(part) < 5 || !strcmp(part[2], "/r/"))
 		return;
--- a/tests/unit_stale.c
+++ b/tests/unit_stale.c
@@ -5,6 +5,7 @@
 #include <talloc.h>
 
 #include "coordination/upkeep.h"
+#include "fleet/fleet.h"
 #include "pf_vms.h"
 #include "tests/fuzz.h"
 #include "tests/sched_fixture.h"
@@ -287,6 +288,52 @@
 	fixture_close(&p);
 }
 
+static int64_t fake_now_ms;
+
+static struct timespec fake_mono(void *priv)
+{
+	(void)priv;
+	return (struct timespec){ fake_now_ms / 1000,
+				  fake_now_ms % 1000 * 1000000 };
+}
+
+static int64_t never_silent(const void *self)
+{
+	(void)self;
+	return 0;
+}
+
+/*
+ * Guards against answers from a configuration of any age (CONFIG): the store
+ * answered all calls but those that report changes of the configuration.
+ */
+static void test_old_configuration(void)
+{
+	static const struct clk clk = { fake_mono, fake_mono, NULL };
+	static const struct rows_ops rows_ops = { .silent_ms = never_silent };
+	struct fleet_settings set = { .vm = "a" };
+	struct fleet_interfaces interfaces = { .rows = { &rows_ops, NULL } };
+	struct fleet f;
+
+	fleet_init(&f, &set, tevent_context_init(NULL), NULL, &clk,
+		   &interfaces);
+	fake_now_ms = 100000;
+	g_assert_false(fleet_is_ready(&f));
+	fleet_set_catalog(&f, talloc_zero(f.ev, struct catalog));
+	fleet_config_synced(&f);
+	fake_now_ms += 2000;
+	g_assert_true(fleet_is_ready(&f));
+	g_assert_true(fleet_config_is_current(&f));
+	fake_now_ms += 3000;
+	g_assert_false(fleet_is_ready(&f));
+	g_assert_false(fleet_config_is_current(&f));
+	fleet_config_synced(&f);
+	g_assert_true(fleet_is_ready(&f));
+	g_hash_table_destroy(f.domains_out);
+	g_hash_table_destroy(f.waves);
+	talloc_free(f.ev);
+}
+
 void unit_add_stale(void)
 {
 	g_test_add_func("/stale/vm-missing-once", test_missing_from_one_list);
@@ -298,5 +345,6 @@
 			test_upkeep_over_before_command);
 	g_test_add_func("/stale/unlisted-worker-after-takeover",
 			test_unlisted_worker_after_takeover);
+	g_test_add_func("/stale/old-configuration", test_old_configuration);
 	g_test_add_func("/stale/unreadable-list", test_unreadable_list);
 }
