Start nothing by a row of a worker's earlier incarnation

What callers would see: a task runs at a worker without the label that it requires (ROUTE), or over the capacity of a worker that doesn't guard it (LIMIT). Cause: a report that shows a newer incarnation made the owner take the row that it had for that incarnation's, which may be of another kind, until the list of workers has the new entry; that is long while the store loses what workers write. The report also marked a worker as listed that was not. Test: /stale/row-of-earlier-incarnation; without the change the task starts before the new entry is read. Change: until the list has an entry of that incarnation, nothing starts there, and whether it is listed remains.

--- a/src/coordination/sched.c
+++ b/src/coordination/sched.c
@@ -179,6 +179,7 @@
 	if (strcmp(w->row.address, row->address))
 		sched_roster_mark_dirty(s, w);
 	w->row = *row;
+	w->row_outdated = false;
 	w->listed = true;
 	if (restarted)
 		start_incarnation(s, w, now_ms);
--- a/src/coordination/sched.h
+++ b/src/coordination/sched.h
@@ -208,6 +208,7 @@
 	bool reconciled; /* this incarnation reported under the present fence */
 	bool unreachable; /* the last poll or command got no answer */
 	bool restarted; /* new incarnation, not reconciled yet */
+	bool row_outdated; /* `row` describes an earlier incarnation */
 	/* `runs` contains all runs that previous owners left there. */
 	bool inherited_runs_known;
 	/* Leases granted by previous owners, or by commands to an older
--- a/src/coordination/sched_place.c
+++ b/src/coordination/sched_place.c
@@ -60,7 +60,7 @@
 	const struct jobspec_step *def = step->def;
 
 	if (!w->listed || !w->reconciled || w->unreachable || w->row.draining ||
-	    w->evacuating || !w->roster_stored)
+	    w->evacuating || !w->roster_stored || w->row_outdated)
 		return false;
 	if (strcmp(w->row.pool, q->pool) || may_overcommit(s, w))
 		return false;
--- a/src/coordination/sched_run.c
+++ b/src/coordination/sched_run.c
@@ -398,10 +398,14 @@
 	if (report->born_ms && w->row.born_ms &&
 	    report->born_ms != w->row.born_ms) {
 		struct sched_worker_row row = w->row;
+		bool listed = w->listed;
 
 		row.born_ms = report->born_ms;
-		if (report->born_ms > w->row.born_ms)
-			sched_worker_listed(s, &row, now_ms);
+		if (report->born_ms < w->row.born_ms)
+			return;
+		sched_worker_listed(s, &row, now_ms);
+		w->listed = listed;
+		w->row_outdated = true;
 		return;
 	}
 	if (!w->row.born_ms)
--- a/tests/unit_stale.c
+++ b/tests/unit_stale.c
@@ -288,6 +288,44 @@
 	fixture_close(&p);
 }
 
+/*
+ * Guards against a start at a worker that lacks the label (ROUTE) or the room
+ * (LIMIT): a report showed a new incarnation, which may be of another kind, and
+ * the list of workers still had the entry of the earlier one.
+ */
+static void test_row_of_earlier_incarnation(void)
+{
+	struct jobspec *spec = fixture_spec("a", "short", 1, 1);
+	struct sched_report report = { .clock_ms = 5,
+				       .born_ms = 2,
+				       .sent_ms = 15 };
+	struct sched_worker_row row;
+	struct sched_worker *w;
+	struct sched_fixture p;
+
+	fixture_open(&p, 1, NULL);
+	fixture_add_worker(&p, "w", "r");
+	fixture_poll(&p, "w", NULL, 0, NULL, 0, 10);
+	w = fixture_worker(&p, "w");
+	row = w->row;
+	for (int i = 0; i < 2; i++) {
+		report.fence = w->fence;
+		report.clock_ms += 10;
+		report.sent_ms += 10;
+		sched_poll_answered(&p.s, w, &report, report.sent_ms + 5, 0);
+	}
+	g_assert_true(w->reconciled);
+	g_strlcpy(spec->steps[0].label, "a", JOBSPEC_NAME_MAX);
+	fixture_add_job(&p, spec);
+	sched_place(&p.s, 50);
+	g_assert_cmpuint(p.starts->len, ==, 0);
+	row.born_ms = 2;
+	sched_worker_listed(&p.s, &row, 60);
+	sched_place(&p.s, 70);
+	g_assert_cmpuint(p.starts->len, ==, 1);
+	fixture_close(&p);
+}
+
 static int64_t fake_now_ms;
 
 static struct timespec fake_mono(void *priv)
@@ -346,5 +384,7 @@
 	g_test_add_func("/stale/unlisted-worker-after-takeover",
 			test_unlisted_worker_after_takeover);
 	g_test_add_func("/stale/old-configuration", test_old_configuration);
+	g_test_add_func("/stale/row-of-earlier-incarnation",
+			test_row_of_earlier_incarnation);
 	g_test_add_func("/stale/unreadable-list", test_unreadable_list);
 }
