Don't take job counts that cannot be read for 0

Cause: a row of an owner without counts was read as "{}", and an array, a string or a negative number in it as 0 or less. A claim would have passed that on with the old date. Found in review, by reading. Change: counts that are no object of non-negative integers are unknown, and so is their time. Test: /lead/pending-unreadable, which failed before.

--- a/src/state/owner_row.c
+++ b/src/state/owner_row.c
@@ -32,16 +32,26 @@
 	return copy;
 }
 
+static bool is_counts(json_t *pending)
+{
+	const char *queue;
+	json_t *count;
+
+	json_object_foreach(pending, queue, count)
+	{
+		if (!json_is_integer(count) || json_integer_value(count) < 0)
+			return false;
+	}
+	return json_is_object(pending);
+}
+
 void owner_row_parse(void *ctx, const char *text, struct owner_row *out)
 {
 	json_t *j = text ? json_loads(text, 0, NULL) : NULL;
-	const json_t *pending = json_object_get(j, "pending");
+	json_t *pending = json_object_get(j, "pending");
 	const json_t *handover = json_object_get(j, "handed");
 
 	owner_row_clear(out);
-	if (j)
-		out->pending = pending ? text_of(ctx, pending)
-				       : talloc_strdup(ctx, "{}");
 	if (handover)
 		out->handover = text_of(ctx, handover);
 	copy_text(out->vm, sizeof(out->vm), j, "vm");
@@ -54,9 +64,11 @@
 	out->lease_ms = json_integer_value(json_object_get(j, "lease_ms"));
 	out->previous_renews_ms =
 		json_integer_value(json_object_get(j, "renews_ms"));
-	if (j)
+	if (is_counts(pending)) {
+		out->pending = text_of(ctx, pending);
 		out->pending_ms = num_clamp(json_object_get(j, "pending_ms"), 0,
 					    NUM_MAX, OWNER_ROW_UNDATED);
+	}
 	out->pending_version =
 		json_integer_value(json_object_get(j, "pending_version"));
 	copy_text(out->successor, sizeof(out->successor), j, "successor");
--- a/src/state/owner_row.h
+++ b/src/state/owner_row.h
@@ -21,7 +21,9 @@
 	int64_t lease_ms; /* longest lease that any owner grants; 0: unknown */
 	int64_t previous_renews_ms; /* earlier owners may renew leases for this
 				       long after the row was written */
-	char *pending; /* JSON object of queue to job count; talloc child */
+	/* JSON object of queue to job count, a talloc child; NULL: no counts
+	 * that can be read. */
+	char *pending;
 	/* `pending` covers all jobs that were accepted by then, by the store's
 	 * clock. A new owner keeps the counts of the previous one, and their
 	 * time, until it has its own. 0: there are none yet;
--- a/tests/unit_shard_ctl.c
+++ b/tests/unit_shard_ctl.c
@@ -466,6 +466,38 @@
 	ctl_fixture_close();
 }
 
+/* Guards against counts that cannot be read being taken for 0. */
+static void test_pending_unreadable(void)
+{
+	static const char *const odd[] = {
+		"", /* no counts */
+		",\"pending\":[]",
+		",\"pending\":7",
+		",\"pending\":null",
+		",\"pending\":{\"short\":\"4\"}",
+		",\"pending\":{\"short\":-1}",
+		",\"pending\":{\"short\":null}",
+		",\"pending\":{\"short\":1e99}",
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(odd); i++) {
+		int64_t changed_ms;
+		g_autofree char *row = NULL;
+
+		ctl_fixture_open();
+		row = g_strdup_printf(
+			"{\"vm\":\"b\",\"life\":\"7\",\"epoch\":3,\"seq\":1,"
+			"\"lease_ms\":1000,\"pending_ms\":%lld%s}",
+			(long long)clk_mono_ms(&clk_system), odd[i]);
+		fake_rows_put(&fx->store, "owners", "s0", "owner", row);
+		ctl_fixture_start();
+		while (!shard_ctl_owner_row(fx->f.shard_ctls[0], &changed_ms))
+			tevent_loop_once(fx->f.ev);
+		g_assert_cmpint(ask_pending().result, ==, JOB_API_REFUSED);
+		ctl_fixture_close();
+	}
+}
+
 /* A row of a release that doesn't date its counts is as old as its last change,
  * and its counts are not taken over. */
 static void test_pending_undated(void)
@@ -501,6 +533,7 @@
 			test_pending_unknown_at_first);
 	g_test_add_func("/lead/pending-before-workers",
 			test_pending_before_workers);
+	g_test_add_func("/lead/pending-unreadable", test_pending_unreadable);
 	g_test_add_func("/lead/pending-undated", test_pending_undated);
 	g_test_add_func("/lead/pending-from-stale-read",
 			test_pending_from_stale_read);
