Date the answer to a poll by the sending of that poll

Cause: one field holds the time at which the last poll was sent. A claim drops the poll's timer but not the poll in flight; if the claim is refused, the next poll is sent before the answer to the last one, which then seems to have been sent later than the store read its clock. The age of the counts, an upper bound otherwise, comes out too small, and the round trip too short. Found in review, by reading. Change: a poll in flight keeps its own time.

--- a/src/state/owner.c
+++ b/src/state/owner.c
@@ -310,21 +310,31 @@
 	return young ? o->lim.poll_ms / STARTUP_POLL_FACTOR : o->lim.poll_ms;
 }
 
+/* A poll in flight. There may be two: a refused claim schedules the next one
+ * without waiting for the last. */
+struct poll {
+	struct owner *owner;
+	int64_t sent_ms;
+};
+
 static void on_poll(const struct rows_answer *ans, void *priv)
 {
-	struct owner *o = priv;
+	struct poll *poll = priv;
+	struct owner *o = poll->owner;
+	int64_t sent_ms = poll->sent_ms;
 	int64_t now = clk_mono_ms(o->clk);
 	int64_t version = ans->n ? ans->rows[0].version : 0;
 
+	talloc_free(poll);
 	if (o->phase != OWNER_WATCHING && o->phase != OWNER_RELEASED)
 		return;
 	schedule_poll(o, poll_interval_ms(o, now));
 	if (ans->result != ROWS_OK)
 		return;
 	o->answered_ms = now;
-	note_store_clock(o, ans->now_ms, o->polled_ms);
-	if (!o->rtt_ms || now - o->polled_ms < o->rtt_ms)
-		o->rtt_ms = now - o->polled_ms + 1;
+	note_store_clock(o, ans->now_ms, sent_ms);
+	if (!o->rtt_ms || now - sent_ms < o->rtt_ms)
+		o->rtt_ms = now - sent_ms + 1;
 	/* Reads may lag and show an older row. */
 	if (o->row_read && version < o->version)
 		return;
@@ -349,11 +359,14 @@
 	struct rows_range range = { .table = OWNER_TABLE,
 				    .part = o->part,
 				    .limit = 1 };
+	struct poll *poll;
 
 	o->timer = NULL;
-	o->polled_ms = clk_mono_ms(o->clk);
-	if (o->phase == OWNER_WATCHING || o->phase == OWNER_RELEASED)
-		o->rows.ops->read(o->rows.self, &range, on_poll, o);
+	if (o->phase != OWNER_WATCHING && o->phase != OWNER_RELEASED)
+		return;
+	poll = talloc(o, struct poll);
+	*poll = (struct poll){ o, clk_mono_ms(o->clk) };
+	o->rows.ops->read(o->rows.self, &range, on_poll, poll);
 }
 
 static void schedule_poll(struct owner *o, int64_t ms)
--- a/src/state/owner_int.h
+++ b/src/state/owner_int.h
@@ -37,7 +37,6 @@
 	bool row_read; /* at least once */
 	int64_t changed_ms; /* when the row was last seen to change */
 	int64_t answered_ms; /* when the store last answered a poll */
-	int64_t polled_ms; /* when the last poll was sent */
 	/* The store's clock in its last answer, and when that call was sent. */
 	int64_t store_ms;
 	int64_t store_sent_ms;
--- a/tests/unit_tests.c
+++ b/tests/unit_tests.c
@@ -29,6 +29,7 @@
 	unit_add_shard_ctl();
 	unit_add_lives();
 	unit_add_state();
+	unit_add_owner_age();
 	unit_add_restart();
 	unit_add_upkeep();
 	return g_test_run();
