Don't take the time at which a row was seen for the time of its counts

Cause: a row without a date counted as old as its last change, and a row seen for the first time as just changed. So did a dated row while the store's clock isn't known. Found in review, by reading. Change: such a row is at most as old as the last poll that didn't show it; where there was none, its age is unknown. A date needs the store's clock. Remaining: an older release that takes the shard over renews the counts of its predecessor undated, which can't be told from its own. Tests: /state/age-of-undated, /state/age-without-store-clock, which failed before.

--- a/src/state/owner.c
+++ b/src/state/owner.c
@@ -117,6 +117,7 @@
 		}
 		owner_row_clear(&o->row);
 		o->row = row;
+		o->written_after_ms = 0;
 		o->version = ans->rows[i].version;
 		step_down(o, "another owner");
 		return;
@@ -340,12 +341,14 @@
 		return;
 	if (!o->row_read || version != o->version) {
 		o->changed_ms = now;
+		o->written_after_ms = o->row_read ? o->read_sent_ms : 0;
 		o->version = version;
 		/* The new row may name another successor. */
 		TALLOC_FREE(o->claim_timer);
 		owner_row_parse(o, ans->n ? ans->rows[0].value : NULL, &o->row);
 	}
 	o->row_read = true;
+	o->read_sent_ms = sent_ms;
 	owner_publish(o, ans->now_ms);
 	if (o->phase == OWNER_WATCHING && !o->stopping && !o->claim_timer &&
 	    is_claimable(o, now) && now >= o->no_claim_until_ms)
@@ -456,8 +459,10 @@
 
 	if (!has_row(o) || !o->row.pending || !o->row.pending_ms)
 		return -1;
-	if (o->row.pending_ms == OWNER_ROW_UNDATED || !o->store_ms)
-		return now - o->changed_ms;
+	if (o->row.pending_ms == OWNER_ROW_UNDATED)
+		return o->written_after_ms ? now - o->written_after_ms : -1;
+	if (!o->store_ms)
+		return -1;
 	/* The store read its clock after the call was sent, so this is an upper
 	 * bound. */
 	return o->store_ms + (now - o->store_sent_ms) - o->row.pending_ms;
--- a/src/state/owner_int.h
+++ b/src/state/owner_int.h
@@ -36,6 +36,8 @@
 	int64_t version; /* of the row; 0: no row */
 	bool row_read; /* at least once */
 	int64_t changed_ms; /* when the row was last seen to change */
+	int64_t read_sent_ms; /* when the last poll that read it was sent */
+	int64_t written_after_ms; /* the row is younger; 0: unknown */
 	int64_t answered_ms; /* when the store last answered a poll */
 	/* The store's clock in its last answer, and when that call was sent. */
 	int64_t store_ms;
--- a/tests/unit_owner_age.c
+++ b/tests/unit_owner_age.c
@@ -145,7 +145,50 @@
 	held_store_close(s);
 }
 
+/*
+ * Guards against a row without a date that counts as new when it is first read,
+ * or when polls went unanswered before it changed: it was written at some time
+ * after the last poll that did not show it.
+ */
+static void test_undated(void)
+{
+	static const char row[] =
+		"{\"vm\":\"b\",\"epoch\":1,\"seq\":1,\"pending\":{}}";
+	struct held_store *s = held_store_open();
+
+	await_calls(s, &s->n_reads, 1);
+	answer_read(s, 0, 5000, 7, row);
+	g_assert_cmpint(owner_pending_age_ms(s->owner), ==, -1);
+	await_calls(s, &s->n_reads, 2);
+	s->now_ms = 4000;
+	answer_read(s, 1, 5000, 8, row);
+	g_assert_cmpint(owner_pending_age_ms(s->owner), ==, 3000);
+	await_calls(s, &s->n_reads, 3);
+	s->now_ms = 4100;
+	answer_read(s, 2, 5000, 8, row);
+	await_calls(s, &s->n_reads, 4);
+	s->now_ms = 4200;
+	answer_read(s, 3, 5000, 9, row);
+	g_assert_cmpint(owner_pending_age_ms(s->owner), ==, 200);
+	held_store_close(s);
+}
+
+/* The age of a date is unknown without the store's clock. */
+static void test_no_store_clock(void)
+{
+	struct held_store *s = held_store_open();
+
+	await_calls(s, &s->n_reads, 1);
+	answer_read(s, 0, 0, 7,
+		    "{\"vm\":\"b\",\"epoch\":1,\"seq\":1,\"pending\":{},"
+		    "\"pending_ms\":4000}");
+	g_assert_cmpint(owner_pending_age_ms(s->owner), ==, -1);
+	held_store_close(s);
+}
+
 void unit_add_owner_age(void)
 {
 	g_test_add_func("/state/age-by-late-poll", test_late_poll);
+	g_test_add_func("/state/age-of-undated", test_undated);
+	g_test_add_func("/state/age-without-store-clock", test_no_store_clock);
 }
