Don't take progress that cannot be read for none

Cause: an error is read as absence. If the progress row has no state that is known here, the answer comes from the job row alone. Found in review, by reading. Change: such a question is refused with Retry-After. Not in this change: an owner that loads such a row (add_progress, unpack_progress) still takes the job for a new one. Test: /door/unreadable-progress, which failed before.

--- a/src/fleet/job_api.c
+++ b/src/fleet/job_api.c
@@ -440,13 +440,13 @@
 				   rq);
 }
 
-/* Reads the job state from a progress row; returns false if there is none. */
+/* Reads the job state from a progress row; returns false if there is none in
+ * it. */
 static bool parse_state(const struct rows_answer *ans,
 			enum sched_job_state *out)
 {
-	json_t *j = ans->n && ans->rows[0].value
-			    ? json_loads(ans->rows[0].value, 0, NULL)
-			    : NULL;
+	json_t *j = ans->rows[0].value ? json_loads(ans->rows[0].value, 0, NULL)
+				       : NULL;
 	const char *name = json_string_value(json_object_get(j, "state"));
 	bool found = false;
 
@@ -469,17 +469,21 @@
 		retry_request(rq, ans);
 		return;
 	}
+	if (!ans->n) {
+		read_job(rq);
+		return;
+	}
+	rq->row_version = ans->rows[0].version;
 	if (parse_state(ans, &state)) {
-		rq->row_version = ans->rows[0].version;
 		answer_request(rq, JOB_API_OK, state, "progress");
 		return;
 	}
-	if (ans->n)
-		log_event(LOG_ROW_UNUSABLE,
-			  "table=" SHARD_CTL_PROGRESS_TABLE
-			  " key=%s why=\"no state in it\"",
-			  rq->id);
-	read_job(rq);
+	log_event(LOG_ROW_UNUSABLE,
+		  "table=" SHARD_CTL_PROGRESS_TABLE
+		  " key=%s why=\"no state in it\"",
+		  rq->id);
+	answer_request(rq, JOB_API_REFUSED, SCHED_JOB_QUEUED,
+		       "unreadable progress");
 }
 
 static void read_progress(struct job_request *rq)
--- a/tests/unit_job_api.c
+++ b/tests/unit_job_api.c
@@ -240,6 +240,43 @@
 	api_fixture_close(&fx);
 }
 
+static void ask_state(struct api_fixture *fx, const char *id, struct outcome *o)
+{
+	memset(o, 0, sizeof(*o));
+	job_api_state(fx->f.job_api, id, clk_mono_ms(&clk_system) + 3000,
+		      on_answer, o);
+	await(fx, o);
+}
+
+/*
+ * Guards against a progress row that cannot be read being taken for none: a
+ * job that is done would be shown as queued, and as absent once its own row is
+ * removed.
+ */
+static void test_unreadable_progress(void)
+{
+	static const char *const odd[] = { "", "{}", "[]", "{\"state\":7}",
+					   "{\"state\":\"paused\"}" };
+	static const char id[] = "aaaa000000000000";
+	struct api_fixture fx;
+	struct outcome o;
+	char part[SHARD_CTL_NAME_MAX];
+
+	api_fixture_open(&fx);
+	for (size_t i = 0; i < G_N_ELEMENTS(odd); i++) {
+		fake_rows_put(&fx.store, SHARD_CTL_PROGRESS_TABLE,
+			      shard_ctl_state_part(0, part), id, odd[i]);
+		ask_state(&fx, id, &o);
+		g_assert_cmpint(o.ans.result, ==, JOB_API_REFUSED);
+		g_assert_cmpint(o.ans.retry_after_ms, >, 0);
+	}
+	submit(&fx, id, "x", 3000, &o);
+	await(&fx, &o);
+	ask_state(&fx, id, &o);
+	g_assert_cmpint(o.ans.result, ==, JOB_API_REFUSED);
+	api_fixture_close(&fx);
+}
+
 void unit_add_job_api(void)
 {
 	g_test_add_func("/door/cancel-row-alone", test_cancel_row_alone);
@@ -247,4 +284,5 @@
 	g_test_add_func("/door/lost-answers", test_lost_answers);
 	g_test_add_func("/door/refusals-are-true", test_refusals_are_true);
 	g_test_add_func("/door/state-and-cancel", test_state_and_cancel);
+	g_test_add_func("/door/unreadable-progress", test_unreadable_progress);
 }
