Test: wait for events instead of times in the tests of pending jobs

/fleet/restarted-at-once asked once for a count after it had seen one; a VM or a store that is stalled for 2 s on a busy machine refuses the second. The answer that it waits for now comes over the connection that stays open. /lead/pending-of-lost-owner and /lead/pending-unknown-at-first expected a number of commits within 3 s and 0.3 s, /lead/pending-undated that a row is read within 0.1 s; they now wait for that and check the same. Not seen failing; found in review, by reading.

--- a/tests/fleet_tests.c
+++ b/tests/fleet_tests.c
@@ -267,9 +267,9 @@
 }
 
 /* Returns the number of pending jobs; -1 if the VM doesn't know it now. */
-static int64_t pending_at(const struct hf *s, int vm)
+static int64_t pending_at(const struct hf *s, CURL *easy, int vm)
 {
-	struct hx_response resp = hf_call(s, NULL, vm, "GET", "/q/", NULL);
+	struct hx_response resp = hf_call(s, easy, vm, "GET", "/q/", NULL);
 	int64_t n = -1;
 
 	g_assert_true(resp.status == 200 || resp.status == 503);
@@ -279,11 +279,11 @@
 	return n;
 }
 
-static void wait_pending(const struct hf *s, int vm, int64_t want)
+static void wait_pending(const struct hf *s, CURL *easy, int vm, int64_t want)
 {
 	int64_t end = hx_now_ms() + HF_TIMEOUT_MS;
 
-	while (pending_at(s, vm) != want) {
+	while (pending_at(s, easy, vm) != want) {
 		g_assert_cmpint(hx_now_ms(), <, end);
 		hx_sleep_ms(50);
 	}
@@ -296,17 +296,12 @@
 static void test_restart_with_open_conn(void)
 {
 	CURL *easy = curl_easy_init();
-	struct hx_response resp;
 	struct hf s;
 	int status;
 
 	start_cluster(&s);
-	/* Until it has been counted by an owner, the number is unknown. */
-	wait_owner(&s);
-	wait_pending(&s, 1, 0);
-	resp = hf_call(&s, easy, 1, "GET", "/q/", NULL);
-	g_assert_cmpint(resp.status, ==, 200);
-	hx_response_free(&resp);
+	/* Unknown until an owner has counted, and while the VM is stalled. */
+	wait_pending(&s, easy, 1, 0);
 	hf_kill_vm(&s, 1);
 	hf_start_vm(&s, 1);
 	while (!hf_is_ready(&s, 1)) {
@@ -446,11 +441,11 @@
 		submit(&s, NEVER_FITS, "waits");
 	hx_sleep_ms(PENDING_VISIBLE_MS);
 	for (int vm = 0; vm < VMS; vm++) {
-		int64_t n = vm == owner ? -1 : pending_at(&s, vm);
+		int64_t n = vm == owner ? -1 : pending_at(&s, NULL, vm);
 
 		g_assert_true(n < 0 || n * 2 >= JOBS);
 	}
-	wait_pending(&s, (owner + 1) % VMS, JOBS);
+	wait_pending(&s, NULL, (owner + 1) % VMS, JOBS);
 	hf_stop(&s);
 }
 
--- a/tests/unit_shard_ctl.c
+++ b/tests/unit_shard_ctl.c
@@ -350,6 +350,20 @@
 	fake_rows_put(&fx->store, "owners", "s0", "owner", row);
 }
 
+/* Waits until the row that put_owner_row wrote with `seq` is read. */
+static void await_row_read(int64_t seq)
+{
+	int64_t end = clk_mono_ms(&clk_system) + TIMEOUT_MS;
+	const struct owner_row *row = NULL;
+	int64_t changed_ms;
+
+	while (!row || row->seq < seq) {
+		g_assert_cmpint(clk_mono_ms(&clk_system), <, end);
+		tevent_loop_once(fx->f.ev);
+		row = shard_ctl_owner_row(fx->f.shard_ctls[0], &changed_ms);
+	}
+}
+
 static struct job_api_answer ask_pending(void)
 {
 	return job_api_pending(fx->f.job_api, "short");
@@ -367,6 +381,17 @@
 	}
 }
 
+/* Includes the row of the incarnation and the claim. */
+static void await_commits(int32_t wanted)
+{
+	int64_t end = clk_mono_ms(&clk_system) + TIMEOUT_MS;
+
+	while (fx->store.commits < wanted) {
+		g_assert_cmpint(clk_mono_ms(&clk_system), <, end);
+		tevent_loop_once(fx->f.ev);
+	}
+}
+
 /*
  * Guards against a count from before the owner was lost: a successor that
  * cannot load the shard renews the row, but not its counts.
@@ -382,8 +407,7 @@
 	put_owner_row(dated, 1);
 	fx->store.refused_table = SHARD_CTL_ROSTER_TABLE;
 	ctl_fixture_start();
-	run_loop_ms(3000);
-	g_assert_true(fx->store.commits > 5);
+	await_commits(6);
 	g_assert_cmpint(ask_pending().result, ==, JOB_API_REFUSED);
 	g_assert_cmpint(ask_pending().retry_after_ms, >, 0);
 	fx->store.refused_table = NULL;
@@ -400,8 +424,7 @@
 	fx->store.refused_table = SHARD_CTL_ROSTER_TABLE;
 	ctl_fixture_start();
 	g_assert_cmpint(ask_pending().result, ==, JOB_API_REFUSED);
-	run_loop_ms(300);
-	g_assert_true(fx->store.commits > 1);
+	await_commits(3);
 	g_assert_cmpint(ask_pending().result, ==, JOB_API_REFUSED);
 	fx->store.refused_table = NULL;
 	await_pending(1);
@@ -481,7 +504,6 @@
 	};
 
 	for (size_t i = 0; i < G_N_ELEMENTS(odd); i++) {
-		int64_t changed_ms;
 		g_autofree char *row = NULL;
 
 		ctl_fixture_open();
@@ -491,8 +513,7 @@
 			(long long)clk_mono_ms(&clk_system), odd[i]);
 		fake_rows_put(&fx->store, "owners", "s0", "owner", row);
 		ctl_fixture_start();
-		while (!shard_ctl_owner_row(fx->f.shard_ctls[0], &changed_ms))
-			tevent_loop_once(fx->f.ev);
+		await_row_read(1);
 		g_assert_cmpint(ask_pending().result, ==, JOB_API_REFUSED);
 		ctl_fixture_close();
 	}
@@ -510,7 +531,7 @@
 	ctl_fixture_start();
 	for (int64_t seq = 2; ask_pending().result != JOB_API_OK; seq++) {
 		put_owner_row("", seq);
-		run_loop_ms(100);
+		await_row_read(seq);
 	}
 	g_assert_cmpint(ask_pending().pending, ==, 0);
 	run_loop_ms(PENDING_MAX_MS + 100);
