--- a/tests/unit_state.c
+++ b/tests/unit_state.c
@@ -337,6 +337,57 @@
 	g_hash_table_destroy(s.rows);
 }
 
+/* The watched store, and the dates of the first two reports. */
+struct watched_clock {
+	struct fake_rows *store;
+	int64_t dates[2];
+	int synced;
+};
+
+#define CLOCK_JUMP_MS 3600000
+
+static void on_row_in_page(const struct rows_row *row, void *priv)
+{
+	struct watched_clock *w = priv;
+
+	(void)row;
+	w->store->clock_ahead_ms = CLOCK_JUMP_MS;
+}
+
+static void on_dated(int64_t version, int64_t store_ms, void *priv)
+{
+	struct watched_clock *w = priv;
+
+	(void)version;
+	if (w->synced < 2)
+		w->dates[w->synced] = store_ms;
+	w->synced++;
+}
+
+/* A row may be added to a part that was read before the others, so a read of
+ * several parts is as old as its first page. */
+static void test_row_watch_dates(void)
+{
+	static const struct row_watch_ops ops = { on_row_in_page, on_dated };
+	struct row_watch_options opt = { .table = "t",
+					 .part = "j",
+					 .parts = 2 };
+	struct owner_fixture f;
+	struct watched_clock w = { &f.store, { 0 }, 0 };
+	struct rows rows;
+	int64_t began;
+
+	owner_fixture_open(&f);
+	rows = fake_rows_iface(&f.store);
+	began = clk_mono_ms(&clk_system);
+	fake_rows_put(&f.store, "t", "j0", "a", "1");
+	row_watch_start(f.ev, &rows, f.timers, &opt, &ops, &w);
+	wait_for_count(&f, &w.synced, 2);
+	g_assert_cmpint(w.dates[0], <, began + CLOCK_JUMP_MS);
+	g_assert_cmpint(w.dates[1], >=, began + CLOCK_JUMP_MS);
+	owner_fixture_close(&f);
+}
+
 void unit_add_state(void)
 {
 	g_test_add_func("/state/claim-and-commit", test_claim_and_commit);
@@ -353,4 +404,5 @@
 			test_confirmed_since_first_try);
 	g_test_add_func("/state/strong-comes-first", test_strong_comes_first);
 	g_test_add_func("/state/follow", test_row_watch);
+	g_test_add_func("/state/row-watch-dates", test_row_watch_dates);
 }
