--- a/tests/unit_shard_ctl.c
+++ b/tests/unit_shard_ctl.c
@@ -350,6 +350,20 @@
 	fake_rows_put(&fx->store, "owners", "s0", "owner", row);
 }
 
+/* Waits until the row that put_owner_row wrote with `seq` is read. */
+static void await_row_read(int64_t seq)
+{
+	int64_t end = clk_mono_ms(&clk_system) + TIMEOUT_MS;
+	const struct owner_row *row = NULL;
+	int64_t changed_ms;
+
+	while (!row || row->seq < seq) {
+		g_assert_cmpint(clk_mono_ms(&clk_system), <, end);
+		tevent_loop_once(fx->f.ev);
+		row = shard_ctl_owner_row(fx->f.shard_ctls[0], &changed_ms);
+	}
+}
+
 static struct job_api_answer ask_pending(void)
 {
 	return job_api_pending(fx->f.job_api, "short");
@@ -367,6 +381,17 @@
 	}
 }
 
+/* Includes the row of the incarnation and the claim. */
+static void await_commits(int32_t wanted)
+{
+	int64_t end = clk_mono_ms(&clk_system) + TIMEOUT_MS;
+
+	while (fx->store.commits < wanted) {
+		g_assert_cmpint(clk_mono_ms(&clk_system), <, end);
+		tevent_loop_once(fx->f.ev);
+	}
+}
+
 /*
  * Guards against a count from before the owner was lost: a successor that
  * cannot load the shard renews the row, but not its counts.
@@ -382,8 +407,7 @@
 	put_owner_row(dated, 1);
 	fx->store.refused_table = SHARD_CTL_ROSTER_TABLE;
 	ctl_fixture_start();
-	run_loop_ms(3000);
-	g_assert_true(fx->store.commits > 5);
+	await_commits(6);
 	g_assert_cmpint(ask_pending().result, ==, JOB_API_REFUSED);
 	g_assert_cmpint(ask_pending().retry_after_ms, >, 0);
 	fx->store.refused_table = NULL;
@@ -400,8 +424,7 @@
 	fx->store.refused_table = SHARD_CTL_ROSTER_TABLE;
 	ctl_fixture_start();
 	g_assert_cmpint(ask_pending().result, ==, JOB_API_REFUSED);
-	run_loop_ms(300);
-	g_assert_true(fx->store.commits > 1);
+	await_commits(3);
 	g_assert_cmpint(ask_pending().result, ==, JOB_API_REFUSED);
 	fx->store.refused_table = NULL;
 	await_pending(1);
@@ -466,6 +489,36 @@
 	ctl_fixture_close();
 }
 
+/* Guards against counts that cannot be read being taken for 0. */
+static void test_pending_unreadable(void)
+{
+	static const char *const odd[] = {
+		"", /* no counts */
+		",\"pending\":[]",
+		",\"pending\":7",
+		",\"pending\":null",
+		",\"pending\":{\"short\":\"4\"}",
+		",\"pending\":{\"short\":-1}",
+		",\"pending\":{\"short\":null}",
+		",\"pending\":{\"short\":1e99}",
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(odd); i++) {
+		g_autofree char *row = NULL;
+
+		ctl_fixture_open();
+		row = g_strdup_printf(
+			"{\"vm\":\"b\",\"life\":\"7\",\"epoch\":3,\"seq\":1,"
+			"\"lease_ms\":1000,\"pending_ms\":%lld%s}",
+			(long long)clk_mono_ms(&clk_system), odd[i]);
+		fake_rows_put(&fx->store, "owners", "s0", "owner", row);
+		ctl_fixture_start();
+		await_row_read(1);
+		g_assert_cmpint(ask_pending().result, ==, JOB_API_REFUSED);
+		ctl_fixture_close();
+	}
+}
+
 /* A row of a release that doesn't date its counts is as old as its last change,
  * and its counts are not taken over. */
 static void test_pending_undated(void)
@@ -478,7 +531,7 @@
 	ctl_fixture_start();
 	for (int64_t seq = 2; ask_pending().result != JOB_API_OK; seq++) {
 		put_owner_row("", seq);
-		run_loop_ms(100);
+		await_row_read(seq);
 	}
 	g_assert_cmpint(ask_pending().pending, ==, 0);
 	run_loop_ms(PENDING_MAX_MS + 100);
@@ -501,6 +554,7 @@
 			test_pending_unknown_at_first);
 	g_test_add_func("/lead/pending-before-workers",
 			test_pending_before_workers);
+	g_test_add_func("/lead/pending-unreadable", test_pending_unreadable);
 	g_test_add_func("/lead/pending-undated", test_pending_undated);
 	g_test_add_func("/lead/pending-from-stale-read",
 			test_pending_from_stale_read);
