Tests: GET at a VM's own address, and whether an answer has Retry-After

The soak is to ask single VMs for counts of pending jobs, past the fault proxy, so that a connection ends with the process only. hf_get_direct() takes the caller's time limit, since a VM may be frozen for longer than HF_CALL_MS.

--- a/tests/harness.h
+++ b/tests/harness.h
@@ -71,6 +71,7 @@
 struct hx_response {
 	long status; /* 0: no response */
 	char outcome[16];
+	bool has_retry_after;
 	char *body; /* freed by hx_response_free */
 	json_t *json; /* of the body, or NULL */
 	int64_t elapsed_ms;
--- a/tests/harness_fleet.c
+++ b/tests/harness_fleet.c
@@ -85,20 +85,34 @@
 	json_decref(j);
 }
 
+static const char *const call_headers[] = { "Host: jobs.example",
+					    "Deadline-Ms: 4000",
+					    "Content-Type: application/json",
+					    NULL };
+
 struct hx_response hf_call(const struct hf *f, void *easy, int vm,
 			   const char *method, const char *path,
 			   const char *body)
 {
-	const char *headers[] = { "Host: jobs.example", "Deadline-Ms: 4000",
-				  "Content-Type: application/json", NULL };
 	char url[160];
 
 	snprintf(url, sizeof(url), "http://127.0.0.1:%d%s",
 		 f->opt.use_proxy ? f->frontend_ports + vm
 				  : f->vm_ports + vm * 3,
 		 path);
-	return easy ? hx_http_on(easy, method, url, headers, body, HF_CALL_MS)
-		    : hx_http(method, url, headers, body, HF_CALL_MS);
+	return easy ? hx_http_on(easy, method, url, call_headers, body,
+				 HF_CALL_MS)
+		    : hx_http(method, url, call_headers, body, HF_CALL_MS);
+}
+
+struct hx_response hf_get_direct(const struct hf *f, void *easy, int vm,
+				 const char *path, int64_t timeout_ms)
+{
+	char url[160];
+
+	snprintf(url, sizeof(url), "http://127.0.0.1:%d%s",
+		 f->vm_ports + vm * 3, path);
+	return hx_http_on(easy, "GET", url, call_headers, NULL, timeout_ms);
 }
 
 bool hf_is_ready(const struct hf *f, int vm)
--- a/tests/harness_fleet.h
+++ b/tests/harness_fleet.h
@@ -64,6 +64,10 @@
 			   const char *method, const char *path,
 			   const char *body);
 
+/* Same with GET at the VM's own address, which no fault of a link affects. */
+struct hx_response hf_get_direct(const struct hf *f, void *easy, int vm,
+				 const char *path, int64_t timeout_ms);
+
 /*
  * Returns the VM whose log says that it gained ownership in `epoch` (0: in the
  * highest epoch), or -1 if there is none.
--- a/tests/harness_http.c
+++ b/tests/harness_http.c
@@ -22,6 +22,8 @@
 
 	if (size * n > 9 && !strncasecmp(data, "Outcome: ", 9))
 		sscanf(data + 9, "%15s", resp->outcome);
+	if (size * n > 13 && !strncasecmp(data, "Retry-After: ", 13))
+		resp->has_retry_after = true;
 	return size * n;
 }
 
