Soak: ask each VM for the number of pending jobs

Change: a thread for each VM asks it directly, at times drawn from a generator of its own, on a connection kept until the process ends, also while the VM is frozen. Rule MIXED: a VM that was connected from the request to its answer may not give under half of the jobs that were accepted over visible_ms + 2 s before the request, that nobody sent a cancel for, and of which gd-site had logged no start by the time the answer arrived. 503 with Retry-After is counted and breaks nothing; 404 by a connected VM is CONFIG; other statuses, 503 without Retry-After and 200 without a number are ANSWER. The summary of a seed has the counts answered, those checked (VM connected, jobs waiting) and those refused.

Sentence 1 of the rule on what is shown: check_done looked for ends up to the time of the check, now up to the answer's.

--- a/tests/soak.c
+++ b/tests/soak.c
@@ -20,7 +20,6 @@
 #define CI_PARALLEL 2
 #define TASKS_BLOCKED                                                          \
 	"LOST: long-running tasks blocked for 13.4 s by the claim of a worker"
-
 /* Run in CI: seeds that failed once, with the cause, and seeds that show that
  * the soak finds a class of faults. Those known to fail are printed and
  * skipped, see KNOWN-RED.txt. */
@@ -81,6 +80,13 @@
 	g_rand_free(k->rand);
 }
 
+GRand *sk_rand_new(const struct sk *k, enum sk_stream stream, int number)
+{
+	const guint32 seeds[] = { k->seed, (guint32)stream, (guint32)number };
+
+	return g_rand_new_with_seed_array(seeds, G_N_ELEMENTS(seeds));
+}
+
 static void open_fleet(struct sk *k)
 {
 	char path[128];
@@ -114,12 +120,13 @@
 /* Runs the clients and the faults until the last fault is over. */
 static void run_traffic_and_faults(struct sk *k)
 {
-	GThread *clients[SK_CLIENTS];
+	GThread *threads[SK_CLIENTS + HF_VMS_MAX];
 	bool all_over = false;
 
 	k->begin_ms = hx_now_ms();
 	k->traffic_on = true;
-	sk_clients_start(k, clients);
+	sk_clients_start(k, threads);
+	sk_counts_start(k, threads + SK_CLIENTS);
 	while (!all_over) {
 		all_over = sk_faults_step(k) &&
 			   hx_now_ms() > k->begin_ms + WINDOW_MS;
@@ -129,8 +136,8 @@
 	g_mutex_lock(&k->lock);
 	k->traffic_on = false;
 	g_mutex_unlock(&k->lock);
-	for (int i = 0; i < SK_CLIENTS; i++)
-		g_thread_join(clients[i]);
+	for (int i = 0; i < SK_CLIENTS + k->fleet.opt.vms; i++)
+		g_thread_join(threads[i]);
 	k->traffic_end_ms = hx_now_ms();
 }
 
@@ -199,9 +206,11 @@
 				    ->accepted_ms > 0;
 	n_violations = k.n_violations;
 	printf("seed %u: %s, %d rules broken, %u jobs, %d accepted, %d starts, "
-	       "%lld s, logs in %s\n",
+	       "%d counts answered, %d of them checked, %d refused, %lld s, "
+	       "logs in %s\n",
 	       seed, n_violations ? "FAILED" : "passed", n_violations,
-	       k.jobs->len, accepted, k.n_starts,
+	       k.jobs->len, accepted, k.n_starts, k.n_counts,
+	       k.n_counts_checked, k.n_counts_refused,
 	       (long long)(hx_now_ms() - k.begin_ms) / 1000, k.fleet.dir);
 	fflush(stdout);
 	sk_finish(&k);
--- a/tests/soak.h
+++ b/tests/soak.h
@@ -15,6 +15,8 @@
 #define SK_STOP_MS 200 /* for a worker to stop a task */
 #define SK_CANCEL_MS 3000 /* from a cancellation until no task starts */
 #define SK_VISIBLE_MS 3000 /* from acceptance until all VMs know the job */
+/* Rule MIXED: from acceptance until the count of pending jobs includes it. */
+#define SK_COUNTED_MS (SK_VISIBLE_MS + 2000)
 #define SK_FINISH_MS 14000 /* after the traffic, before jobs are queried */
 #define SK_LEASE_MAX_MS 10000
 /* Rule LOST: how long a task that is due may wait, how long there must have
@@ -110,8 +112,23 @@
 	GHashTable *reported; /* "RULE subject" of violations printed */
 	int32_t n_starts;
 	int32_t n_violations;
+	int32_t n_counts; /* of pending jobs, answered */
+	int32_t n_counts_checked; /* by a connected VM while jobs waited */
+	int32_t n_counts_refused;
 };
 
+/* A request to a VM. */
+struct sk_query {
+	int vm;
+	int64_t asked_ms;
+	int64_t answered_ms;
+};
+
+/* Generators beside sk.rand and those of the clients, so that what is drawn
+ * from one changes no draw of another. */
+enum sk_stream { SK_STREAM_COUNTS = 1 };
+GRand *sk_rand_new(const struct sk *k, enum sk_stream stream, int number);
+
 /* soak_check.c; all are called with the lock held. */
 /* Prints and counts a violation, once for each `rule` and `subject`. */
 void sk_report_violation(struct sk *k, const char *rule, const char *subject,
@@ -127,9 +144,13 @@
 void sk_check_log(struct sk *k);
 /* Checks that no due task waits too long and no cancelled one still runs. */
 void sk_check_idle(struct sk *k);
-/* Checks a VM's response to a status query that was sent at `asked_ms`. */
-void sk_check_response(struct sk *k, struct sk_job *j, int vm, long status,
-		       const char *state, int64_t asked_ms);
+/* Was the VM connected from the request to its answer? */
+bool sk_was_connected(const struct sk *k, const struct sk_query *q);
+/* Checks a VM's response to a status query. */
+void sk_check_response(struct sk *k, struct sk_job *j, const struct sk_query *q,
+		       long status, const char *state);
+/* Checks a VM's count of pending jobs. */
+void sk_check_count(struct sk *k, const struct sk_query *q, json_t *body);
 /* Checks that no job whose attempts were all rejected has started. */
 void sk_check_end(struct sk *k);
 
@@ -143,7 +164,12 @@
 /* soak_clients.c: starts SK_CLIENTS threads, which end when traffic_on is
  * false. */
 void sk_clients_start(struct sk *k, GThread **threads);
+bool sk_traffic_is_on(struct sk *k);
 /* Queries a job's state at a VM and checks the response. */
 void sk_query_job(struct sk *k, void *easy, int vm, struct sk_job *j);
 
+/* soak_counts.c: starts a thread for each VM, which asks it for counts of
+ * pending jobs. They end when traffic_on is false. */
+void sk_counts_start(struct sk *k, GThread **threads);
+
 #endif
--- a/tests/soak_check.c
+++ b/tests/soak_check.c
@@ -82,6 +82,12 @@
 	       !is_disrupted(k, SK_ALL_VMS, at_ms);
 }
 
+bool sk_was_connected(const struct sk *k, const struct sk_query *q)
+{
+	return sk_is_connected(k, q->vm, q->asked_ms) &&
+	       sk_is_connected(k, q->vm, q->answered_ms);
+}
+
 /* Did a connected owner send the start command, and was it not delayed on its
  * way? Only such a start counts against the rules' time limits. */
 static bool is_timely(const struct sk *k, const struct sk_run *r)
@@ -412,28 +418,39 @@
 	}
 }
 
-static void check_done(struct sk *k, struct sk_job *j)
+static bool is_state(const char *name)
+{
+	static const char *const states[] = { "queued", "running",  "done",
+					      "failed", "canceled", NULL };
+
+	return g_strv_contains(states, name);
+}
+
+static void check_done(struct sk *k, struct sk_job *j, int64_t answered_ms)
 {
 	for (int i = 0; i < j->steps * j->count; i++) {
-		if (!has_completed(j->task_runs[i], INT64_MAX))
+		if (!has_completed(j->task_runs[i], answered_ms))
 			sk_report_violation(k, "MIXED", j->id,
 					    "reported done, task %d isn't", i);
 	}
 }
 
-void sk_check_response(struct sk *k, struct sk_job *j, int vm, long status,
-		       const char *state, int64_t asked_ms)
+void sk_check_response(struct sk *k, struct sk_job *j, const struct sk_query *q,
+		       long status, const char *state)
 {
 	/* Takes in what workers logged before the response arrived. */
 	sk_check_log(k);
 	if (status == 410 && j->accepted_ms && !j->cancel_sent &&
-	    asked_ms > j->accepted_ms + SK_VISIBLE_MS &&
-	    sk_is_connected(k, vm, hx_now_ms()))
+	    q->asked_ms > j->accepted_ms + SK_VISIBLE_MS &&
+	    sk_is_connected(k, q->vm, hx_now_ms()))
 		sk_report_violation(k, "LOST", j->id,
-				    "vm %d answers 410, accepted at %lld", vm,
-				    (long long)j->accepted_ms);
+				    "vm %d answers 410, accepted at %lld",
+				    q->vm, (long long)j->accepted_ms);
+	if (status == 200 && !is_state(state))
+		sk_report_violation(k, "MIXED", j->id,
+				    "vm %d answers 200 without a state", q->vm);
 	if (!strcmp(state, "done"))
-		check_done(k, j);
+		check_done(k, j, q->answered_ms);
 	if (!strcmp(state, "done") && !j->done_shown_ms)
 		j->done_shown_ms = hx_now_ms();
 	if (!strcmp(state, "failed") && !is_failed(j))
@@ -446,6 +463,57 @@
 			!strcmp(state, "canceled");
 }
 
+/* Has a worker started any task of the job by `until_ms`? */
+static bool has_begun(const struct sk_job *j, int64_t until_ms)
+{
+	for (int i = 0; i < j->steps * j->count; i++) {
+		GArray *runs = j->task_runs[i];
+
+		if (runs->len && run_at(runs, 0)->start_ms <= until_ms)
+			return true;
+	}
+	return false;
+}
+
+/* Returns the number of jobs that an answer to `q` has to include. */
+static int32_t count_waiting(const struct sk *k, const struct sk_query *q)
+{
+	int32_t n = 0;
+
+	for (guint i = 0; i < k->jobs->len; i++) {
+		const struct sk_job *j = g_ptr_array_index(k->jobs, i);
+
+		n += j->accepted_ms && !j->cancel_sent &&
+		     q->asked_ms > j->accepted_ms + SK_COUNTED_MS &&
+		     !has_begun(j, q->answered_ms);
+	}
+	return n;
+}
+
+void sk_check_count(struct sk *k, const struct sk_query *q, json_t *body)
+{
+	const json_t *pending = json_object_get(body, "pending");
+	char vm[16];
+	int32_t waiting;
+
+	k->n_counts++;
+	snprintf(vm, sizeof(vm), "vm %d", q->vm);
+	if (!json_is_integer(pending))
+		sk_report_violation(k, "ANSWER", vm, "no number of jobs");
+	if (!json_is_integer(pending) || !sk_was_connected(k, q))
+		return;
+	/* Takes in what workers started before the answer arrived. */
+	sk_check_log(k);
+	waiting = count_waiting(k, q);
+	k->n_counts_checked += waiting > 0;
+	if (json_integer_value(pending) * 2 < waiting)
+		sk_report_violation(
+			k, "MIXED", vm,
+			"answers %lld pending, %d wait for over %d ms",
+			(long long)json_integer_value(pending), waiting,
+			SK_COUNTED_MS);
+}
+
 void sk_check_end(struct sk *k)
 {
 	for (guint i = 0; i < k->jobs->len; i++) {
--- a/tests/soak_clients.c
+++ b/tests/soak_clients.c
@@ -125,18 +125,18 @@
 
 void sk_query_job(struct sk *k, void *easy, int vm, struct sk_job *j)
 {
-	int64_t asked_ms = hx_now_ms();
+	struct sk_query q = { .vm = vm, .asked_ms = hx_now_ms() };
 	const char *state;
 	char path[32];
 	struct hx_response a;
 
 	snprintf(path, sizeof(path), "/q/%s", j->id);
 	a = hf_call(&k->fleet, easy, vm, "GET", path, NULL);
+	q.answered_ms = hx_now_ms();
 	state = json_string_value(json_object_get(a.json, "state"));
 	g_mutex_lock(&k->lock);
 	if (a.status)
-		sk_check_response(k, j, vm, a.status, state ? state : "",
-				  asked_ms);
+		sk_check_response(k, j, &q, a.status, state ? state : "");
 	g_mutex_unlock(&k->lock);
 	hx_response_free(&a);
 }
@@ -184,7 +184,7 @@
 	}
 }
 
-static bool traffic_is_on(struct sk *k)
+bool sk_traffic_is_on(struct sk *k)
 {
 	bool yes;
 
@@ -198,7 +198,7 @@
 {
 	struct client *c = priv;
 
-	while (traffic_is_on(c->k)) {
+	while (sk_traffic_is_on(c->k)) {
 		client_step(c);
 		hx_sleep_ms(draw_below(c, PAUSE_MAX_MS));
 	}
