Don't lose rows to an answer that lags while a table is read

Cause: only the first page of a table had to be as new as what was known. Rows that a later page lacks, because it is older, are never reported: the feed is asked for changes after the version of the first page. An answer of the feed that is older than the last one was dated as new. Found in review, by reading. Change: answers that are older than what is known are asked for again. Test: /state/row-watch-lagging, which failed before.

--- a/src/state/row_watch.c
+++ b/src/state/row_watch.c
@@ -113,6 +113,7 @@
 static void on_page(const struct rows_answer *ans, void *priv)
 {
 	struct row_watch *w = end_call(priv);
+	bool first;
 
 	if (!w)
 		return;
@@ -120,12 +121,14 @@
 		schedule_call(w, RETRY_MS);
 		return;
 	}
-	/* Reads may lag: don't go back to an older version. */
-	if (!w->page_from && !w->part_index && ans->version < w->version) {
+	first = !w->page_from && !w->part_index;
+	/* Reads may lag: don't go back to an older version. Changes up to that
+	 * of the first page are not asked for again. */
+	if (ans->version < (first ? w->version : w->read_version)) {
 		schedule_call(w, RETRY_MS);
 		return;
 	}
-	if (!w->page_from && !w->part_index) {
+	if (first) {
 		w->read_version = ans->version;
 		w->read_ms = ans->now_ms;
 	}
@@ -176,13 +179,17 @@
 		schedule_call(w, ans->result == ROWS_COMPACTED ? 0 : RETRY_MS);
 		return;
 	}
+	/* An answer that lags doesn't show what has changed by its time. */
+	if (ans->version < w->version) {
+		schedule_call(w, RETRY_MS);
+		return;
+	}
 	for (int32_t i = 0; i < ans->n; i++) {
 		if (!is_watched(w, ans->rows[i].part))
 			continue;
 		deliver(w, &ans->rows[i]);
 	}
-	if (ans->version > w->version)
-		w->version = ans->version;
+	w->version = ans->version;
 	w->ops->synced(w->version, ans->now_ms, w->priv);
 	schedule_call(w, w->opt.gap_ms);
 }
--- a/tests/unit_state.c
+++ b/tests/unit_state.c
@@ -388,6 +388,64 @@
 	owner_fixture_close(&f);
 }
 
+struct lagging_watch {
+	struct fake_rows *store;
+	int rows;
+	int synced;
+};
+
+static void on_row_then_lag(const struct rows_row *row, void *priv)
+{
+	struct lagging_watch *w = priv;
+
+	(void)row;
+	w->rows++;
+	w->store->stale_table = "t";
+	w->store->stale_version = 1;
+}
+
+static void on_lagging_synced(int64_t version, int64_t store_ms, void *priv)
+{
+	(void)version;
+	(void)store_ms;
+	((struct lagging_watch *)priv)->synced++;
+}
+
+/*
+ * Guards against rows that are never reported: a page that was older than the
+ * first one lacked them, and only changes after the first one were asked for.
+ * Answers that lag don't show that all rows were reported, either.
+ */
+static void test_row_watch_lagging(void)
+{
+	static const struct row_watch_ops ops = { on_row_then_lag,
+						  on_lagging_synced };
+	struct row_watch_options opt = { .table = "t",
+					 .part = "j",
+					 .parts = 2 };
+	struct owner_fixture f;
+	struct lagging_watch w = { &f.store, 0, 0 };
+	struct rows rows;
+
+	owner_fixture_open(&f);
+	rows = fake_rows_iface(&f.store);
+	fake_rows_put(&f.store, "t", "j0", "a", "1");
+	fake_rows_put(&f.store, "t", "j1", "b", "1");
+	row_watch_start(f.ev, &rows, f.timers, &opt, &ops, &w);
+	wait_for_count(&f, &w.rows, 1);
+	run_loop_for(&f, 100);
+	g_assert_cmpint(w.synced, ==, 0);
+	f.store.stale_table = NULL;
+	wait_for_count(&f, &w.synced, 1);
+	g_assert_cmpint(w.rows, ==, 2);
+	/* The last row has made the store lag again. */
+	run_loop_for(&f, 100);
+	g_assert_cmpint(w.synced, ==, 1);
+	f.store.stale_table = NULL;
+	wait_for_count(&f, &w.synced, 2);
+	owner_fixture_close(&f);
+}
+
 void unit_add_state(void)
 {
 	g_test_add_func("/state/claim-and-commit", test_claim_and_commit);
@@ -405,4 +463,5 @@
 	g_test_add_func("/state/strong-comes-first", test_strong_comes_first);
 	g_test_add_func("/state/follow", test_row_watch);
 	g_test_add_func("/state/row-watch-dates", test_row_watch_dates);
+	g_test_add_func("/state/row-watch-lagging", test_row_watch_lagging);
 }
