Bound the tasks at one worker and the work of a placement pass

Cause: only a worker's room bounds its tasks, and a task that asks for (almost) no CPU and no memory takes none, best-effort or not. So all 128,000 tasks (64 rounds of 2,000) went to one worker, and sched_record_exploration() walked all its runs at each start. Nothing bounded the pass itself either: beside serving tasks, each start of a best-effort task looks at all runs of 12 candidates for each serving task.

Change: - A worker gets at most 64 small tasks: those that ask for less than 10 thousandths of a core. Other tasks neither count nor are limited, so small tasks can't keep them from the room that they leave. - A pass counts the workers and runs that it looks at, and its starts, and ends early at a limit. The next passes continue with the steps that it did not reach, and each step is reached once before any is reached again: steps whose tasks are refused and started again, again and again, starve none. A gang is still placed as a whole. - Starts at a worker without serving tasks walk no runs. A pass within the limit decides as before, small tasks aside.

Of the new tests, many-best-effort-tasks, many-small-tasks, pass-is-bounded and pass-beside-serving fail without this change; the other four guard the new limits (checked by taking each limit out).

Not bounded: a gang is placed in one go, and each step without room still costs a look at all workers in each pass.

--- a/src/coordination/sched.h
+++ b/src/coordination/sched.h
@@ -167,6 +167,7 @@
 	int32_t gang_run; /* run number that all members of a gang share */
 	int64_t ready_ms;
 	int64_t evict_until_ms; /* no further evictions for the step before */
+	int64_t sweep; /* the last one that reached the step */
 	GList ready_link; /* in sched.ready_steps */
 	bool in_ready_list;
 	struct sched_task *tasks;
@@ -234,6 +235,7 @@
 	int64_t quarantine_ms;
 	struct place_resources used; /* by all runs that may be active there */
 	int32_t foreign_runs; /* reported runs that this owner doesn't track */
+	int32_t n_small; /* small tasks, see sched_is_small() */
 	int32_t n_best_effort; /* best-effort tasks */
 	int64_t best_effort_milli; /* CPU that their paces allow them */
 	int32_t n_serving; /* tasks with a response-time target */
@@ -351,6 +353,8 @@
 	int64_t roster_incomplete_until_ms;
 	guint next_move_worker; /* where sched_move_paused() continues */
 	int64_t placement_ms; /* start of the last placement pass */
+	int64_t sweep; /* numbers the sweeps of placement, see sched_place() */
+	int64_t pass_work; /* done by the pass, see PASS_WORK_MAX */
 	enum sched_ownership ownership;
 	int64_t renew_until_ms; /* no lease is renewed later */
 	int64_t fence_min; /* lowest fence token for a new worker */
@@ -502,7 +506,11 @@
 /* Call periodically: handles expired leases, due rounds and stalled tasks. */
 void sched_tick(struct sched *s, int64_t now_ms, int64_t wall_ms);
 
-/* Starts all ready tasks for which there is room. */
+/*
+ * Starts the ready tasks for which there is room. A call that would take too
+ * long stops early; the next ones continue with the steps that it didn't reach,
+ * until the sweep has reached all steps.
+ */
 void sched_place(struct sched *s, int64_t now_ms);
 
 /* Returns whether the job is done, failed or cancelled. */
--- a/src/coordination/sched_choose.c
+++ b/src/coordination/sched_choose.c
@@ -6,6 +6,11 @@
 
 /* A best-effort task is not started where its speed would be below this. */
 #define COLOCATED_SPEED_MIN 0.9
+/* Tasks that ask for less than this, in thousandths of a core, are small. */
+#define SMALL_MILLI 10
+/* Most small tasks at one worker: starts, reports and pacing take longer with
+ * each run there. */
+#define SMALL_TASKS_MAX 64
 
 int32_t sched_count_tasks_at(const struct sched_step *step,
 			     const struct sched_worker *w)
@@ -32,11 +37,18 @@
 	return sched_best_effort_capacity(w) - w->best_effort_milli;
 }
 
+bool sched_is_small(const struct jobspec_step *def)
+{
+	return def->cpu_milli < SMALL_MILLI;
+}
+
 bool sched_fits(const struct sched_step *step, const struct sched_worker *w)
 {
 	const struct jobspec_step *def = step->def;
 	int64_t cpu = w->row.total.cpu_milli - w->used.cpu_milli;
 
+	if (sched_is_small(def) && w->n_small >= SMALL_TASKS_MAX)
+		return false;
 	if (w->used.mem_mib + def->mem_mib > w->row.total.mem_mib)
 		return false;
 	if (w->used.accelerators + def->accelerators >
@@ -101,7 +113,23 @@
 	return points - left - w->best_effort_milli / 2;
 }
 
-static struct sched_worker *choose_by_score(struct sched_worker **list,
+/* Returns how much sched_fits() and score() look at. */
+static int64_t check_work(const struct sched_step *step,
+			  const struct sched_worker *w)
+{
+	bool counts_runs = step->def->spread_max || step->def->tail_goal_ms;
+
+	return counts_runs ? 1 + (int64_t)w->runs.length : 1;
+}
+
+/* Returns how many runs sched_colocated_speed() looks at. */
+static int64_t speed_work(const struct sched_worker *w)
+{
+	return w->n_serving ? (int64_t)w->runs.length * (1 + w->n_serving) : 0;
+}
+
+static struct sched_worker *choose_by_score(struct sched *s,
+					    struct sched_worker **list,
 					    int32_t n,
 					    const struct sched_step *step)
 {
@@ -111,6 +139,7 @@
 	for (int32_t i = 0; i < n; i++) {
 		int64_t points;
 
+		s->pass_work += check_work(step, list[i]);
 		if (!sched_fits(step, list[i]))
 			continue;
 		points = score(step, list[i]);
@@ -165,7 +194,7 @@
  * serving tasks. Computing a speed costs more than all other checks, so it is
  * done only for the candidates with the best estimates.
  */
-static struct sched_worker *choose_best_effort(const struct sched *s,
+static struct sched_worker *choose_best_effort(struct sched *s,
 					       struct sched_worker **list,
 					       int32_t n,
 					       const struct sched_step *step)
@@ -176,6 +205,7 @@
 	int32_t found = 0;
 
 	for (int32_t i = 0; i < n; i++) {
+		s->pass_work += check_work(step, list[i]);
 		if (sched_fits(step, list[i]))
 			found = insert_candidate(
 				candidates, found, list[i],
@@ -187,6 +217,7 @@
 		double points =
 			speed * FULL_SPEED_POINTS + (double)score(step, w);
 
+		s->pass_work += speed_work(w);
 		if (speed < COLOCATED_SPEED_MIN ||
 		    (best && points <= best_points))
 			continue;
@@ -196,10 +227,10 @@
 	return best;
 }
 
-struct sched_worker *sched_choose_worker(const struct sched *s,
+struct sched_worker *sched_choose_worker(struct sched *s,
 					 struct sched_worker **list, int32_t n,
 					 const struct sched_step *step)
 {
 	return step->def->best_effort ? choose_best_effort(s, list, n, step)
-				      : choose_by_score(list, n, step);
+				      : choose_by_score(s, list, n, step);
 }
--- a/src/coordination/sched_int.h
+++ b/src/coordination/sched_int.h
@@ -76,14 +76,18 @@
 			int64_t now_ms);
 /* Moves paused best-effort tasks to workers where they can continue. */
 void sched_move_paused(struct sched *s, int64_t now_ms);
+/* Returns whether the step's tasks ask for so little CPU that the room of a
+ * worker doesn't bound their number. */
+bool sched_is_small(const struct jobspec_step *def);
 /* Returns whether one more task of the step fits on the worker. */
 bool sched_fits(const struct sched_step *step, const struct sched_worker *w);
 /* Returns the CPU available to best-effort tasks in all, including what they
  * use already, in thousandths of a core. */
 int64_t sched_best_effort_capacity(const struct sched_worker *w);
 /* Returns the best worker of `list` for one more task of the step, or NULL if
- * it fits on none. */
-struct sched_worker *sched_choose_worker(const struct sched *s,
+ * it fits on none. Adds the number of workers and runs that it looked at to
+ * s->pass_work. */
+struct sched_worker *sched_choose_worker(struct sched *s,
 					 struct sched_worker **list, int32_t n,
 					 const struct sched_step *step);
 
--- a/src/coordination/sched_move.c
+++ b/src/coordination/sched_move.c
@@ -25,7 +25,7 @@
 	return step->def->checkpoints || run->percent <= LOSS_MAX_PERCENT;
 }
 
-static bool has_better_place(const struct sched *s, const struct sched_run *run,
+static bool has_better_place(struct sched *s, const struct sched_run *run,
 			     struct sched_worker **list, int64_t now_ms)
 {
 	const struct sched_step *step = run->task->step;
--- a/src/coordination/sched_pace.c
+++ b/src/coordination/sched_pace.c
@@ -121,7 +121,9 @@
 void sched_record_exploration(struct sched *s, const struct sched_run *run,
 			      int64_t now_ms)
 {
-	for (const GList *i = run->worker->runs.head; i; i = i->next) {
+	const struct sched_worker *w = run->worker;
+
+	for (const GList *i = w->runs.head; w->n_serving && i; i = i->next) {
 		const struct sched_step *serving =
 			((const struct sched_run *)i->data)->task->step;
 
--- a/src/coordination/sched_place.c
+++ b/src/coordination/sched_place.c
@@ -13,6 +13,11 @@
 /* Pause between evictions for one step, in ms, in addition to the time that a
  * stop takes: the next report shows the freed room. */
 #define EVICT_PAUSE_MS 300
+/* A pass ends early once it has done this much work, so that it doesn't hold up
+ * the owner's ticks. The unit is one worker or run that was looked at. */
+#define PASS_WORK_MAX 2000000
+/* The same for one start. */
+#define START_WORK 1000
 
 bool sched_task_is_ready(const struct sched *s, const struct sched_task *t,
 			 int64_t now_ms)
@@ -265,12 +270,17 @@
 	}
 }
 
+static bool pass_is_over(const struct sched *s)
+{
+	return s->pass_work >= PASS_WORK_MAX;
+}
+
 static void place_tasks(struct sched *s, const struct sched_rank *r,
 			struct sched_worker **list, int32_t n, int64_t now_ms)
 {
 	struct sched_step *step = r->step;
 
-	for (int32_t k = 0; k < step->def->tasks; k++) {
+	for (int32_t k = 0; k < step->def->tasks && !pass_is_over(s); k++) {
 		struct sched_task *t = &step->tasks[k];
 		struct sched_worker *w;
 
@@ -282,6 +292,7 @@
 				evict_for_step(s, r, list, n, now_ms);
 			return;
 		}
+		s->pass_work += START_WORK;
 		start_task(s, t, w, t->last_run + 1, now_ms);
 	}
 }
@@ -309,6 +320,7 @@
 
 		if (!w)
 			break;
+		s->pass_work += START_WORK;
 		chosen[placed] = w;
 		sched_run_new(s, &step->tasks[placed++], w, number, now_ms);
 	}
@@ -333,25 +345,21 @@
 	return false;
 }
 
-void sched_place(struct sched *s, int64_t now_ms)
+/* Fills `ranks` with the steps that the pass should place, in order. Returns
+ * their number. */
+static int32_t rank_steps(struct sched *s, struct sched_rank *ranks,
+			  int64_t now_ms)
 {
 	bool hold_inherited = sched_may_miss_runs(s, now_ms);
-	struct sched_worker **list;
-	struct sched_rank *ranks;
 	int32_t n = 0;
 
-	s->placement_ms = now_ms;
-
-	if (!s->ready_steps.length || !s->catalog || !s->worker_list->len ||
-	    s->ownership == SCHED_OWNER_LOST)
-		return;
-	ranks = talloc_array(NULL, struct sched_rank, s->ready_steps.length);
-	list = talloc_array(ranks, struct sched_worker *, s->worker_list->len);
 	for (GList *i = s->ready_steps.head; i; i = i->next) {
 		struct sched_step *step = i->data;
 
 		const struct sched_job *job = step->round->job;
 
+		if (step->sweep == s->sweep)
+			continue;
 		if (hold_inherited && job->inherited)
 			continue;
 		/* The round was created before it is due; see
@@ -365,16 +373,47 @@
 			ranks[n++] = sched_rank_step(s, step, now_ms);
 	}
 	qsort(ranks, (size_t)n, sizeof(*ranks), s->rank_policy->compare);
-	for (int32_t i = 0; i < n; i++) {
-		int32_t found = find_candidates(s, &ranks[i], list, now_ms);
+	return n;
+}
 
-		if (!found)
-			continue;
-		if (ranks[i].step->def->gang)
-			place_gang(s, &ranks[i], list, found, now_ms);
-		else
-			place_tasks(s, &ranks[i], list, found, now_ms);
+static void place_step(struct sched *s, const struct sched_rank *r,
+		       struct sched_worker **list, int64_t now_ms)
+{
+	int32_t n = find_candidates(s, r, list, now_ms);
+
+	if (!n)
+		return;
+	if (r->step->def->gang)
+		place_gang(s, r, list, n, now_ms);
+	else
+		place_tasks(s, r, list, n, now_ms);
+}
+
+void sched_place(struct sched *s, int64_t now_ms)
+{
+	struct sched_worker **list;
+	struct sched_rank *ranks;
+	int32_t reached = 0;
+	int32_t n;
+
+	s->placement_ms = now_ms;
+	s->pass_work = 0;
+	if (!s->ready_steps.length || !s->catalog || !s->worker_list->len ||
+	    s->ownership == SCHED_OWNER_LOST)
+		return;
+	ranks = talloc_array(NULL, struct sched_rank, s->ready_steps.length);
+	list = talloc_array(ranks, struct sched_worker *, s->worker_list->len);
+	n = rank_steps(s, ranks, now_ms);
+	while (reached < n && !pass_is_over(s)) {
+		const struct sched_rank *r = &ranks[reached++];
+
+		r->step->sweep = s->sweep;
+		place_step(s, r, list, now_ms);
 	}
+	/* A sweep reaches each step once: tasks that workers refuse again and
+	 * again can't use up the passes of other steps. */
+	if (reached == n)
+		s->sweep++;
 	talloc_free(ranks);
 }
 
--- a/src/coordination/sched_run.c
+++ b/src/coordination/sched_run.c
@@ -53,6 +53,8 @@
 	w->used.cpu_milli += sign * size.cpu_milli;
 	w->used.mem_mib += sign * size.mem_mib;
 	w->used.accelerators += sign * size.accelerators;
+	if (sched_is_small(def))
+		w->n_small += sign;
 	if (def->best_effort) {
 		w->n_best_effort += sign;
 		w->best_effort_milli += sign * def->cpu_milli * run->pace / 100;
--- a/tests/unit.h
+++ b/tests/unit.h
@@ -12,6 +12,7 @@
 void unit_add_platform(void);
 void unit_add_fuzz(void);
 void unit_add_policy(void);
+void unit_add_place(void);
 void unit_add_pace(void);
 void unit_add_sched(void);
 void unit_add_handover(void);
