Limit only such small tasks as no room bounds

The bound on small tasks also held tasks that ask for memory or accelerators but for hardly any processor, of which a worker's room bounds the number. Small is now also below 16 MiB and without accelerators, and a worker gets 128 of them instead of 64, as many as pacing handles.

--- a/src/coordination/sched_choose.c
+++ b/src/coordination/sched_choose.c
@@ -6,11 +6,13 @@
 
 /* A best-effort task is not started where its speed would be below this. */
 #define COLOCATED_SPEED_MIN 0.9
-/* Tasks that ask for less than this, in thousandths of a core, are small. */
+/* Tasks that ask for less than this, in thousandths of a core and in MiB, and
+ * for no accelerator, are small. */
 #define SMALL_MILLI 10
-/* Most small tasks at one worker: starts, reports and pacing take longer with
- * each run there. */
-#define SMALL_TASKS_MAX 64
+#define SMALL_MIB 16
+/* Most small tasks at one worker, in each of whose reports and placements all
+ * runs there are looked at. */
+#define SMALL_TASKS_MAX 128
 
 int32_t sched_count_tasks_at(const struct sched_step *step,
 			     const struct sched_worker *w)
@@ -39,7 +41,8 @@
 
 bool sched_is_small(const struct jobspec_step *def)
 {
-	return def->cpu_milli < SMALL_MILLI;
+	return def->cpu_milli < SMALL_MILLI && def->mem_mib < SMALL_MIB &&
+	       !def->accelerators;
 }
 
 bool sched_fits(const struct sched_step *step, const struct sched_worker *w)
--- a/src/coordination/sched_int.h
+++ b/src/coordination/sched_int.h
@@ -83,8 +83,8 @@
 			int64_t now_ms);
 /* Moves paused best-effort tasks to workers where they can continue. */
 void sched_move_paused(struct sched *s, int64_t now_ms);
-/* Returns whether the step's tasks ask for so little CPU that the room of a
- * worker doesn't bound their number. */
+/* Returns whether the step's tasks ask for so little that the room of a worker
+ * hardly bounds their number. */
 bool sched_is_small(const struct jobspec_step *def);
 /* Returns whether one more task of the step fits on the worker. */
 bool sched_fits(const struct sched_step *step, const struct sched_worker *w);
--- a/tests/unit_place.c
+++ b/tests/unit_place.c
@@ -156,6 +156,26 @@
 	fixture_close(&p);
 }
 
+/* Guards against a limit on tasks that ask for no processors although the
+ * memory of the worker bounds them. */
+static void test_memory_bounds_tasks(void)
+{
+	enum { MIB = 20 };
+	struct sched_fixture p;
+	struct jobspec *spec = cpu_spec("a", 2000, 0);
+	int64_t room;
+
+	spec->steps[0].mem_mib = MIB;
+	fixture_open(&p, 1, NULL);
+	add_workers(&p, 1);
+	room = fixture_worker(&p, "w0")->row.total.mem_mib / MIB;
+	fixture_add_job(&p, spec);
+	sched_place(&p.s, 20);
+	sched_place(&p.s, 30);
+	g_assert_cmpint(p.starts->len, ==, room);
+	fixture_close(&p);
+}
+
 /* Guards against a pass that starts all tasks that there are: the owner renews
  * no lease meanwhile. The next passes start the rest. */
 static void test_pass_is_bounded(void)
@@ -295,6 +315,7 @@
 	g_test_add_func("/sched/many-small-tasks", test_many_small_tasks);
 	g_test_add_func("/sched/small-tasks-follow-ends",
 			test_small_tasks_follow_ends);
+	g_test_add_func("/sched/memory-bounds-tasks", test_memory_bounds_tasks);
 	g_test_add_func("/sched/small-tasks-leave-room",
 			test_small_tasks_leave_room);
 	g_test_add_func("/sched/pass-is-bounded", test_pass_is_bounded);
