Confirm what a watch knows at once after a failed call

Cause: since a VM refuses calls while its configuration was not confirmed for 4 s. After an outage the watch asked for changes and waited the whole second for some, so a VM refused for a second after the store was back. Change: the call after a failed one doesn't wait. Test: /state/row-watch-after-failure, which failed before.

--- a/src/state/row_watch.c
+++ b/src/state/row_watch.c
@@ -34,6 +34,7 @@
 	int64_t read_ms; /* store's clock at the first page */
 	int64_t version; /* all changes up to it were reported */
 	bool loaded; /* the read is done: ask for changes */
+	bool failed; /* the last call for changes did */
 };
 
 static void send_call(void *priv);
@@ -173,6 +174,7 @@
 
 	if (!w)
 		return;
+	w->failed = ans->result != ROWS_OK;
 	if (ans->result == ROWS_COMPACTED)
 		w->loaded = false;
 	if (ans->result != ROWS_OK) {
@@ -209,8 +211,10 @@
 	else
 		snprintf(part, sizeof(part), "%s", w->opt.part);
 	if (w->loaded)
+		/* After a failure, what is known is confirmed at once. */
 		w->rows.ops->changes(w->rows.self, w->opt.table, w->version,
-				     w->opt.wait_ms, on_changes, begin_call(w));
+				     w->failed ? 0 : w->opt.wait_ms, on_changes,
+				     begin_call(w));
 	else
 		w->rows.ops->read(w->rows.self, &range, on_page, begin_call(w));
 }
--- a/tests/fake_rows.c
+++ b/tests/fake_rows.c
@@ -279,12 +279,13 @@
 			 int64_t wait_ms, rows_done done, void *priv)
 {
 	struct fake_rows *f = self;
-	enum rows_result res =
-		after < f->oldest_kept ? ROWS_COMPACTED : ROWS_OK;
+	enum rows_result res = f->changes_fail		? ROWS_NO_EFFECT
+			       : after < f->oldest_kept ? ROWS_COMPACTED
+							: ROWS_OK;
 	struct reply *r = new_reply(f, res, done, priv);
 	GPtrArray *list = rows_of(f, table, compare_version);
 
-	(void)wait_ms;
+	f->changes_wait_ms = wait_ms;
 	limit_version(f, table, r);
 	for (guint i = 0; res == ROWS_OK && i < list->len; i++) {
 		struct fake_row *row = g_ptr_array_index(list, i);
--- a/tests/fake_rows.h
+++ b/tests/fake_rows.h
@@ -31,6 +31,8 @@
 	const char *stale_table; /* answers about it show no rows of late; or
 				    NULL */
 	int64_t stale_version; /* up to which they show rows */
+	bool changes_fail; /* calls for changes do, without effect */
+	int64_t changes_wait_ms; /* of the last call for changes */
 	int64_t clock_ahead_ms; /* of the store's clock to the monotonic one */
 	int32_t commits;
 };
--- a/tests/unit_state.c
+++ b/tests/unit_state.c
@@ -446,6 +446,48 @@
 	owner_fixture_close(&f);
 }
 
+#define WATCH_WAIT_MS 30000
+
+static void run_until_wait_is(struct owner_fixture *f, int64_t wait_ms)
+{
+	int64_t end = clk_mono_ms(&clk_system) + 20000;
+
+	while (f->store.changes_wait_ms != wait_ms) {
+		g_assert_cmpint(clk_mono_ms(&clk_system), <, end);
+		tevent_loop_once(f->ev);
+	}
+}
+
+/*
+ * Guards against a VM that refuses calls for a second after the store is back:
+ * its first call for changes waited for some, so that what the VM knows was not
+ * confirmed until then.
+ */
+static void test_row_watch_after_failure(void)
+{
+	static const struct row_watch_ops ops = { on_row, on_synced };
+	struct row_watch_options opt = { .table = "t",
+					 .part = "",
+					 .wait_ms = WATCH_WAIT_MS };
+	struct owner_fixture f;
+	struct watched_rows s = { 0 };
+	struct rows rows;
+
+	owner_fixture_open(&f);
+	s.rows = g_hash_table_new(g_str_hash, g_str_equal);
+	rows = fake_rows_iface(&f.store);
+	row_watch_start(f.ev, &rows, f.timers, &opt, &ops, &s);
+	wait_for_count(&f, &s.synced, 1);
+	run_until_wait_is(&f, WATCH_WAIT_MS);
+	f.store.changes_fail = true;
+	run_until_wait_is(&f, 0);
+	f.store.changes_fail = false;
+	wait_for_count(&f, &s.synced, s.synced + 1);
+	run_until_wait_is(&f, WATCH_WAIT_MS);
+	owner_fixture_close(&f);
+	g_hash_table_destroy(s.rows);
+}
+
 void unit_add_state(void)
 {
 	g_test_add_func("/state/claim-and-commit", test_claim_and_commit);
@@ -464,4 +506,6 @@
 	g_test_add_func("/state/follow", test_row_watch);
 	g_test_add_func("/state/row-watch-dates", test_row_watch_dates);
 	g_test_add_func("/state/row-watch-lagging", test_row_watch_lagging);
+	g_test_add_func("/state/row-watch-after-failure",
+			test_row_watch_after_failure);
 }
