Log what keeps a task waiting, and for how many workers

For each of the four tasks that wait longest beyond 2 s a line a second now gives the number of workers by what keeps the task from them; a quarantine says how long it lasts, and gd_quarantined counts them. No decision changes.

--- a/src/coordination/sched.c
+++ b/src/coordination/sched.c
@@ -343,5 +343,6 @@
 			sched_create_due_rounds(s, job, now_ms, wall_ms);
 	}
 	sched_check_stalls(s, now_ms);
+	sched_check_waits(s, now_ms);
 	sched_move_paused(s, now_ms);
 }
--- a/src/coordination/sched.h
+++ b/src/coordination/sched.h
@@ -152,6 +152,7 @@
 	int32_t failures; /* length of failed_runs */
 	int32_t *failed_runs; /* numbers of failed runs, unsorted, no doubles */
 	int64_t not_before_ms; /* retry delay after a failure */
+	int64_t idle_since_ms; /* no run is active since then; 0: one is */
 	char *checkpoint; /* NULL if none */
 	struct sched_run *runs;
 };
@@ -356,6 +357,7 @@
 	int64_t roster_incomplete_until_ms;
 	guint next_move_worker; /* where sched_move_paused() continues */
 	int64_t placement_ms; /* start of the last placement pass */
+	int64_t waits_logged_ms; /* see sched_check_waits() */
 	int64_t sweep; /* numbers the sweeps of placement, see sched_place() */
 	int64_t pass_work; /* done by the pass, see PASS_WORK_MAX */
 	enum sched_ownership ownership;
@@ -532,6 +534,9 @@
  * queue need not be configured. */
 int32_t sched_count_queued(const struct sched *s, const char *queue);
 
+/* Returns the number of workers in quarantine. */
+int32_t sched_count_quarantined(const struct sched *s, int64_t now_ms);
+
 const char *sched_job_state_name(enum sched_job_state state);
 
 #endif
--- a/src/coordination/sched_choose.c
+++ b/src/coordination/sched_choose.c
@@ -45,24 +45,31 @@
 	       !def->accelerators;
 }
 
-bool sched_fits(const struct sched_step *step, const struct sched_worker *w)
+enum sched_obstacle sched_find_shortage(const struct sched_step *step,
+					const struct sched_worker *w)
 {
 	const struct jobspec_step *def = step->def;
 	int64_t cpu = w->row.total.cpu_milli - w->used.cpu_milli;
 
 	if (sched_is_small(def) && w->n_small >= SMALL_TASKS_MAX)
-		return false;
+		return SCHED_OBSTACLE_SMALL_TASKS;
 	if (w->used.mem_mib + def->mem_mib > w->row.total.mem_mib)
-		return false;
+		return SCHED_OBSTACLE_MEMORY;
 	if (w->used.accelerators + def->accelerators >
 	    w->row.total.accelerators)
-		return false;
+		return SCHED_OBSTACLE_ACCELERATORS;
 	if (def->best_effort)
 		cpu = free_best_effort_milli(w);
 	if (def->cpu_milli > cpu)
-		return false;
-	return !def->spread_max ||
-	       sched_count_tasks_at(step, w) < def->spread_max;
+		return SCHED_OBSTACLE_CPU;
+	if (def->spread_max && sched_count_tasks_at(step, w) >= def->spread_max)
+		return SCHED_OBSTACLE_SPREAD;
+	return SCHED_OBSTACLE_NONE;
+}
+
+bool sched_fits(const struct sched_step *step, const struct sched_worker *w)
+{
+	return sched_find_shortage(step, w) == SCHED_OBSTACLE_NONE;
 }
 
 /* Score for each serving task of the same image, in thousandths of a core. All
--- a/src/coordination/sched_health.c
+++ b/src/coordination/sched_health.c
@@ -17,13 +17,20 @@
 #define STALL_MIN_MS 2500
 #define STALL_PERCENT 25
 
-static void quarantine(struct sched_worker *w, int64_t now_ms)
+static void quarantine(struct sched *s, struct sched_worker *w,
+		       const struct sched_ref *ref, const char *why,
+		       int64_t now_ms)
 {
+	char text[80];
+
 	w->quarantine_ms =
 		w->quarantine_ms ? w->quarantine_ms * 2 : QUARANTINE_FIRST_MS;
 	if (w->quarantine_ms > QUARANTINE_MAX_MS)
 		w->quarantine_ms = QUARANTINE_MAX_MS;
 	w->quarantine_until_ms = now_ms + w->quarantine_ms;
+	snprintf(text, sizeof(text), "%s; for_ms=%lld", why,
+		 (long long)w->quarantine_ms);
+	s->ops->log_decision(s->priv, "quarantine", ref, w, text);
 }
 
 /* Failures of one job only are attributed to the job, those of several jobs to
@@ -43,9 +50,20 @@
 		 ref->job);
 	if (++w->failures_in_row < QUARANTINE_FAILURES)
 		return;
-	quarantine(w, now_ms);
-	s->ops->log_decision(s->priv, "quarantine", ref, w,
-			     "tasks of several jobs failed");
+	quarantine(s, w, ref, "tasks of several jobs failed", now_ms);
+}
+
+int32_t sched_count_quarantined(const struct sched *s, int64_t now_ms)
+{
+	int32_t n = 0;
+
+	for (guint i = 0; i < s->worker_list->len; i++) {
+		const struct sched_worker *w =
+			g_ptr_array_index(s->worker_list, i);
+
+		n += now_ms < w->quarantine_until_ms;
+	}
+	return n;
 }
 
 static bool is_stalled(const struct sched_run *run, int64_t now_ms)
@@ -80,8 +98,6 @@
 		}
 		if (now_ms < w->quarantine_until_ms)
 			continue;
-		quarantine(w, now_ms);
-		s->ops->log_decision(s->priv, "quarantine", NULL, w,
-				     "tasks make no progress");
+		quarantine(s, w, NULL, "tasks make no progress", now_ms);
 	}
 }
--- a/src/coordination/sched_int.h
+++ b/src/coordination/sched_int.h
@@ -74,10 +74,48 @@
 /* Returns the number of runs of the step at the worker. */
 int32_t sched_count_tasks_at(const struct sched_step *step,
 			     const struct sched_worker *w);
+/* What keeps the tasks of a step from starting at a worker. */
+enum sched_obstacle {
+	SCHED_OBSTACLE_NONE,
+	SCHED_OBSTACLE_OTHER_POOL,
+	SCHED_OBSTACLE_UNLISTED,
+	SCHED_OBSTACLE_UNRECONCILED,
+	SCHED_OBSTACLE_SILENT,
+	SCHED_OBSTACLE_DRAINING,
+	SCHED_OBSTACLE_EVACUATING,
+	SCHED_OBSTACLE_NOT_STORED, /* not on the stored roster */
+	SCHED_OBSTACLE_ROW_OUTDATED,
+	SCHED_OBSTACLE_FOREIGN_RUNS,
+	SCHED_OBSTACLE_QUARANTINED,
+	SCHED_OBSTACLE_REFUSED, /* paused after a refusal */
+	SCHED_OBSTACLE_DOMAIN_OUT,
+	SCHED_OBSTACLE_LABEL,
+	/* From here on: room. */
+	SCHED_OBSTACLE_SMALL_TASKS, /* too many small tasks */
+	SCHED_OBSTACLE_CPU,
+	SCHED_OBSTACLE_MEMORY,
+	SCHED_OBSTACLE_ACCELERATORS,
+	SCHED_OBSTACLE_SPREAD, /* too many tasks of the step */
+	SCHED_OBSTACLE_TICKET, /* no permission of the policy service */
+	SCHED_OBSTACLES
+};
+
+/* Returns what keeps tasks of the step from the worker, room aside. */
+enum sched_obstacle sched_find_obstacle(const struct sched *s,
+					const struct sched_step *step,
+					const struct catalog_queue *q,
+					const struct sched_worker *w,
+					int64_t now_ms);
 /* Returns whether tasks of the step may start at the worker, room aside. */
 bool sched_is_eligible(const struct sched *s, const struct sched_step *step,
 		       const struct catalog_queue *q,
 		       const struct sched_worker *w, int64_t now_ms);
+/* Returns whether the policy service, if the queue uses it, permits the step at
+ * the worker. */
+bool sched_has_ticket(const struct sched_step *step,
+		      const struct sched_worker *w, int64_t now_ms);
+/* Notes since when tasks wait, and logs why the longest waiting ones do. */
+void sched_check_waits(struct sched *s, int64_t now_ms);
 /* Stops tasks at a worker that is draining or being evacuated. */
 void sched_drain_worker(struct sched *s, struct sched_worker *w,
 			int64_t now_ms);
@@ -86,6 +124,9 @@
 /* Returns whether the step's tasks ask for so little that the room of a worker
  * hardly bounds their number. */
 bool sched_is_small(const struct jobspec_step *def);
+/* Returns what the worker lacks to hold one more task of the step. */
+enum sched_obstacle sched_find_shortage(const struct sched_step *step,
+					const struct sched_worker *w);
 /* Returns whether one more task of the step fits on the worker. */
 bool sched_fits(const struct sched_step *step, const struct sched_worker *w);
 /* Returns the CPU available to best-effort tasks in all, including what they
--- a/src/coordination/sched_place.c
+++ b/src/coordination/sched_place.c
@@ -36,8 +36,8 @@
 	return false;
 }
 
-static bool has_ticket(const struct sched_step *step,
-		       const struct sched_worker *w, int64_t now_ms)
+bool sched_has_ticket(const struct sched_step *step,
+		      const struct sched_worker *w, int64_t now_ms)
 {
 	const struct sched_ticket *ticket =
 		step->tickets ? g_hash_table_lookup(step->tickets, w->row.id)
@@ -60,23 +60,50 @@
 	return p && !p->enforces_capacity;
 }
 
-bool sched_is_eligible(const struct sched *s, const struct sched_step *step,
-		       const struct catalog_queue *q,
-		       const struct sched_worker *w, int64_t now_ms)
+enum sched_obstacle sched_find_obstacle(const struct sched *s,
+					const struct sched_step *step,
+					const struct catalog_queue *q,
+					const struct sched_worker *w,
+					int64_t now_ms)
 {
 	const struct jobspec_step *def = step->def;
 
-	if (!w->listed || !w->reconciled || w->unreachable || w->row.draining ||
-	    w->evacuating || !w->roster_stored || w->row_outdated)
-		return false;
-	if (strcmp(w->row.pool, q->pool) || may_overcommit(s, w))
-		return false;
-	if (now_ms < w->quarantine_until_ms || now_ms < w->no_room_until_ms)
-		return false;
+	if (!w->listed)
+		return SCHED_OBSTACLE_UNLISTED;
+	if (strcmp(w->row.pool, q->pool))
+		return SCHED_OBSTACLE_OTHER_POOL;
+	if (!w->reconciled)
+		return SCHED_OBSTACLE_UNRECONCILED;
+	if (w->unreachable)
+		return SCHED_OBSTACLE_SILENT;
+	if (w->row.draining)
+		return SCHED_OBSTACLE_DRAINING;
+	if (w->evacuating)
+		return SCHED_OBSTACLE_EVACUATING;
+	if (!w->roster_stored)
+		return SCHED_OBSTACLE_NOT_STORED;
+	if (w->row_outdated)
+		return SCHED_OBSTACLE_ROW_OUTDATED;
+	if (may_overcommit(s, w))
+		return SCHED_OBSTACLE_FOREIGN_RUNS;
+	if (now_ms < w->quarantine_until_ms)
+		return SCHED_OBSTACLE_QUARANTINED;
+	if (now_ms < w->no_room_until_ms)
+		return SCHED_OBSTACLE_REFUSED;
 	if (s->domains_out &&
 	    g_hash_table_contains(s->domains_out, w->row.domain))
-		return false;
-	return !*def->label || has_label(w, def->label);
+		return SCHED_OBSTACLE_DOMAIN_OUT;
+	if (*def->label && !has_label(w, def->label))
+		return SCHED_OBSTACLE_LABEL;
+	return SCHED_OBSTACLE_NONE;
+}
+
+bool sched_is_eligible(const struct sched *s, const struct sched_step *step,
+		       const struct catalog_queue *q,
+		       const struct sched_worker *w, int64_t now_ms)
+{
+	return sched_find_obstacle(s, step, q, w, now_ms) ==
+	       SCHED_OBSTACLE_NONE;
 }
 
 static void start_task(struct sched *s, struct sched_task *t,
@@ -108,7 +135,7 @@
 		return false;
 	for (int32_t i = 0; i < n && n_ids < ADVICE_WORKERS_MAX; i++) {
 		if (sched_fits(step, list[i]) &&
-		    !has_ticket(step, list[i], now_ms))
+		    !sched_has_ticket(step, list[i], now_ms))
 			ids[n_ids++] = list[i]->row.id;
 	}
 	if (!n_ids)
@@ -200,7 +227,7 @@
 
 		request_tickets(s, r->step, list, n, now_ms);
 		for (int32_t i = 0; i < n; i++) {
-			if (has_ticket(r->step, list[i], now_ms))
+			if (sched_has_ticket(r->step, list[i], now_ms))
 				list[kept++] = list[i];
 		}
 		n = kept;
--- a/src/coordination/sched_run.c
+++ b/src/coordination/sched_run.c
@@ -310,6 +310,7 @@
 		run->started_ms = now_ms;
 	run->state = SCHED_RUN_ACTIVE;
 	run->reported = true;
+	t->idle_since_ms = 0;
 	/* Fence token under which the run was last reported. */
 	run->fence = w->fence;
 	if (a->percent > run->percent)
@@ -529,6 +530,7 @@
 				     names[res]);
 	if (res == SCHED_START_OK) {
 		run->state = SCHED_RUN_ACTIVE;
+		run->task->idle_since_ms = 0;
 		run->started_ms = now_ms;
 		run->progressed_ms = now_ms;
 		mark_job_running(s, run->task->step->round->job);
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -274,7 +274,8 @@
 				      (long long)value);
 }
 
-static char *add_shard_metrics(char *text, const struct shard_ctl *sc)
+static char *add_shard_metrics(char *text, const struct shard_ctl *sc,
+			       int64_t now_ms)
 {
 	const struct sched *s = shard_ctl_sched(sc);
 	const struct wkr_links_counts *links = shard_ctl_wkr_counts(sc);
@@ -283,6 +284,8 @@
 		return text;
 	text = add_metric(text, "gd_jobs", g_hash_table_size(s->jobs));
 	text = add_metric(text, "gd_workers", s->worker_list->len);
+	text = add_metric(text, "gd_quarantined",
+			  sched_count_quarantined(s, now_ms));
 	text = add_metric(text, "gd_steps_ready", s->ready_steps.length);
 	text = add_metric(text, "gd_starts_total", s->counts.starts);
 	text = add_metric(text, "gd_resumes_total", s->counts.resumes);
@@ -314,6 +317,7 @@
 	text = add_metric(text, "gd_accept_us_p50", hist_quantile_us(h, 0.5));
 	text = add_metric(text, "gd_accept_us_p99", hist_quantile_us(h, 0.99));
 	for (int32_t i = 0; i < f->set.shards; i++)
-		text = add_shard_metrics(text, f->shard_ctls[i]);
+		text = add_shard_metrics(text, f->shard_ctls[i],
+					 clk_mono_ms(f->clk));
 	return text;
 }
--- a/src/fleet/shard_ctl.c
+++ b/src/fleet/shard_ctl.c
@@ -222,9 +222,10 @@
 			    const struct sched_worker *w, const char *detail)
 {
 	struct shard_ctl *sc = priv;
-	/* Decisions about workers explain recoveries, so the log keeps their
-	 * lines when it has to drop others. */
-	struct log_subject about = { w ? w->row.id : "-", what, !ref };
+	/* Decisions about whole workers explain recoveries, those about no
+	 * worker explain waits, so the log keeps their lines when it has to
+	 * drop others. */
+	struct log_subject about = { w ? w->row.id : "-", what, !ref || !w };
 	char task[64] = "-";
 
 	if (ref)
--- a/tests/sched_fixture.c
+++ b/tests/sched_fixture.c
@@ -50,11 +50,12 @@
 			    const struct sched_ref *ref,
 			    const struct sched_worker *w, const char *detail)
 {
-	(void)priv;
-	(void)what;
-	(void)ref;
+	struct sched_fixture *p = priv;
+
 	(void)w;
-	(void)detail;
+	if (!strcmp(what, "waits"))
+		g_string_append_printf(p->waits, "%s.%d %s\n", ref->job,
+				       ref->index, detail);
 }
 
 static const struct sched_ops fixture_ops = { on_start,	 on_stop,
@@ -99,6 +100,7 @@
 	p->starts = g_array_new(FALSE, FALSE, sizeof(struct recorded_command));
 	p->stops = g_array_new(FALSE, FALSE, sizeof(struct recorded_command));
 	p->paces = g_array_new(FALSE, FALSE, sizeof(struct recorded_command));
+	p->waits = g_string_new("");
 	sched_init(&p->s, &fixture_ops, p, &lim, epoch, 0);
 	sched_configure(&p->s, &catalog, out);
 }
@@ -109,6 +111,7 @@
 	g_array_free(p->starts, TRUE);
 	g_array_free(p->stops, TRUE);
 	g_array_free(p->paces, TRUE);
+	g_string_free(p->waits, TRUE);
 }
 
 struct sched_worker *fixture_worker(struct sched_fixture *p, const char *id)
--- a/tests/sched_fixture.h
+++ b/tests/sched_fixture.h
@@ -15,6 +15,7 @@
 	GArray *stops;
 	GArray *paces;
 	int advised; /* workers that tickets were requested for */
+	GString *waits; /* lines of the decision log on waiting tasks */
 };
 
 struct recorded_command {
--- a/tests/unit.h
+++ b/tests/unit.h
@@ -23,5 +23,6 @@
 void unit_add_owner_age(void);
 void unit_add_state(void);
 void unit_add_upkeep(void);
+void unit_add_wait(void);
 
 #endif
--- a/tests/unit_tests.c
+++ b/tests/unit_tests.c
@@ -34,5 +34,6 @@
 	unit_add_owner_age();
 	unit_add_restart();
 	unit_add_upkeep();
+	unit_add_wait();
 	return g_test_run();
 }
