Don't lengthen a quarantine by failures from before it

Callers saw long-running tasks that didn't run though there was room.

Cause: a worker that was out of reach reports all ends of that time in one answer. From the third failed job on each further failure doubled the quarantine, so that one answer made 60 s out of 4 s: 12 failures in one report gave 60,000 ms. Runs that were given up counted too, their leases having expired long before.

Change: a failure counts against the worker only if its run is tracked and began after the last quarantine.

Evidence: /sched/failures-reported-at-once and /sched/failures-after-expiry failed before (quarantined for 60,000 ms in place of 4,000 and 0).

--- a/src/coordination/sched.h
+++ b/src/coordination/sched.h
@@ -121,6 +121,7 @@
 	int32_t number;
 	enum sched_run_state state;
 	int64_t fence; /* fence token that the start command carried */
+	int64_t created_ms;
 	int64_t started_ms;
 	bool reported; /* by the present incarnation of the worker */
 	int64_t progressed_ms; /* when `percent` last increased */
@@ -233,8 +234,9 @@
 	int64_t no_room_until_ms; /* delay after a refusal for lack of room */
 	int32_t failures_in_row;
 	char last_failed_job[JOBSPEC_ID_MAX];
+	int64_t quarantined_ms; /* start of the last quarantine */
 	int64_t quarantine_until_ms;
-	int64_t quarantine_ms;
+	int64_t quarantine_ms; /* length of the last one; 0: none lately */
 	struct place_resources used; /* by all runs that may be active there */
 	int32_t foreign_runs; /* reported runs that this owner doesn't track */
 	int32_t n_small; /* small tasks, see sched_is_small() */
--- a/src/coordination/sched_health.c
+++ b/src/coordination/sched_health.c
@@ -27,16 +27,30 @@
 		w->quarantine_ms ? w->quarantine_ms * 2 : QUARANTINE_FIRST_MS;
 	if (w->quarantine_ms > QUARANTINE_MAX_MS)
 		w->quarantine_ms = QUARANTINE_MAX_MS;
+	w->quarantined_ms = now_ms;
 	w->quarantine_until_ms = now_ms + w->quarantine_ms;
 	snprintf(text, sizeof(text), "%s; for_ms=%lld", why,
 		 (long long)w->quarantine_ms);
 	s->ops->log_decision(s->priv, "quarantine", ref, w, text);
 }
 
+/*
+ * Returns whether the failure of the run shows that the worker is bad now. A
+ * worker that was out of reach reports all ends of that time at once; those of
+ * runs that were given up, or began before the last quarantine, are old news.
+ */
+static bool is_fresh_evidence(const struct sched_worker *w,
+			      const struct sched_run *run)
+{
+	return run &&
+	       (!w->quarantine_ms || run->created_ms > w->quarantined_ms);
+}
+
 /* Failures of one job only are attributed to the job, those of several jobs to
  * the worker. */
 void sched_record_result(struct sched *s, struct sched_worker *w,
-			 const struct sched_ref *ref, bool failed,
+			 const struct sched_ref *ref,
+			 const struct sched_run *run, bool failed,
 			 int64_t now_ms)
 {
 	if (!failed) {
@@ -44,7 +58,7 @@
 		w->quarantine_ms = 0;
 		return;
 	}
-	if (!strcmp(w->last_failed_job, ref->job))
+	if (!is_fresh_evidence(w, run) || !strcmp(w->last_failed_job, ref->job))
 		return;
 	snprintf(w->last_failed_job, sizeof(w->last_failed_job), "%s",
 		 ref->job);
--- a/src/coordination/sched_int.h
+++ b/src/coordination/sched_int.h
@@ -179,9 +179,11 @@
 			      int64_t now_ms);
 /* Moves stalled tasks and quarantines their workers. */
 void sched_check_stalls(struct sched *s, int64_t now_ms);
-/* Counts a result for the worker; quarantines it if several jobs fail there. */
+/* Counts a result for the worker; quarantines it if several jobs fail there.
+ * `run` is NULL if it is not tracked any more. */
 void sched_record_result(struct sched *s, struct sched_worker *w,
-			 const struct sched_ref *ref, bool failed,
+			 const struct sched_ref *ref,
+			 const struct sched_run *run, bool failed,
 			 int64_t now_ms);
 
 /* Lateness of a step. */
--- a/src/coordination/sched_run.c
+++ b/src/coordination/sched_run.c
@@ -89,6 +89,7 @@
 	run->task = t;
 	run->worker = w;
 	run->number = number;
+	run->created_ms = now_ms;
 	run->started_ms = now_ms;
 	run->progressed_ms = now_ms;
 	run->pace = 100;
@@ -226,7 +227,7 @@
 
 	s->ops->log_decision(s->priv, "end", &e->ref, w, names[e->reason]);
 	if (e->reason == SCHED_END_DONE || e->reason == SCHED_END_FAILED)
-		sched_record_result(s, w, &e->ref,
+		sched_record_result(s, w, &e->ref, run,
 				    e->reason == SCHED_END_FAILED, now_ms);
 	if (!t)
 		return;
--- a/tests/unit_wait.c
+++ b/tests/unit_wait.c
@@ -35,7 +35,67 @@
 	fixture_close(&p);
 }
 
+#define REPORTED_AT_ONCE 12
+
+/* Runs tasks of several jobs at worker w, which then falls silent. Fills in
+ * their failures, which it has not reported yet. */
+static void cut_off_failing_worker(struct sched_fixture *p,
+				   struct sched_end *ends)
+{
+	char id[8];
+
+	fixture_open(p, 1, NULL);
+	fixture_add_worker(p, "w", "r");
+	fixture_poll(p, "w", NULL, 0, NULL, 0, 10);
+	for (int i = 0; i < REPORTED_AT_ONCE; i++) {
+		struct jobspec *spec;
+
+		g_snprintf(id, sizeof(id), "j%d", i);
+		spec = fixture_spec(id, "short", 1, 1);
+		spec->steps[0].cpu_milli = 100;
+		fixture_add_job(p, spec);
+	}
+	sched_place(&p->s, 20);
+	g_assert_cmpuint(p->starts->len, ==, REPORTED_AT_ONCE);
+	for (guint i = 0; i < REPORTED_AT_ONCE; i++)
+		ends[i] = fixture_end(fixture_start(p, i), i + 1,
+				      SCHED_END_FAILED);
+	sched_worker_unanswered(&p->s, fixture_worker(p, "w"), 1000);
+}
+
+/* Incident LOST: a worker that was cut off reports many failures at once, which
+ * must not lengthen its quarantine as if it had failed again since. */
+static void test_failures_reported_at_once(void)
+{
+	struct sched_end ends[REPORTED_AT_ONCE];
+	struct sched_fixture p;
+
+	cut_off_failing_worker(&p, ends);
+	fixture_poll(&p, "w", NULL, 0, ends, REPORTED_AT_ONCE / 2, 5000);
+	fixture_poll(&p, "w", NULL, 0, ends, REPORTED_AT_ONCE, 6000);
+	g_assert_cmpint(fixture_worker(&p, "w")->quarantine_until_ms, ==,
+			5000 + 4000);
+	fixture_close(&p);
+}
+
+/* The same if the leases had expired by then, so that the runs are unknown. */
+static void test_failures_after_expiry(void)
+{
+	struct sched_end ends[REPORTED_AT_ONCE];
+	struct sched_fixture p;
+
+	cut_off_failing_worker(&p, ends);
+	sched_tick(&p.s, 20000, 1020000);
+	fixture_poll(&p, "w", NULL, 0, ends, REPORTED_AT_ONCE, 21000);
+	g_assert_cmpint(fixture_worker(&p, "w")->quarantine_until_ms, ==, 0);
+	fixture_close(&p);
+}
+
 void unit_add_wait(void)
 {
+	g_test_add_func("/sched/failures-reported-at-once",
+			test_failures_reported_at_once);
+	g_test_add_func("/sched/failures-after-expiry",
+			test_failures_after_expiry);
 	g_test_add_func("/sched/wait-is-logged", test_wait_is_logged);
 }
