Start long-running tasks in the order in which they became idle

Callers saw single long-running tasks that didn't run for 9 s and more while others were restarted at once.

Cause: long-running tasks that wait for room were ordered by the ids of their jobs. Where room is short, those of high ids wait for as long as any task with a lower id waits too.

Change: the one that is idle for longest goes first; one that is idle for 2 s goes before tasks of any priority, since it has to run however full the workers are.

Evidence: /sched/longest-idle-first failed before (the task that had just failed was started again, the idle one was not).

--- a/src/coordination/sched_int.h
+++ b/src/coordination/sched_int.h
@@ -194,6 +194,9 @@
 	enum sched_tier tier;
 	int32_t priority;
 	bool started; /* a task of its job has started */
+	/* Since when a long-running task of the step is idle. */
+	int64_t idle_since_ms;
+	bool overdue; /* a long-running task is idle for too long */
 	int64_t latest_ms; /* latest start to meet the response-time target */
 	double value; /* of its job, see job_value() in sched_rank.c */
 	double work_left; /* of its round, in thousandths of a core x ms */
--- a/src/coordination/sched_rank.c
+++ b/src/coordination/sched_rank.c
@@ -20,6 +20,9 @@
 /* Lower bound on the remaining work, in thousandths of a core x ms: that of one
  * short task. */
 #define WORK_LEFT_MIN 100000.0
+/* A long-running task that is idle for this long, in ms, goes before tasks of
+ * any priority: it has to run however full the workers are. */
+#define OVERDUE_MS 2000
 /* Weight of the newest job in the mean work of its queue. */
 #define MEAN_WORK_WEIGHT 0.02
 
@@ -79,6 +82,22 @@
 	return job->critical_path_ms * factor_milli / 1000 + offset_ms;
 }
 
+/* Returns since when a task of the step is idle; `now_ms` if none is. */
+static int64_t idle_since_ms(const struct sched *s,
+			     const struct sched_step *step, int64_t now_ms)
+{
+	int64_t since_ms = now_ms;
+
+	for (int32_t k = 0; k < step->def->tasks; k++) {
+		const struct sched_task *t = &step->tasks[k];
+
+		if (t->idle_since_ms && t->idle_since_ms < since_ms &&
+		    sched_task_is_ready(s, t, now_ms))
+			since_ms = t->idle_since_ms;
+	}
+	return since_ms;
+}
+
 struct sched_rank sched_rank_step(const struct sched *s,
 				  struct sched_step *step, int64_t now_ms)
 {
@@ -92,8 +111,11 @@
 		.value = job_value(s, job),
 	};
 
-	if (step->def->is_long_running)
+	if (step->def->is_long_running) {
+		r.idle_since_ms = idle_since_ms(s, step, now_ms);
+		r.overdue = now_ms - r.idle_since_ms >= OVERDUE_MS;
 		return r;
+	}
 	r.work_left = work_left(step->round);
 	if (now_ms > r.latest_ms + (LATE_TARGETS_MAX - 1) * target)
 		r.tier = SCHED_TIER_VERY_LATE;
@@ -119,10 +141,11 @@
 }
 
 /*
- * Very late jobs go last, the rest goes by priority. Within a priority,
- * long-running tasks go first, since every moment without them counts. Then the
- * highest value per remaining work: with too little room for all, this gets
- * most jobs done in time and finishes those that are nearly done.
+ * Overdue long-running tasks go first and very late jobs last, the rest goes by
+ * priority. Within a priority, long-running tasks go first, since every moment
+ * without them counts, in the order in which they became idle. Then the highest
+ * value per remaining work: with too little room for all, this gets most jobs
+ * done in time and finishes those that are nearly done.
  */
 static int compare_by_value(const void *a, const void *b)
 {
@@ -131,12 +154,16 @@
 	bool x_very_late = x->tier == SCHED_TIER_VERY_LATE;
 	bool y_very_late = y->tier == SCHED_TIER_VERY_LATE;
 
+	if (x->overdue != y->overdue)
+		return x->overdue ? -1 : 1;
 	if (x_very_late != y_very_late)
 		return x_very_late ? 1 : -1;
-	if (x->priority != y->priority)
+	if (!x->overdue && x->priority != y->priority)
 		return x->priority - y->priority;
 	if (x->step->def->is_long_running != y->step->def->is_long_running)
 		return x->step->def->is_long_running ? -1 : 1;
+	if (x->idle_since_ms != y->idle_since_ms)
+		return x->idle_since_ms < y->idle_since_ms ? -1 : 1;
 	if (!x->step->def->is_long_running &&
 	    value_density(x) != value_density(y))
 		return value_density(x) > value_density(y) ? -1 : 1;
--- a/tests/unit_wait.c
+++ b/tests/unit_wait.c
@@ -91,8 +91,51 @@
 	fixture_close(&p);
 }
 
+static struct jobspec *long_running(const char *id, int64_t cpu_milli)
+{
+	struct jobspec *spec = fixture_spec(id, "short", 1, 1);
+
+	spec->steps[0].is_long_running = true;
+	spec->steps[0].cpu_milli = cpu_milli;
+	return spec;
+}
+
+/* Runs the owner's passes and ticks over a while. */
+static void pass_time(struct sched_fixture *p, int64_t from_ms, int64_t to_ms)
+{
+	for (int64_t now = from_ms; now <= to_ms; now += 100) {
+		sched_tick(&p->s, now, 1000000 + now);
+		sched_place(&p->s, now);
+	}
+}
+
+/* Incident LOST: of long-running tasks that wait for room, those of the jobs
+ * with the lowest ids went first again and again. */
+static void test_longest_idle_first(void)
+{
+	struct sched_fixture p;
+	struct sched_end e;
+
+	fixture_open(&p, 1, NULL);
+	fixture_add_worker(&p, "w", "r");
+	fixture_poll(&p, "w", NULL, 0, NULL, 0, 10);
+	fixture_add_job(&p, long_running("a", 8000));
+	fixture_add_job(&p, long_running("z", 8000));
+	pass_time(&p, 100, 300);
+	g_assert_cmpuint(p.starts->len, ==, 1);
+	g_assert_cmpstr(fixture_start(&p, 0)->ref.job, ==, "a");
+	fixture_started(&p, fixture_start(&p, 0), 310);
+	e = fixture_end(fixture_start(&p, 0), 1, SCHED_END_FAILED);
+	fixture_poll(&p, "w", NULL, 0, &e, 1, 3000);
+	pass_time(&p, 3100, 3300);
+	g_assert_cmpuint(p.starts->len, ==, 2);
+	g_assert_cmpstr(fixture_start(&p, 1)->ref.job, ==, "z");
+	fixture_close(&p);
+}
+
 void unit_add_wait(void)
 {
+	g_test_add_func("/sched/longest-idle-first", test_longest_idle_first);
 	g_test_add_func("/sched/failures-reported-at-once",
 			test_failures_reported_at_once);
 	g_test_add_func("/sched/failures-after-expiry",
