Reserve room for long-running tasks that fit nowhere

Cause: where all processors are taken, a task starts as soon as it fits into what has just become free. Tasks of 4 cores end and start hundreds of times a second, so that a gap of 7 cores never comes about, and in the order of work the long-running task goes first in vain. Evictions didn't help: they looked at processors only, and the only checkpointed work of lower priority there is best-effort, which holds memory alone.

Work of lower priority that can resume elsewhere is evicted there, best-effort work for its memory.

--- a/src/coordination/sched.h
+++ b/src/coordination/sched.h
@@ -168,7 +168,7 @@
 	int32_t tasks_left; /* tasks that are not done */
 	int32_t gang_run; /* run number that all members of a gang share */
 	int64_t ready_ms;
-	int64_t evict_until_ms; /* no further evictions for the step before */
+	int64_t evicted_ms; /* last eviction for the step; 0: none */
 	int64_t sweep; /* the last one that reached the step */
 	GList ready_link; /* in sched.ready_steps */
 	bool in_ready_list;
@@ -238,6 +238,9 @@
 	int64_t quarantine_until_ms;
 	int64_t quarantine_ms; /* length of the last one; 0: none lately */
 	struct place_resources used; /* by all runs that may be active there */
+	struct place_resources long_running; /* part of `used` */
+	/* Kept free for long-running tasks until the sweep is over. */
+	struct place_resources reserved;
 	int32_t foreign_runs; /* reported runs that this owner doesn't track */
 	int32_t n_small; /* small tasks, see sched_is_small() */
 	int32_t n_best_effort; /* best-effort tasks */
@@ -361,6 +364,7 @@
 	int64_t placement_ms; /* start of the last placement pass */
 	int64_t waits_logged_ms; /* see sched_check_waits() */
 	int64_t sweep; /* numbers the sweeps of placement, see sched_place() */
+	bool reservations_old; /* they are of an earlier sweep */
 	int64_t pass_work; /* done by the pass, see PASS_WORK_MAX */
 	enum sched_ownership ownership;
 	int64_t renew_until_ms; /* no lease is renewed later */
--- a/src/coordination/sched_choose.c
+++ b/src/coordination/sched_choose.c
@@ -45,6 +45,23 @@
 	       !def->accelerators;
 }
 
+/* Returns whether the task leaves the room that is reserved at the worker.
+ * Best-effort tasks give way to others at once, but for their memory. */
+static bool fits_beside_reserved(const struct jobspec_step *def,
+				 const struct sched_worker *w)
+{
+	const struct place_resources *kept = &w->reserved;
+	const struct place_resources *total = &w->row.total;
+
+	if (w->used.mem_mib + kept->mem_mib + def->mem_mib > total->mem_mib)
+		return false;
+	return def->best_effort ||
+	       (w->used.cpu_milli + kept->cpu_milli + def->cpu_milli <=
+			total->cpu_milli &&
+		w->used.accelerators + kept->accelerators + def->accelerators <=
+			total->accelerators);
+}
+
 enum sched_obstacle sched_find_shortage(const struct sched_step *step,
 					const struct sched_worker *w)
 {
@@ -62,6 +79,8 @@
 		cpu = free_best_effort_milli(w);
 	if (def->cpu_milli > cpu)
 		return SCHED_OBSTACLE_CPU;
+	if (!fits_beside_reserved(def, w))
+		return SCHED_OBSTACLE_RESERVED;
 	if (def->spread_max && sched_count_tasks_at(step, w) >= def->spread_max)
 		return SCHED_OBSTACLE_SPREAD;
 	return SCHED_OBSTACLE_NONE;
--- a/src/coordination/sched_int.h
+++ b/src/coordination/sched_int.h
@@ -4,6 +4,22 @@
 
 #include "coordination/sched.h"
 
+/* Lateness of a step. */
+enum sched_tier { SCHED_TIER_IN_TIME, SCHED_TIER_LATE, SCHED_TIER_VERY_LATE };
+
+struct sched_rank {
+	struct sched_step *step;
+	enum sched_tier tier;
+	int32_t priority;
+	bool started; /* a task of its job has started */
+	/* Since when a long-running task of the step is idle. */
+	int64_t idle_since_ms;
+	bool overdue; /* a long-running task is idle for too long */
+	int64_t latest_ms; /* latest start to meet the response-time target */
+	double value; /* of its job, see job_value() in sched_rank.c */
+	double work_left; /* of its round, in thousandths of a core x ms */
+};
+
 /* Returns NULL if the job, its round or the task is unknown. */
 struct sched_task *sched_find_task(struct sched *s,
 				   const struct sched_ref *ref);
@@ -95,6 +111,7 @@
 	SCHED_OBSTACLE_CPU,
 	SCHED_OBSTACLE_MEMORY,
 	SCHED_OBSTACLE_ACCELERATORS,
+	SCHED_OBSTACLE_RESERVED, /* the room is kept for another task */
 	SCHED_OBSTACLE_SPREAD, /* too many tasks of the step */
 	SCHED_OBSTACLE_TICKET, /* no permission of the policy service */
 	SCHED_OBSTACLES
@@ -139,6 +156,16 @@
 					 struct sched_worker **list, int32_t n,
 					 const struct sched_step *step);
 
+/* Makes room for one task by evictions, at the worker with most free CPU. */
+void sched_evict_for_step(struct sched *s, const struct sched_rank *r,
+			  struct sched_worker **list, int32_t n,
+			  int64_t now_ms);
+/* Reserves room for a long-running task at the worker where it will fit
+ * soonest, and evicts tasks there that may go on elsewhere. */
+void sched_reserve_room(struct sched *s, const struct sched_rank *r,
+			struct sched_worker **list, int32_t n, int64_t now_ms);
+void sched_clear_reservations(struct sched *s);
+
 /* Adds the worker to the roster, or removes it if it is draining and idle: a
  * successor would wait for its lease in vain. */
 void sched_roster_update(struct sched *s, struct sched_worker *w);
@@ -186,22 +213,6 @@
 			 const struct sched_run *run, bool failed,
 			 int64_t now_ms);
 
-/* Lateness of a step. */
-enum sched_tier { SCHED_TIER_IN_TIME, SCHED_TIER_LATE, SCHED_TIER_VERY_LATE };
-
-struct sched_rank {
-	struct sched_step *step;
-	enum sched_tier tier;
-	int32_t priority;
-	bool started; /* a task of its job has started */
-	/* Since when a long-running task of the step is idle. */
-	int64_t idle_since_ms;
-	bool overdue; /* a long-running task is idle for too long */
-	int64_t latest_ms; /* latest start to meet the response-time target */
-	double value; /* of its job, see job_value() in sched_rank.c */
-	double work_left; /* of its round, in thousandths of a core x ms */
-};
-
 struct sched_rank sched_rank_step(const struct sched *s,
 				  struct sched_step *step, int64_t now_ms);
 /* Returns all work of a job by its estimates, in thousandths of a core x ms. */
--- a/src/coordination/sched_place.c
+++ b/src/coordination/sched_place.c
@@ -1,5 +1,5 @@
-/* The placement pass: starts ready tasks in order of rank, evicts tasks for
- * more urgent ones, and gets tickets from the policy service. */
+/* The placement pass: starts ready tasks in order of rank, and gets tickets
+ * from the policy service. */
 #include <stdlib.h>
 #include <string.h>
 #include <talloc.h>
@@ -10,9 +10,6 @@
 #define ADVICE_WORKERS_MAX 30
 /* A call to the policy service without answer is repeated after this, in ms. */
 #define ADVICE_RETRY_MS 2500
-/* Pause between evictions for one step, in ms, in addition to the time that a
- * stop takes: the next report shows the freed room. */
-#define EVICT_PAUSE_MS 300
 /* A pass ends early once it has done this much work, so that it doesn't hold up
  * the owner's ticks. The unit is one worker or run that was looked at. */
 #define PASS_WORK_MAX 2000000
@@ -235,70 +232,6 @@
 	return n;
 }
 
-static bool is_evictable(const struct sched_run *run, int32_t priority)
-{
-	const struct sched_job *job = run->task->step->round->job;
-	const struct catalog_queue *q = job->queue;
-	const struct jobspec_step *def = run->task->step->def;
-
-	return q && q->priority > priority && def->checkpoints &&
-	       !def->best_effort && !def->gang && !def->is_long_running &&
-	       run->state == SCHED_RUN_ACTIVE;
-}
-
-/* Returns the CPU that stops under way and evictions can free at the worker, in
- * thousandths of a core. */
-static int64_t evictable_milli(const struct sched_worker *w, int32_t priority)
-{
-	int64_t sum = 0;
-
-	for (const GList *i = w->runs.head; i; i = i->next) {
-		const struct sched_run *run = i->data;
-
-		if (run->stopping || is_evictable(run, priority))
-			sum += run->task->step->def->cpu_milli;
-	}
-	return sum;
-}
-
-/* Makes room for one task by evictions, at the worker with most free CPU. */
-static void evict_for_step(struct sched *s, const struct sched_rank *r,
-			   struct sched_worker **list, int32_t n,
-			   int64_t now_ms)
-{
-	int64_t need = r->step->def->cpu_milli;
-	struct sched_worker *best = NULL;
-
-	if (r->step->def->best_effort || now_ms < r->step->evict_until_ms)
-		return;
-	for (int32_t i = 0; i < n; i++) {
-		int64_t left =
-			list[i]->row.total.cpu_milli - list[i]->used.cpu_milli;
-
-		if (left + evictable_milli(list[i], r->priority) < need)
-			continue;
-		if (!best ||
-		    left > best->row.total.cpu_milli - best->used.cpu_milli)
-			best = list[i];
-	}
-	if (!best)
-		return;
-	r->step->evict_until_ms = now_ms + s->lim.stop_ms + EVICT_PAUSE_MS;
-	need -= best->row.total.cpu_milli - best->used.cpu_milli;
-	for (GList *i = best->runs.tail; i && need > 0; i = i->prev) {
-		struct sched_run *run = i->data;
-
-		if (!run->stopping && !is_evictable(run, r->priority))
-			continue;
-		need -= run->task->step->def->cpu_milli;
-		if (run->stopping)
-			continue;
-		s->counts.evicted++;
-		sched_run_stop(s, run, now_ms,
-			       "evicted for a task of higher priority");
-	}
-}
-
 static bool pass_is_over(const struct sched *s)
 {
 	return s->pass_work >= PASS_WORK_MAX;
@@ -316,9 +249,13 @@
 		if (!sched_task_is_ready(s, t, now_ms))
 			continue;
 		w = sched_choose_worker(s, list, n, step);
+		if (!w && step->def->is_long_running) {
+			sched_reserve_room(s, r, list, n, now_ms);
+			continue;
+		}
 		if (!w) {
 			if (r->tier == 0)
-				evict_for_step(s, r, list, n, now_ms);
+				sched_evict_for_step(s, r, list, n, now_ms);
 			return;
 		}
 		s->pass_work += START_WORK;
@@ -430,6 +367,8 @@
 	if (!s->ready_steps.length || !s->catalog || !s->worker_list->len ||
 	    s->ownership == SCHED_OWNER_LOST)
 		return;
+	if (s->reservations_old)
+		sched_clear_reservations(s);
 	ranks = talloc_array(NULL, struct sched_rank, s->ready_steps.length);
 	list = talloc_array(ranks, struct sched_worker *, s->worker_list->len);
 	n = rank_steps(s, ranks, now_ms);
@@ -441,8 +380,10 @@
 	}
 	/* A sweep reaches each step once: tasks that workers refuse again and
 	 * again can't use up the passes of other steps. */
-	if (reached == n)
+	if (reached == n) {
 		s->sweep++;
+		s->reservations_old = true;
+	}
 	talloc_free(ranks);
 }
 
--- a/src/coordination/sched_run.c
+++ b/src/coordination/sched_run.c
@@ -53,6 +53,11 @@
 	w->used.cpu_milli += sign * size.cpu_milli;
 	w->used.mem_mib += sign * size.mem_mib;
 	w->used.accelerators += sign * size.accelerators;
+	if (def->is_long_running) {
+		w->long_running.cpu_milli += sign * size.cpu_milli;
+		w->long_running.mem_mib += sign * size.mem_mib;
+		w->long_running.accelerators += sign * size.accelerators;
+	}
 	if (sched_is_small(def))
 		w->n_small += sign;
 	if (def->best_effort) {
--- a/tests/unit_wait.c
+++ b/tests/unit_wait.c
@@ -133,8 +133,71 @@
 	fixture_close(&p);
 }
 
+/* Incident LOST: a long-running task that needs a whole worker waited while
+ * short tasks took each gap that others had left. */
+static void test_short_tasks_leave_room(void)
+{
+	struct sched_fixture p;
+	struct sched_active still;
+	struct jobspec *spec;
+	struct sched_end e;
+
+	fixture_open(&p, 1, NULL);
+	fixture_add_worker(&p, "w", "r");
+	fixture_poll(&p, "w", NULL, 0, NULL, 0, 10);
+	spec = fixture_spec("s", "short", 1, 40);
+	fixture_add_job(&p, spec);
+	sched_place(&p.s, 20);
+	g_assert_cmpuint(p.starts->len, ==, 2);
+	fixture_started(&p, fixture_start(&p, 0), 30);
+	fixture_started(&p, fixture_start(&p, 1), 30);
+	fixture_add_job(&p, long_running("a", 8000));
+	e = fixture_end(fixture_start(&p, 0), 1, SCHED_END_DONE);
+	still = fixture_active(fixture_start(&p, 1), 50);
+	fixture_poll(&p, "w", &still, 1, &e, 1, 1000);
+	pass_time(&p, 1100, 1400);
+	g_assert_cmpuint(p.starts->len, ==, 2);
+	e = fixture_end(fixture_start(&p, 1), 2, SCHED_END_DONE);
+	fixture_poll(&p, "w", NULL, 0, &e, 1, 1500);
+	pass_time(&p, 1600, 1900);
+	g_assert_cmpuint(p.starts->len, ==, 3);
+	g_assert_cmpstr(fixture_start(&p, 2)->ref.job, ==, "a");
+	fixture_close(&p);
+}
+
+/* Best-effort work uses processors that others leave, but its memory is its
+ * own: it must not keep a long-running task out. */
+static void test_best_effort_leaves_memory(void)
+{
+	struct sched_fixture p;
+	struct jobspec *spec;
+
+	fixture_open(&p, 1, NULL);
+	fixture_add_worker(&p, "w", "r");
+	fixture_poll(&p, "w", NULL, 0, NULL, 0, 10);
+	spec = fixture_spec("f", "long", 1, 1);
+	spec->steps[0].best_effort = true;
+	spec->steps[0].checkpoints = true;
+	spec->steps[0].mem_mib = 6000;
+	fixture_add_job(&p, spec);
+	sched_place(&p.s, 20);
+	g_assert_cmpuint(p.starts->len, ==, 1);
+	fixture_started(&p, fixture_start(&p, 0), 30);
+	spec = long_running("a", 4000);
+	spec->steps[0].mem_mib = 4000;
+	fixture_add_job(&p, spec);
+	pass_time(&p, 100, 300);
+	g_assert_cmpuint(p.stops->len, ==, 1);
+	g_assert_cmpuint(p.starts->len, ==, 1);
+	fixture_close(&p);
+}
+
 void unit_add_wait(void)
 {
+	g_test_add_func("/sched/short-tasks-leave-room",
+			test_short_tasks_leave_room);
+	g_test_add_func("/sched/best-effort-leaves-memory",
+			test_best_effort_leaves_memory);
 	g_test_add_func("/sched/longest-idle-first", test_longest_idle_first);
 	g_test_add_func("/sched/failures-reported-at-once",
 			test_failures_reported_at_once);
