Let overdue long-running tasks use reserved room

Change: a long-running task that is idle for 2 s may start in reserved room. The larger one waits on, but by then there is no room for it.

--- a/src/coordination/sched_choose.c
+++ b/src/coordination/sched_choose.c
@@ -79,7 +79,7 @@
 		cpu = free_best_effort_milli(w);
 	if (def->cpu_milli > cpu)
 		return SCHED_OBSTACLE_CPU;
-	if (!fits_beside_reserved(def, w))
+	if (!step->uses_reserved && !fits_beside_reserved(def, w))
 		return SCHED_OBSTACLE_RESERVED;
 	if (def->spread_max && sched_count_tasks_at(step, w) >= def->spread_max)
 		return SCHED_OBSTACLE_SPREAD;
--- a/src/coordination/sched_place.c
+++ b/src/coordination/sched_place.c
@@ -241,14 +241,19 @@
 			struct sched_worker **list, int32_t n, int64_t now_ms)
 {
 	struct sched_step *step = r->step;
+	bool may_fit = true;
 
+	/* If reservations held among overdue tasks, too, room could stay unused
+	 * while one of them waits that fits. */
+	step->uses_reserved = r->overdue;
 	for (int32_t k = 0; k < step->def->tasks && !pass_is_over(s); k++) {
 		struct sched_task *t = &step->tasks[k];
 		struct sched_worker *w;
 
 		if (!sched_task_is_ready(s, t, now_ms))
 			continue;
-		w = sched_choose_worker(s, list, n, step);
+		w = may_fit ? sched_choose_worker(s, list, n, step) : NULL;
+		may_fit = w != NULL;
 		if (!w && step->def->is_long_running) {
 			sched_reserve_room(s, r, list, n, now_ms);
 			continue;
--- a/tests/unit_wait.c
+++ b/tests/unit_wait.c
@@ -165,6 +165,32 @@
 	fixture_close(&p);
 }
 
+/* Room that is reserved for a large long-running task is of use to a smaller
+ * one that is idle for long, too. */
+static void test_reserved_room_is_used(void)
+{
+	struct sched_fixture p;
+	struct sched_active still;
+
+	fixture_open(&p, 1, NULL);
+	fixture_add_worker(&p, "w", "r");
+	fixture_poll(&p, "w", NULL, 0, NULL, 0, 10);
+	fixture_add_job(&p, fixture_spec("s", "short", 1, 1));
+	sched_place(&p.s, 20);
+	fixture_started(&p, fixture_start(&p, 0), 30);
+	fixture_add_job(&p, long_running("a", 8000));
+	pass_time(&p, 100, 300);
+	fixture_add_job(&p, long_running("z", 4000));
+	still = fixture_active(fixture_start(&p, 0), 50);
+	for (int64_t now = 500; now < 3500; now += 500) {
+		fixture_poll(&p, "w", &still, 1, NULL, 0, now);
+		pass_time(&p, now, now + 400);
+	}
+	g_assert_cmpuint(p.starts->len, ==, 2);
+	g_assert_cmpstr(fixture_start(&p, 1)->ref.job, ==, "z");
+	fixture_close(&p);
+}
+
 /* Best-effort work uses processors that others leave, but its memory is its
  * own: it must not keep a long-running task out. */
 static void test_best_effort_leaves_memory(void)
@@ -196,6 +222,8 @@
 {
 	g_test_add_func("/sched/short-tasks-leave-room",
 			test_short_tasks_leave_room);
+	g_test_add_func("/sched/reserved-room-is-used",
+			test_reserved_room_is_used);
 	g_test_add_func("/sched/best-effort-leaves-memory",
 			test_best_effort_leaves_memory);
 	g_test_add_func("/sched/longest-idle-first", test_longest_idle_first);
