Start idle long-running tasks at quarantined workers if need be

Callers saw long-running tasks that didn't run though there was room: at quarantined workers.

Cause: a quarantine keeps all tasks away, for the sake of those that lose an attempt with each failure. Long-running tasks have no attempts to lose, and waited for as long as the quarantines lasted, up to 60 s.

The pause after a refused start is no quarantine any more, so it holds for them, too.

Evidence: /sched/suspect-worker-is-used failed before; /sched/refusing-worker-rests, for the pause, passed before and after.

--- a/src/coordination/sched.c
+++ b/src/coordination/sched.c
@@ -161,7 +161,7 @@
 	w->lease_end_clock_ms = 0;
 	w->failures_in_row = 0;
 	w->quarantine_until_ms = 0;
-	w->no_room_until_ms = 0;
+	w->refused_until_ms = 0;
 	w->evacuating = false;
 	/* A command to the old incarnation may still be in transit. */
 	w->fence++;
--- a/src/coordination/sched.h
+++ b/src/coordination/sched.h
@@ -232,7 +232,7 @@
 	int64_t commit_seq; /* last end in the commit under way */
 	int64_t durable_seq; /* last end that is stored */
 	int64_t last_answer_ms;
-	int64_t no_room_until_ms; /* delay after a refusal for lack of room */
+	int64_t refused_until_ms; /* delay after it refused a start */
 	int32_t failures_in_row;
 	char last_failed_job[JOBSPEC_ID_MAX];
 	int64_t quarantined_ms; /* start of the last quarantine */
--- a/src/coordination/sched_place.c
+++ b/src/coordination/sched_place.c
@@ -85,7 +85,7 @@
 		return SCHED_OBSTACLE_FOREIGN_RUNS;
 	if (now_ms < w->quarantine_until_ms)
 		return SCHED_OBSTACLE_QUARANTINED;
-	if (now_ms < w->no_room_until_ms)
+	if (now_ms < w->refused_until_ms)
 		return SCHED_OBSTACLE_REFUSED;
 	if (s->domains_out &&
 	    g_hash_table_contains(s->domains_out, w->row.domain))
@@ -196,10 +196,14 @@
 	       now_ms + extra > r->latest_ms;
 }
 
-/* Fills `list` with the workers that may run the step. Returns their number. */
+/* Fills `list` with the workers that may run the step, or with those that may
+ * but for their quarantine. Returns their number. */
 static int32_t find_candidates(struct sched *s, const struct sched_rank *r,
-			       struct sched_worker **list, int64_t now_ms)
+			       bool quarantined, struct sched_worker **list,
+			       int64_t now_ms)
 {
+	enum sched_obstacle wanted =
+		quarantined ? SCHED_OBSTACLE_QUARANTINED : SCHED_OBSTACLE_NONE;
 	const struct catalog_queue *q = r->step->round->job->queue;
 	int32_t n = 0;
 
@@ -208,7 +212,7 @@
 	for (guint i = 0; i < s->worker_list->len; i++) {
 		struct sched_worker *w = g_ptr_array_index(s->worker_list, i);
 
-		if (sched_is_eligible(s, r->step, q, w, now_ms))
+		if (sched_find_obstacle(s, r->step, q, w, now_ms) == wanted)
 			list[n++] = w;
 	}
 	if (*r->step->def->data_rack && prefers_data_rack(s, r, now_ms))
@@ -347,17 +351,45 @@
 	return n;
 }
 
-static void place_step(struct sched *s, const struct sched_rank *r,
-		       struct sched_worker **list, int64_t now_ms)
+/* Starts long-running tasks that fit nowhere else at quarantined workers: their
+ * failures cost no attempts, and they may well do. */
+static void place_on_quarantined(struct sched *s, const struct sched_rank *r,
+				 struct sched_worker **list, int64_t now_ms)
 {
-	int32_t n = find_candidates(s, r, list, now_ms);
+	struct sched_step *step = r->step;
+	int32_t n = find_candidates(s, r, true, list, now_ms);
 
 	if (!n)
 		return;
-	if (r->step->def->gang)
+	if (step->def->gang) {
+		place_gang(s, r, list, n, now_ms);
+		return;
+	}
+	for (int32_t k = 0; k < step->def->tasks && !pass_is_over(s); k++) {
+		struct sched_task *t = &step->tasks[k];
+		struct sched_worker *w;
+
+		if (!sched_task_is_ready(s, t, now_ms))
+			continue;
+		w = sched_choose_worker(s, list, n, step);
+		if (!w)
+			return;
+		s->pass_work += START_WORK;
+		start_task(s, t, w, t->last_run + 1, now_ms);
+	}
+}
+
+static void place_step(struct sched *s, const struct sched_rank *r,
+		       struct sched_worker **list, int64_t now_ms)
+{
+	int32_t n = find_candidates(s, r, false, list, now_ms);
+
+	if (n && r->step->def->gang)
 		place_gang(s, r, list, n, now_ms);
-	else
+	else if (n)
 		place_tasks(s, r, list, n, now_ms);
+	if (r->overdue && has_ready_task(s, r->step, now_ms))
+		place_on_quarantined(s, r, list, now_ms);
 }
 
 void sched_place(struct sched *s, int64_t now_ms)
--- a/src/coordination/sched_run.c
+++ b/src/coordination/sched_run.c
@@ -9,14 +9,16 @@
 /* Delay before a failed task is retried, in ms. Avoids a tight loop at a worker
  * where tasks fail at once. */
 #define FAILURE_PAUSE_MS 50
+/* The same at a worker that was quarantined, where it may start again at once.
+ */
+#define SUSPECT_FAILURE_PAUSE_MS 500
 /* Delay before a task is retried whose start command the worker could not
  * parse, in ms. */
 #define MALFORMED_PAUSE_MS 2000
 /* A worker that refused a task for lack of room gets no new tasks for this
  * time, in ms. */
 #define NO_ROOM_PAUSE_MS 300
-/* A worker that refused a task as unhealthy gets no new tasks for this time, in
- * ms. */
+/* The same after it refused a task as unhealthy. */
 #define UNHEALTHY_PAUSE_MS 1500
 
 void sched_run_ref(const struct sched_run *run, struct sched_ref *ref)
@@ -192,13 +194,15 @@
 		sched_task_done(s, &step->tasks[i], now_ms, wall_ms);
 }
 
-static void record_failure(struct sched *s, struct sched_task *t, int32_t run,
+static void record_failure(struct sched *s, struct sched_task *t,
+			   const struct sched_worker *w, int32_t run,
 			   int64_t now_ms, int64_t wall_ms)
 {
 	struct sched_job *job = t->step->round->job;
 	const struct catalog_queue *q = job->queue;
 
-	t->not_before_ms = now_ms + FAILURE_PAUSE_MS;
+	t->not_before_ms = now_ms + (w->quarantine_ms ? SUSPECT_FAILURE_PAUSE_MS
+						      : FAILURE_PAUSE_MS);
 	if (t->step->def->is_long_running || !sched_count_failure(t, run) ||
 	    !q || t->failures < q->attempts)
 		return;
@@ -259,7 +263,7 @@
 		t->last_ended_run = e->ref.run;
 	if (e->reason == SCHED_END_FAILED) {
 		s->counts.failed++;
-		record_failure(s, t, e->ref.run, now_ms, wall_ms);
+		record_failure(s, t, w, e->ref.run, now_ms, wall_ms);
 	} else if (e->reason == SCHED_END_STOPPED) {
 		s->counts.stopped++;
 	} else if (e->reason == SCHED_END_GANG_INCOMPLETE) {
@@ -494,14 +498,14 @@
 		break;
 	case SCHED_START_NO_ROOM:
 		s->counts.refused_room++;
-		w->no_room_until_ms = now_ms + NO_ROOM_PAUSE_MS;
+		w->refused_until_ms = now_ms + NO_ROOM_PAUSE_MS;
 		break;
 	case SCHED_START_BAD_TICKET:
 		if (t->step->tickets)
 			g_hash_table_remove(t->step->tickets, w->row.id);
 		break;
 	case SCHED_START_UNHEALTHY:
-		w->quarantine_until_ms = now_ms + UNHEALTHY_PAUSE_MS;
+		w->refused_until_ms = now_ms + UNHEALTHY_PAUSE_MS;
 		break;
 	case SCHED_START_MALFORMED:
 		t->not_before_ms = now_ms + MALFORMED_PAUSE_MS;
--- a/tests/unit_wait.c
+++ b/tests/unit_wait.c
@@ -218,8 +218,59 @@
 	fixture_close(&p);
 }
 
+/* Incident LOST: a long-running task without room elsewhere runs better at a
+ * quarantined worker than nowhere. Other tasks would use up their attempts. */
+static void test_suspect_worker_is_used(void)
+{
+	struct sched_fixture p;
+
+	fixture_open(&p, 1, NULL);
+	fixture_add_worker(&p, "full", "r");
+	fixture_add_worker(&p, "suspect", "r");
+	fixture_poll(&p, "full", NULL, 0, NULL, 0, 10);
+	fixture_poll(&p, "suspect", NULL, 0, NULL, 0, 10);
+	fixture_worker(&p, "full")->used.cpu_milli = 8000;
+	fixture_worker(&p, "full")->long_running.cpu_milli = 8000;
+	fixture_worker(&p, "suspect")->quarantine_until_ms = 60000;
+	fixture_add_job(&p, fixture_spec("s", "short", 1, 1));
+	fixture_add_job(&p, long_running("a", 8000));
+	pass_time(&p, 100, 3000);
+	g_assert_cmpuint(p.starts->len, ==, 1);
+	g_assert_cmpstr(fixture_start(&p, 0)->ref.job, ==, "a");
+	g_assert_cmpstr(fixture_start(&p, 0)->worker, ==, "suspect");
+	fixture_worker(&p, "full")->used.cpu_milli = 0;
+	fixture_worker(&p, "full")->long_running.cpu_milli = 0;
+	fixture_close(&p);
+}
+
+/* A worker that refuses starts is left alone for a while by them, too. */
+static void test_refusing_worker_rests(void)
+{
+	struct sched_fixture p;
+	guint before;
+
+	fixture_open(&p, 1, NULL);
+	fixture_add_worker(&p, "w", "r");
+	fixture_poll(&p, "w", NULL, 0, NULL, 0, 10);
+	fixture_add_job(&p, long_running("a", 8000));
+	pass_time(&p, 100, 100);
+	g_assert_cmpuint(p.starts->len, ==, 1);
+	for (int64_t now = 200; now < 10000; now += 100) {
+		before = p.starts->len;
+		sched_start_answered(&p.s, &fixture_start(&p, before - 1)->ref,
+				     "w", SCHED_START_UNHEALTHY, now);
+		pass_time(&p, now, now);
+	}
+	g_assert_cmpuint(p.starts->len, <=, 8);
+	fixture_close(&p);
+}
+
 void unit_add_wait(void)
 {
+	g_test_add_func("/sched/suspect-worker-is-used",
+			test_suspect_worker_is_used);
+	g_test_add_func("/sched/refusing-worker-rests",
+			test_refusing_worker_rests);
 	g_test_add_func("/sched/short-tasks-leave-room",
 			test_short_tasks_leave_room);
 	g_test_add_func("/sched/reserved-room-is-used",
