--- a/src/coordination/sched.h
+++ b/src/coordination/sched.h
@@ -239,7 +239,7 @@
 	int64_t quarantine_until_ms;
 	int64_t quarantine_ms; /* length of the last one; 0: none lately */
 	struct place_resources used; /* by all runs that may be active there */
-	struct place_resources long_running; /* part of `used` */
+	struct place_resources long_lived; /* part of `used` */
 	/* Kept free for long-running tasks until the sweep is over. */
 	struct place_resources reserved;
 	int32_t foreign_runs; /* reported runs that this owner doesn't track */
--- a/src/coordination/sched_evict.c
+++ b/src/coordination/sched_evict.c
@@ -109,12 +109,12 @@
 {
 	const struct jobspec_step *def = step->def;
 
-	return def->cpu_milli + w->long_running.cpu_milli +
+	return def->cpu_milli + w->long_lived.cpu_milli +
 			       w->reserved.cpu_milli <=
 		       w->row.total.cpu_milli &&
-	       def->mem_mib + w->long_running.mem_mib + w->reserved.mem_mib <=
+	       def->mem_mib + w->long_lived.mem_mib + w->reserved.mem_mib <=
 		       w->row.total.mem_mib &&
-	       def->accelerators + w->long_running.accelerators +
+	       def->accelerators + w->long_lived.accelerators +
 			       w->reserved.accelerators <=
 		       w->row.total.accelerators &&
 	       (!def->spread_max ||
--- a/src/coordination/sched_run.c
+++ b/src/coordination/sched_run.c
@@ -56,9 +56,9 @@
 	w->used.mem_mib += sign * size.mem_mib;
 	w->used.accelerators += sign * size.accelerators;
 	if (def->is_long_running) {
-		w->long_running.cpu_milli += sign * size.cpu_milli;
-		w->long_running.mem_mib += sign * size.mem_mib;
-		w->long_running.accelerators += sign * size.accelerators;
+		w->long_lived.cpu_milli += sign * size.cpu_milli;
+		w->long_lived.mem_mib += sign * size.mem_mib;
+		w->long_lived.accelerators += sign * size.accelerators;
 	}
 	if (sched_is_small(def))
 		w->n_small += sign;
--- a/tests/unit_wait.c
+++ b/tests/unit_wait.c
@@ -230,7 +230,7 @@
 	fixture_poll(&p, "full", NULL, 0, NULL, 0, 10);
 	fixture_poll(&p, "suspect", NULL, 0, NULL, 0, 10);
 	fixture_worker(&p, "full")->used.cpu_milli = 8000;
-	fixture_worker(&p, "full")->long_running.cpu_milli = 8000;
+	fixture_worker(&p, "full")->long_lived.cpu_milli = 8000;
 	fixture_worker(&p, "suspect")->quarantine_until_ms = 60000;
 	fixture_add_job(&p, fixture_spec("s", "short", 1, 1));
 	fixture_add_job(&p, long_running("a", 8000));
@@ -239,7 +239,7 @@
 	g_assert_cmpstr(fixture_start(&p, 0)->ref.job, ==, "a");
 	g_assert_cmpstr(fixture_start(&p, 0)->worker, ==, "suspect");
 	fixture_worker(&p, "full")->used.cpu_milli = 0;
-	fixture_worker(&p, "full")->long_running.cpu_milli = 0;
+	fixture_worker(&p, "full")->long_lived.cpu_milli = 0;
 	fixture_close(&p);
 }
 
