--- a/src/coordination/sched_choose.c
+++ b/src/coordination/sched_choose.c
@@ -180,6 +180,13 @@
 	return best;
 }
 
+bool sched_is_fast_enough(const struct sched *s, const struct sched_worker *w,
+			  const struct sched_step *step)
+{
+	return !step->def->best_effort ||
+	       sched_colocated_speed(s, w, step) >= COLOCATED_SPEED_MIN;
+}
+
 /* A worker for which the speed may be computed. */
 struct candidate {
 	struct sched_worker *worker;
--- a/src/coordination/sched_int.h
+++ b/src/coordination/sched_int.h
@@ -113,6 +113,7 @@
 	SCHED_OBSTACLE_ACCELERATORS,
 	SCHED_OBSTACLE_RESERVED, /* the room is kept for another task */
 	SCHED_OBSTACLE_SPREAD, /* too many tasks of the step */
+	SCHED_OBSTACLE_SLOW, /* serving tasks would slow it down too much */
 	SCHED_OBSTACLE_TICKET, /* no permission of the policy service */
 	SCHED_OBSTACLES
 };
@@ -144,6 +145,10 @@
 /* Returns what the worker lacks to hold one more task of the step. */
 enum sched_obstacle sched_find_shortage(const struct sched_step *step,
 					const struct sched_worker *w);
+/* Returns whether a best-effort task of the step would be fast enough beside
+ * the serving tasks at the worker. */
+bool sched_is_fast_enough(const struct sched *s, const struct sched_worker *w,
+			  const struct sched_step *step);
 /* Returns whether one more task of the step fits on the worker. */
 bool sched_fits(const struct sched_step *step, const struct sched_worker *w);
 /* Returns the CPU available to best-effort tasks in all, including what they
--- a/src/coordination/sched_wait.c
+++ b/src/coordination/sched_wait.c
@@ -36,6 +36,7 @@
 	[SCHED_OBSTACLE_ACCELERATORS] = "accelerators",
 	[SCHED_OBSTACLE_RESERVED] = "reserved",
 	[SCHED_OBSTACLE_SPREAD] = "spread",
+	[SCHED_OBSTACLE_SLOW] = "slow",
 	[SCHED_OBSTACLE_TICKET] = "ticket",
 };
 
@@ -49,6 +50,8 @@
 
 	if (o == SCHED_OBSTACLE_NONE)
 		o = sched_find_shortage(step, w);
+	if (o == SCHED_OBSTACLE_NONE && !sched_is_fast_enough(s, w, step))
+		o = SCHED_OBSTACLE_SLOW;
 	if (o == SCHED_OBSTACLE_NONE && q->uses_policy &&
 	    !sched_has_ticket(step, w, now_ms))
 		o = SCHED_OBSTACLE_TICKET;
