Start best-effort jobs at last where serving tasks slow them down

Cause: a best-effort task starts only where it would have 0.9 of its speed beside the serving tasks. Where serving tasks that it disturbs are at all workers, no worker ever qualifies, and the rule has no bound in time.

Change: once half of the workers' CPU is free, a best-effort job of which nothing has run for 5 s starts one task, where it would be fastest and half of the memory is free; pacing keeps the serving tasks within their targets. One start for each pass.

Ruled out: quarantine, room, tickets, ownership (log of waits: slow at 35 to 48 of 48 workers).

--- a/src/coordination/sched.h
+++ b/src/coordination/sched.h
@@ -202,6 +202,7 @@
 	struct sched_round *rounds;
 	bool dirty; /* progress has changed since it was last stored */
 	bool inherited; /* a previous owner may have started tasks */
+	int32_t n_runs; /* of all its tasks */
 	GList dirty_link; /* in sched.dirty_jobs */
 };
 
--- a/src/coordination/sched_choose.c
+++ b/src/coordination/sched_choose.c
@@ -263,6 +263,54 @@
 	return best;
 }
 
+/* Returns whether half of the memory stays free beside the task, which may be
+ * paused for long. */
+static bool leaves_memory(const struct jobspec_step *def,
+			  const struct sched_worker *w)
+{
+	return 2 * (w->used.mem_mib + def->mem_mib) <= w->row.total.mem_mib;
+}
+
+/* Returns whether half of the workers' CPU is reserved by tasks. */
+static bool are_half_used(struct sched_worker **list, int32_t n)
+{
+	int64_t used = 0;
+	int64_t total = 0;
+
+	for (int32_t i = 0; i < n; i++) {
+		used += list[i]->used.cpu_milli;
+		total += list[i]->row.total.cpu_milli;
+	}
+	return 2 * used >= total;
+}
+
+struct sched_worker *sched_choose_starved(struct sched *s,
+					  struct sched_worker **list, int32_t n,
+					  const struct sched_step *step)
+{
+	struct sched_worker *best = NULL;
+	double best_speed = -1;
+
+	s->pass_work += n;
+	if (are_half_used(list, n))
+		return NULL;
+	for (int32_t i = 0; i < n; i++) {
+		double speed;
+
+		s->pass_work += 1;
+		if (!leaves_memory(step->def, list[i]) ||
+		    !sched_fits(step, list[i]))
+			continue;
+		s->pass_work += speed_work(list[i]);
+		speed = sched_colocated_speed(s, list[i], step);
+		if (speed <= best_speed)
+			continue;
+		best = list[i];
+		best_speed = speed;
+	}
+	return best;
+}
+
 struct sched_worker *sched_choose_worker(struct sched *s,
 					 struct sched_worker **list, int32_t n,
 					 const struct sched_step *step)
--- a/src/coordination/sched_int.h
+++ b/src/coordination/sched_int.h
@@ -171,6 +171,14 @@
 			struct sched_worker **list, int32_t n, int64_t now_ms);
 void sched_clear_reservations(struct sched *s);
 
+/* Returns the worker where a best-effort task of the step would run fastest
+ * beside the serving tasks, of those with half of their memory free. Returns
+ * NULL while half of the workers' CPU is reserved: others make better use of
+ * the rest. */
+struct sched_worker *sched_choose_starved(struct sched *s,
+					  struct sched_worker **list, int32_t n,
+					  const struct sched_step *step);
+
 /* Adds the worker to the roster, or removes it if it is draining and idle: a
  * successor would wait for its lease in vain. */
 void sched_roster_update(struct sched *s, struct sched_worker *w);
--- a/src/coordination/sched_place.c
+++ b/src/coordination/sched_place.c
@@ -13,6 +13,9 @@
 /* A pass ends early once it has done this much work, so that it doesn't hold up
  * the owner's ticks. The unit is one worker or run that was looked at. */
 #define PASS_WORK_MAX 2000000
+/* A best-effort job that waits for this long, in ms, while nothing of it runs,
+ * starts one task where serving tasks slow it down or pause it. */
+#define STARVED_MS 5000
 /* The same for one start. */
 #define START_WORK 1000
 
@@ -392,6 +395,44 @@
 		place_on_quarantined(s, r, list, now_ms);
 }
 
+static bool is_starved(const struct sched *s, const struct sched_step *step,
+		       int64_t now_ms)
+{
+	return step->def->best_effort && !step->def->gang &&
+	       !step->round->job->n_runs &&
+	       now_ms - step->ready_ms >= STARVED_MS &&
+	       has_ready_task(s, step, now_ms);
+}
+
+/* Starts a task of the job that waits longest, one in each pass. */
+static void place_starved(struct sched *s, const struct sched_rank *ranks,
+			  int32_t n_ranks, struct sched_worker **list,
+			  int64_t now_ms)
+{
+	const struct sched_rank *oldest = NULL;
+	struct sched_worker *w;
+	int32_t n;
+
+	for (int32_t i = 0; i < n_ranks; i++) {
+		if (is_starved(s, ranks[i].step, now_ms) &&
+		    (!oldest ||
+		     ranks[i].step->ready_ms < oldest->step->ready_ms))
+			oldest = &ranks[i];
+	}
+	if (!oldest)
+		return;
+	n = find_candidates(s, oldest, false, list, now_ms);
+	w = sched_choose_starved(s, list, n, oldest->step);
+	for (int32_t k = 0; w && k < oldest->step->def->tasks; k++) {
+		struct sched_task *t = &oldest->step->tasks[k];
+
+		if (!sched_task_is_ready(s, t, now_ms))
+			continue;
+		start_task(s, t, w, t->last_run + 1, now_ms);
+		return;
+	}
+}
+
 void sched_place(struct sched *s, int64_t now_ms)
 {
 	struct sched_worker **list;
@@ -415,6 +456,7 @@
 		r->step->sweep = s->sweep;
 		place_step(s, r, list, now_ms);
 	}
+	place_starved(s, ranks, n, list, now_ms);
 	/* A sweep reaches each step once: tasks that workers refuse again and
 	 * again can't use up the passes of other steps. */
 	if (reached == n) {
--- a/src/coordination/sched_run.c
+++ b/src/coordination/sched_run.c
@@ -106,6 +106,7 @@
 	run->next_of_task = t->runs;
 	t->runs = run;
 	t->ever_started = true;
+	t->step->round->job->n_runs++;
 	run->worker_link.data = run;
 	g_queue_push_tail_link(&w->runs, &run->worker_link);
 	if (t->last_run < number)
@@ -118,6 +119,7 @@
 {
 	struct sched_run **at = &run->task->runs;
 
+	run->task->step->round->job->n_runs--;
 	(void)s;
 	adjust_usage(run, -1);
 	while (*at != run)
--- a/tests/unit_pace.c
+++ b/tests/unit_pace.c
@@ -314,6 +314,32 @@
 	fixture_close(&p);
 }
 
+/*
+ * LOST on long quiet days: a best-effort job waited until the end of the day,
+ * with most room free, since at all workers serving tasks would slow it down.
+ */
+static void test_harmful_starts_in_the_end(void)
+{
+	struct sched_fixture p;
+	struct sched_active a;
+
+	open_serving_and_batch(&p, 1, 800);
+	a = fixture_active(fixture_start(&p, 0), 100);
+	a.gauge = 25;
+	fixture_worker(&p, "w")->row.total.cpu_milli = 16000;
+	fixture_poll(&p, "w", &a, 1, NULL, 0, 400);
+	teach_pair(&p, 0.1, 2.0);
+	for (int64_t t = 410; t < 12000; t += 400) {
+		fixture_poll(&p, "w", &a, 1, NULL, 0, t);
+		sched_tick(&p.s, t, 0);
+		sched_place(&p.s, t);
+		if (t < 4000)
+			g_assert_cmpuint(p.starts->len, ==, 1);
+	}
+	g_assert_cmpuint(p.starts->len, ==, 2);
+	fixture_close(&p);
+}
+
 /*
  * Many images of best-effort tasks and no measurements yet (the grown sites
  * have 10 serving images and 18 others). An unknown pair is explored at one
@@ -409,6 +435,8 @@
 	g_test_add_func("/sched/tail-shows-what-left", test_stale_tail_latency);
 	g_test_add_func("/sched/harmful-not-begun",
 			test_harmful_is_not_started);
+	g_test_add_func("/sched/harmful-starts-in-the-end",
+			test_harmful_starts_in_the_end);
 	g_test_add_func("/sched/one-try-at-a-time",
 			test_one_exploration_at_a_time);
 	g_test_add_func("/sched/paused-work-moves", test_paused_task_moves);
