--- a/tests/sched_fixture.c
+++ b/tests/sched_fixture.c
@@ -180,6 +180,24 @@
 	return spec;
 }
 
+struct jobspec *fixture_long_running(const char *id, int64_t cpu_milli,
+				     int32_t tasks)
+{
+	struct jobspec *spec = fixture_spec(id, "short", 1, tasks);
+
+	spec->steps[0].is_long_running = true;
+	spec->steps[0].cpu_milli = cpu_milli;
+	return spec;
+}
+
+void fixture_pass_time(struct sched_fixture *p, int64_t from_ms, int64_t to_ms)
+{
+	for (int64_t now = from_ms; now <= to_ms; now += 100) {
+		sched_tick(&p->s, now, 1000000 + now);
+		sched_place(&p->s, now);
+	}
+}
+
 struct sched_job *fixture_add_job(struct sched_fixture *p, struct jobspec *spec)
 {
 	return sched_job_add(&p->s, spec, NULL, 5, false, 0, 1000000);
--- a/tests/sched_fixture.h
+++ b/tests/sched_fixture.h
@@ -41,6 +41,11 @@
 /* Returns a job of a chain of `steps` steps with `tasks` tasks each. */
 struct jobspec *fixture_spec(const char *id, const char *queue, int32_t steps,
 			     int32_t tasks);
+/* Returns a job of one step with long-running tasks. */
+struct jobspec *fixture_long_running(const char *id, int64_t cpu_milli,
+				     int32_t tasks);
+/* Runs the owner's ticks and passes over a while. */
+void fixture_pass_time(struct sched_fixture *p, int64_t from_ms, int64_t to_ms);
 struct sched_job *fixture_add_job(struct sched_fixture *p,
 				  struct jobspec *spec);
 /* Returns the start command number `i`, from 0. */
--- a/tests/unit.h
+++ b/tests/unit.h
@@ -24,5 +24,7 @@
 void unit_add_state(void);
 void unit_add_upkeep(void);
 void unit_add_wait(void);
+void unit_add_reserve(void);
+void unit_add_suspect(void);
 
 #endif
--- a/tests/unit_tests.c
+++ b/tests/unit_tests.c
@@ -35,5 +35,7 @@
 	unit_add_restart();
 	unit_add_upkeep();
 	unit_add_wait();
+	unit_add_reserve();
+	unit_add_suspect();
 	return g_test_run();
 }
--- a/tests/unit_wait.c
+++ b/tests/unit_wait.c
@@ -91,24 +91,6 @@
 	fixture_close(&p);
 }
 
-static struct jobspec *long_running(const char *id, int64_t cpu_milli)
-{
-	struct jobspec *spec = fixture_spec(id, "short", 1, 1);
-
-	spec->steps[0].is_long_running = true;
-	spec->steps[0].cpu_milli = cpu_milli;
-	return spec;
-}
-
-/* Runs the owner's passes and ticks over a while. */
-static void pass_time(struct sched_fixture *p, int64_t from_ms, int64_t to_ms)
-{
-	for (int64_t now = from_ms; now <= to_ms; now += 100) {
-		sched_tick(&p->s, now, 1000000 + now);
-		sched_place(&p->s, now);
-	}
-}
-
 /* Incident LOST: of long-running tasks that wait for room, those of the jobs
  * with the lowest ids went first again and again. */
 static void test_longest_idle_first(void)
@@ -119,15 +101,15 @@
 	fixture_open(&p, 1, NULL);
 	fixture_add_worker(&p, "w", "r");
 	fixture_poll(&p, "w", NULL, 0, NULL, 0, 10);
-	fixture_add_job(&p, long_running("a", 8000));
-	fixture_add_job(&p, long_running("z", 8000));
-	pass_time(&p, 100, 300);
+	fixture_add_job(&p, fixture_long_running("a", 8000, 1));
+	fixture_add_job(&p, fixture_long_running("z", 8000, 1));
+	fixture_pass_time(&p, 100, 300);
 	g_assert_cmpuint(p.starts->len, ==, 1);
 	g_assert_cmpstr(fixture_start(&p, 0)->ref.job, ==, "a");
 	fixture_started(&p, fixture_start(&p, 0), 310);
 	e = fixture_end(fixture_start(&p, 0), 1, SCHED_END_FAILED);
 	fixture_poll(&p, "w", NULL, 0, &e, 1, 3000);
-	pass_time(&p, 3100, 3300);
+	fixture_pass_time(&p, 3100, 3300);
 	g_assert_cmpuint(p.starts->len, ==, 2);
 	g_assert_cmpstr(fixture_start(&p, 1)->ref.job, ==, "z");
 	fixture_close(&p);
@@ -151,15 +133,15 @@
 	g_assert_cmpuint(p.starts->len, ==, 2);
 	fixture_started(&p, fixture_start(&p, 0), 30);
 	fixture_started(&p, fixture_start(&p, 1), 30);
-	fixture_add_job(&p, long_running("a", 8000));
+	fixture_add_job(&p, fixture_long_running("a", 8000, 1));
 	e = fixture_end(fixture_start(&p, 0), 1, SCHED_END_DONE);
 	still = fixture_active(fixture_start(&p, 1), 50);
 	fixture_poll(&p, "w", &still, 1, &e, 1, 1000);
-	pass_time(&p, 1100, 1400);
+	fixture_pass_time(&p, 1100, 1400);
 	g_assert_cmpuint(p.starts->len, ==, 2);
 	e = fixture_end(fixture_start(&p, 1), 2, SCHED_END_DONE);
 	fixture_poll(&p, "w", NULL, 0, &e, 1, 1500);
-	pass_time(&p, 1600, 1900);
+	fixture_pass_time(&p, 1600, 1900);
 	g_assert_cmpuint(p.starts->len, ==, 3);
 	g_assert_cmpstr(fixture_start(&p, 2)->ref.job, ==, "a");
 	fixture_close(&p);
@@ -178,13 +160,13 @@
 	fixture_add_job(&p, fixture_spec("s", "short", 1, 1));
 	sched_place(&p.s, 20);
 	fixture_started(&p, fixture_start(&p, 0), 30);
-	fixture_add_job(&p, long_running("a", 8000));
-	pass_time(&p, 100, 300);
-	fixture_add_job(&p, long_running("z", 4000));
+	fixture_add_job(&p, fixture_long_running("a", 8000, 1));
+	fixture_pass_time(&p, 100, 300);
+	fixture_add_job(&p, fixture_long_running("z", 4000, 1));
 	still = fixture_active(fixture_start(&p, 0), 50);
 	for (int64_t now = 500; now < 3500; now += 500) {
 		fixture_poll(&p, "w", &still, 1, NULL, 0, now);
-		pass_time(&p, now, now + 400);
+		fixture_pass_time(&p, now, now + 400);
 	}
 	g_assert_cmpuint(p.starts->len, ==, 2);
 	g_assert_cmpstr(fixture_start(&p, 1)->ref.job, ==, "z");
@@ -209,10 +191,10 @@
 	sched_place(&p.s, 20);
 	g_assert_cmpuint(p.starts->len, ==, 1);
 	fixture_started(&p, fixture_start(&p, 0), 30);
-	spec = long_running("a", 4000);
+	spec = fixture_long_running("a", 4000, 1);
 	spec->steps[0].mem_mib = 4000;
 	fixture_add_job(&p, spec);
-	pass_time(&p, 100, 300);
+	fixture_pass_time(&p, 100, 300);
 	g_assert_cmpuint(p.stops->len, ==, 1);
 	g_assert_cmpuint(p.starts->len, ==, 1);
 	fixture_close(&p);
@@ -233,8 +215,8 @@
 	fixture_worker(&p, "full")->long_lived.cpu_milli = 8000;
 	fixture_worker(&p, "suspect")->quarantine_until_ms = 60000;
 	fixture_add_job(&p, fixture_spec("s", "short", 1, 1));
-	fixture_add_job(&p, long_running("a", 8000));
-	pass_time(&p, 100, 3000);
+	fixture_add_job(&p, fixture_long_running("a", 8000, 1));
+	fixture_pass_time(&p, 100, 3000);
 	g_assert_cmpuint(p.starts->len, ==, 1);
 	g_assert_cmpstr(fixture_start(&p, 0)->ref.job, ==, "a");
 	g_assert_cmpstr(fixture_start(&p, 0)->worker, ==, "suspect");
@@ -252,14 +234,14 @@
 	fixture_open(&p, 1, NULL);
 	fixture_add_worker(&p, "w", "r");
 	fixture_poll(&p, "w", NULL, 0, NULL, 0, 10);
-	fixture_add_job(&p, long_running("a", 8000));
-	pass_time(&p, 100, 100);
+	fixture_add_job(&p, fixture_long_running("a", 8000, 1));
+	fixture_pass_time(&p, 100, 100);
 	g_assert_cmpuint(p.starts->len, ==, 1);
 	for (int64_t now = 200; now < 10000; now += 100) {
 		before = p.starts->len;
 		sched_start_answered(&p.s, &fixture_start(&p, before - 1)->ref,
 				     "w", SCHED_START_UNHEALTHY, now);
-		pass_time(&p, now, now);
+		fixture_pass_time(&p, now, now);
 	}
 	g_assert_cmpuint(p.starts->len, <=, 8);
 	fixture_close(&p);
