Don't start tasks at quarantined workers that they may not run at

A long-running task that was idle for 2 s would have been started in a failure domain out of service, at a worker without the label that it requires, and again and again at one that refuses starts.

Cause: quarantine was checked before these conditions, and a worker whose first obstacle is quarantine was taken for one without any other.

Change: quarantine is checked last. /sched/suspect-in-domain-out, suspect-without-label and suspect-refusing-rests failed before.

--- a/src/coordination/sched_place.c
+++ b/src/coordination/sched_place.c
@@ -86,8 +86,6 @@
 		return SCHED_OBSTACLE_ROW_OUTDATED;
 	if (may_overcommit(s, w))
 		return SCHED_OBSTACLE_FOREIGN_RUNS;
-	if (now_ms < w->quarantine_until_ms)
-		return SCHED_OBSTACLE_QUARANTINED;
 	if (now_ms < w->refused_until_ms)
 		return SCHED_OBSTACLE_REFUSED;
 	if (s->domains_out &&
@@ -95,6 +93,9 @@
 		return SCHED_OBSTACLE_DOMAIN_OUT;
 	if (*def->label && !has_label(w, def->label))
 		return SCHED_OBSTACLE_LABEL;
+	/* The last one: it means that nothing else is in the way. */
+	if (now_ms < w->quarantine_until_ms)
+		return SCHED_OBSTACLE_QUARANTINED;
 	return SCHED_OBSTACLE_NONE;
 }
 
