Forget failures of workers after two minutes, and with a restart

Long-running tasks never end as done, so nothing cleared the series of failures at a worker that runs only them: one failure each ten minutes led to ever longer quarantines. A restarted worker kept the length of its quarantine.

Change: failures more than twice the longest quarantine apart don't belong to one series; a restart ends it.

/sched/old-quarantine-is-forgotten, new-incarnation-starts-clean and rare-failures-are-no-evidence failed before.

--- a/src/coordination/sched.c
+++ b/src/coordination/sched.c
@@ -159,7 +159,7 @@
 	w->clock_ms = 0;
 	w->clock_seen_ms = 0;
 	w->lease_end_clock_ms = 0;
-	w->failures_in_row = 0;
+	sched_forget_failures(w);
 	w->quarantine_until_ms = 0;
 	w->refused_until_ms = 0;
 	w->evacuating = false;
--- a/src/coordination/sched.h
+++ b/src/coordination/sched.h
@@ -235,6 +235,7 @@
 	int64_t last_answer_ms;
 	int64_t refused_until_ms; /* delay after it refused a start */
 	int32_t failures_in_row;
+	int64_t failed_ms; /* when a task last failed there */
 	char last_failed_job[JOBSPEC_ID_MAX];
 	int64_t quarantined_ms; /* start of the last quarantine */
 	int64_t quarantine_until_ms;
--- a/src/coordination/sched_health.c
+++ b/src/coordination/sched_health.c
@@ -12,11 +12,21 @@
  * is twice as long as the one before. */
 #define QUARANTINE_FIRST_MS 4000
 #define QUARANTINE_MAX_MS 60000
+/* Failures further apart than this, in ms, have nothing to do with each other.
+ * Longer than the longest quarantine, so that the next failure counts. */
+#define EVIDENCE_MAX_AGE_MS (2 * QUARANTINE_MAX_MS)
 /* A task without progress is moved after this time, in ms, or this percentage
  * of its expected time, whichever is longer. */
 #define STALL_MIN_MS 2500
 #define STALL_PERCENT 25
 
+void sched_forget_failures(struct sched_worker *w)
+{
+	w->failures_in_row = 0;
+	w->last_failed_job[0] = '\0';
+	w->quarantine_ms = 0;
+}
+
 static void quarantine(struct sched *s, struct sched_worker *w,
 		       const struct sched_ref *ref, const char *why,
 		       int64_t now_ms)
@@ -53,11 +63,11 @@
 			 const struct sched_run *run, bool failed,
 			 int64_t now_ms)
 {
-	if (!failed) {
-		w->failures_in_row = 0;
-		w->quarantine_ms = 0;
+	if (!failed || now_ms - w->failed_ms > EVIDENCE_MAX_AGE_MS)
+		sched_forget_failures(w);
+	if (!failed)
 		return;
-	}
+	w->failed_ms = now_ms;
 	if (!is_fresh_evidence(w, run) || !strcmp(w->last_failed_job, ref->job))
 		return;
 	snprintf(w->last_failed_job, sizeof(w->last_failed_job), "%s",
--- a/src/coordination/sched_int.h
+++ b/src/coordination/sched_int.h
@@ -219,6 +219,8 @@
 			      int64_t now_ms);
 /* Moves stalled tasks and quarantines their workers. */
 void sched_check_stalls(struct sched *s, int64_t now_ms);
+/* Ends the worker's series of failures and quarantines. */
+void sched_forget_failures(struct sched_worker *w);
 /* Counts a result for the worker; quarantines it if several jobs fail there.
  * `run` is NULL if it is not tracked any more. */
 void sched_record_result(struct sched *s, struct sched_worker *w,
