--- a/src/coordination/place.c
+++ b/src/coordination/place.c
@@ -156,6 +156,9 @@
 	if (job != w->last_failed_job || w->health != PLACE_HEALTHY)
 		w->failures++;
 	w->last_failed_job = job;
+	/* A task that was started before the quarantine. */
+	if (w->health == PLACE_QUARANTINED && now_ms < w->quarantine_until_ms)
+		return false;
 	if (w->health == PLACE_HEALTHY && w->failures < FAILURES_MAX)
 		return false;
 	quarantine(w, now_ms);
