Reserve room where it will be free soonest

So beside a task of an hour, or at a worker whose memory is full and whose processors therefore idle.

Change: workers are compared by the time after which the task is likely to fit, in six classes; a run past its estimate is taken to need a quarter of the time that it has had, a paused one to last. In the same function: accelerators count like processors and memory; tasks that must be spread reserve at different workers; best-effort work reserves nothing; work is evicted only if that, with the stops under way, makes enough room; and where a task can reserve nothing, the step's other tasks don't try.

--- a/src/coordination/sched.h
+++ b/src/coordination/sched.h
@@ -244,6 +244,8 @@
 	struct place_resources long_lived; /* part of `used` */
 	/* Kept free for long-running tasks until the sweep is over. */
 	struct place_resources reserved;
+	const struct sched_step *reserved_for; /* latest reservation */
+	int32_t n_reserved; /* tasks of that step */
 	int32_t foreign_runs; /* reported runs that this owner doesn't track */
 	int32_t n_small; /* small tasks, see sched_is_small() */
 	int32_t n_best_effort; /* best-effort tasks */
--- a/src/coordination/sched_evict.c
+++ b/src/coordination/sched_evict.c
@@ -84,22 +84,38 @@
 	}
 }
 
-/* What a task of a step lacks at a worker. */
-struct shortage {
-	int64_t cpu_milli;
-	int64_t mem_mib;
-};
-
-static struct shortage shortage_at(const struct jobspec_step *def,
-				   const struct sched_worker *w)
+/* Subtracts what the run's end frees: best-effort tasks have no CPU of their
+ * own. */
+static void subtract(struct place_resources *lacks, const struct sched_run *run)
 {
-	return (struct shortage){
-		.cpu_milli = MAX(0, def->cpu_milli + w->used.cpu_milli +
-					    w->reserved.cpu_milli -
-					    w->row.total.cpu_milli),
-		.mem_mib = MAX(0, def->mem_mib + w->used.mem_mib +
-					  w->reserved.mem_mib -
-					  w->row.total.mem_mib),
+	const struct jobspec_step *def = run->task->step->def;
+
+	lacks->cpu_milli -= def->best_effort ? 0 : def->cpu_milli;
+	lacks->mem_mib -= def->mem_mib;
+	lacks->accelerators -= def->accelerators;
+}
+
+static bool is_lacking(const struct place_resources *lacks)
+{
+	return lacks->cpu_milli > 0 || lacks->mem_mib > 0 ||
+	       lacks->accelerators > 0;
+}
+
+/* Returns what a task of the step lacks at the worker; no more than 0 where it
+ * lacks nothing. */
+static struct place_resources shortage_at(const struct jobspec_step *def,
+					  const struct sched_worker *w)
+{
+	const struct place_resources *used = &w->used;
+	const struct place_resources *kept = &w->reserved;
+	const struct place_resources *total = &w->row.total;
+
+	return (struct place_resources){
+		def->cpu_milli + used->cpu_milli + kept->cpu_milli -
+			total->cpu_milli,
+		def->mem_mib + used->mem_mib + kept->mem_mib - total->mem_mib,
+		def->accelerators + used->accelerators + kept->accelerators -
+			total->accelerators,
 	};
 }
 
@@ -108,6 +124,7 @@
 		     const struct sched_worker *w)
 {
 	const struct jobspec_step *def = step->def;
+	int32_t kept = w->reserved_for == step ? w->n_reserved : 0;
 
 	return def->cpu_milli + w->long_lived.cpu_milli +
 			       w->reserved.cpu_milli <=
@@ -118,52 +135,119 @@
 			       w->reserved.accelerators <=
 		       w->row.total.accelerators &&
 	       (!def->spread_max ||
-		sched_count_tasks_at(step, w) < def->spread_max);
+		sched_count_tasks_at(step, w) + kept < def->spread_max);
 }
 
-/* Returns the worker where the task will fit soonest: that with the smallest
- * shortage of CPU, then of memory. */
+/*
+ * Returns how long the run is likely to go on if a task of this priority needs
+ * its room. Estimates are rough: a run past its estimate is taken to need a
+ * part of the time that it has had.
+ */
+static int64_t time_left_ms(const struct sched *s, const struct sched_run *run,
+			    int32_t priority, int64_t now_ms)
+{
+	int64_t elapsed_ms = now_ms - run->started_ms;
+
+	if (run->stopping || is_evictable(run, priority))
+		return s->lim.stop_ms;
+	if (!run->pace)
+		return INT64_MAX;
+	return MAX(run->task->step->def->expected_ms - elapsed_ms,
+		   elapsed_ms / 4);
+}
+
+/* Waiting times that make a difference to a task without room, in ms. */
+static const int64_t wait_classes_ms[] = { 500, 1000, 2000, 4000, 8000, 16000 };
+#define WAIT_CLASSES G_N_ELEMENTS(wait_classes_ms)
+
+/* Returns the class of the time after which the task is likely to fit at the
+ * worker; WAIT_CLASSES if that is longer still. */
+static size_t wait_class(const struct sched *s, const struct sched_rank *r,
+			 const struct sched_worker *w, int64_t now_ms)
+{
+	struct place_resources lacks = shortage_at(r->step->def, w);
+	struct place_resources after[WAIT_CLASSES];
+	size_t class = 0;
+
+	for (size_t k = 0; k < WAIT_CLASSES; k++)
+		after[k] = lacks;
+	for (const GList *i = w->runs.head; i; i = i->next) {
+		const struct sched_run *run = i->data;
+		int64_t left_ms;
+
+		if (run->task->step->def->is_long_running && !run->stopping)
+			continue;
+		left_ms = time_left_ms(s, run, r->priority, now_ms);
+		for (size_t k = 0; k < WAIT_CLASSES; k++) {
+			if (left_ms <= wait_classes_ms[k])
+				subtract(&after[k], run);
+		}
+	}
+	while (class < WAIT_CLASSES && is_lacking(&after[class]))
+		class ++;
+	return class;
+}
+
+/* Returns the worker where the task will fit soonest. */
 static struct sched_worker *choose_reserved(struct sched *s,
-					    const struct sched_step *step,
+					    const struct sched_rank *r,
 					    struct sched_worker **list,
-					    int32_t n)
+					    int32_t n, int64_t now_ms)
 {
 	struct sched_worker *best = NULL;
-	struct shortage least = { 0 };
+	size_t best_class = 0;
+	int64_t least = 0;
 
-	s->pass_work += n;
 	for (int32_t i = 0; i < n; i++) {
-		struct shortage lacks = shortage_at(step->def, list[i]);
+		int64_t lacks = shortage_at(r->step->def, list[i]).cpu_milli;
+		size_t class;
 
-		if (best && (lacks.cpu_milli > least.cpu_milli ||
-			     (lacks.cpu_milli == least.cpu_milli &&
-			      lacks.mem_mib >= least.mem_mib)))
+		s->pass_work++;
+		if (!will_fit(r->step, list[i]))
 			continue;
-		if (!will_fit(step, list[i]))
+		s->pass_work += list[i]->runs.length;
+		class = wait_class(s, r, list[i], now_ms);
+		if (best && (class > best_class ||
+			     (class == best_class && lacks >= least)))
 			continue;
 		best = list[i];
+		best_class = class;
 		least = lacks;
 	}
 	return best;
 }
 
+/* Evicts work at the worker if that, with the stops under way, makes room for
+ * the task. */
 static void free_reserved(struct sched *s, const struct sched_rank *r,
-			  struct sched_worker *w, struct shortage lacks,
+			  struct sched_worker *w, struct place_resources lacks,
 			  int64_t now_ms)
 {
-	for (GList *i = w->runs.tail;
-	     i && (lacks.cpu_milli > 0 || lacks.mem_mib > 0); i = i->prev) {
-		struct sched_run *run = i->data;
-		const struct jobspec_step *def = run->task->step->def;
-		bool helps = lacks.mem_mib > 0 || !def->best_effort;
+	struct place_resources after;
+
+	for (const GList *i = w->runs.head; i; i = i->next) {
+		const struct sched_run *run = i->data;
 
-		if (!run->stopping &&
-		    (!helps || !is_evictable(run, r->priority)))
-			continue;
-		lacks.mem_mib -= def->mem_mib;
-		lacks.cpu_milli -= def->best_effort ? 0 : def->cpu_milli;
 		if (run->stopping)
+			subtract(&lacks, run);
+	}
+	after = lacks;
+	for (const GList *i = w->runs.head; i; i = i->next) {
+		const struct sched_run *run = i->data;
+
+		if (!run->stopping && is_evictable(run, r->priority))
+			subtract(&after, run);
+	}
+	if (is_lacking(&after))
+		return;
+	for (GList *i = w->runs.tail; i && is_lacking(&lacks); i = i->prev) {
+		struct sched_run *run = i->data;
+		bool helps =
+			!run->task->step->def->best_effort || lacks.mem_mib > 0;
+
+		if (run->stopping || !helps || !is_evictable(run, r->priority))
 			continue;
+		subtract(&lacks, run);
 		s->counts.evicted++;
 		r->step->evicted_ms = now_ms;
 		sched_run_stop(s, run, now_ms,
@@ -171,21 +255,28 @@
 	}
 }
 
-void sched_reserve_room(struct sched *s, const struct sched_rank *r,
+bool sched_reserve_room(struct sched *s, const struct sched_rank *r,
 			struct sched_worker **list, int32_t n, int64_t now_ms)
 {
 	const struct jobspec_step *def = r->step->def;
-	struct sched_worker *w = choose_reserved(s, r->step, list, n);
-	struct shortage lacks;
+	struct place_resources lacks;
+	struct sched_worker *w;
 
+	/* It has no room of its own but memory, which others leave in time. */
+	if (def->best_effort)
+		return false;
+	w = choose_reserved(s, r, list, n, now_ms);
 	if (!w)
-		return;
+		return false;
 	lacks = shortage_at(def, w);
 	w->reserved.cpu_milli += def->cpu_milli;
 	w->reserved.mem_mib += def->mem_mib;
 	w->reserved.accelerators += def->accelerators;
+	w->n_reserved = w->reserved_for == r->step ? w->n_reserved + 1 : 1;
+	w->reserved_for = r->step;
 	if (may_evict(s, r->step, now_ms))
 		free_reserved(s, r, w, lacks, now_ms);
+	return true;
 }
 
 void sched_clear_reservations(struct sched *s)
@@ -195,5 +286,6 @@
 		struct sched_worker *w = g_ptr_array_index(s->worker_list, i);
 
 		w->reserved = (struct place_resources){ 0 };
+		w->reserved_for = NULL;
 	}
 }
--- a/src/coordination/sched_int.h
+++ b/src/coordination/sched_int.h
@@ -166,8 +166,9 @@
 			  struct sched_worker **list, int32_t n,
 			  int64_t now_ms);
 /* Reserves room for a long-running task at the worker where it will fit
- * soonest, and evicts tasks there that may go on elsewhere. */
-void sched_reserve_room(struct sched *s, const struct sched_rank *r,
+ * soonest, and evicts tasks there that may go on elsewhere. Returns false if it
+ * will fit at none. */
+bool sched_reserve_room(struct sched *s, const struct sched_rank *r,
 			struct sched_worker **list, int32_t n, int64_t now_ms);
 void sched_clear_reservations(struct sched *s);
 
--- a/src/coordination/sched_place.c
+++ b/src/coordination/sched_place.c
@@ -263,7 +263,8 @@
 		w = may_fit ? sched_choose_worker(s, list, n, step) : NULL;
 		may_fit = w != NULL;
 		if (!w && step->def->is_long_running) {
-			sched_reserve_room(s, r, list, n, now_ms);
+			if (!sched_reserve_room(s, r, list, n, now_ms))
+				return;
 			continue;
 		}
 		if (!w) {
