Evict for urgent tasks where room isn't reserved

Where a worker had free but reserved processors, it was taken for the best place for an urgent task, nothing was stopped there, and the work of lower priority at other workers stayed. The same where only memory was lacking.

Change: reserved processors aren't free; workers with enough of them are passed over; stops under way are counted before others are begun. /sched/eviction-ignores-reserved-room failed before.

--- a/src/coordination/sched_evict.c
+++ b/src/coordination/sched_evict.c
@@ -21,8 +21,8 @@
  * CPU: best-effort tasks have none of their own. */
 static bool can_free_cpu(const struct sched_run *run, int32_t priority)
 {
-	return run->stopping || (is_evictable(run, priority) &&
-				 !run->task->step->def->best_effort);
+	return (run->stopping || is_evictable(run, priority)) &&
+	       !run->task->step->def->best_effort;
 }
 
 /* Returns the CPU that stops under way and evictions can free at the worker, in
@@ -48,6 +48,27 @@
 	       now_ms >= step->evicted_ms + s->lim.stop_ms + EVICT_PAUSE_MS;
 }
 
+/* Returns the CPU that neither tasks use nor reservations keep. */
+static int64_t free_milli(const struct sched_worker *w)
+{
+	return w->row.total.cpu_milli - w->used.cpu_milli -
+	       w->reserved.cpu_milli;
+}
+
+/* Returns the CPU that stops under way free at the worker. */
+static int64_t stopping_milli(const struct sched_worker *w)
+{
+	int64_t sum = 0;
+
+	for (const GList *i = w->runs.head; i; i = i->next) {
+		const struct sched_run *run = i->data;
+
+		if (run->stopping && !run->task->step->def->best_effort)
+			sum += run->task->step->def->cpu_milli;
+	}
+	return sum;
+}
+
 void sched_evict_for_step(struct sched *s, const struct sched_rank *r,
 			  struct sched_worker **list, int32_t n, int64_t now_ms)
 {
@@ -57,27 +78,25 @@
 	if (r->step->def->best_effort || !may_evict(s, r->step, now_ms))
 		return;
 	for (int32_t i = 0; i < n; i++) {
-		int64_t left =
-			list[i]->row.total.cpu_milli - list[i]->used.cpu_milli;
+		int64_t left = free_milli(list[i]);
 
-		if (left + evictable_milli(list[i], r->priority) < need)
+		/* Where the CPU suffices, something else is lacking. */
+		if (left >= need ||
+		    left + evictable_milli(list[i], r->priority) < need)
 			continue;
-		if (!best ||
-		    left > best->row.total.cpu_milli - best->used.cpu_milli)
+		if (!best || left > free_milli(best))
 			best = list[i];
 	}
 	if (!best)
 		return;
 	r->step->evicted_ms = now_ms;
-	need -= best->row.total.cpu_milli - best->used.cpu_milli;
+	need -= free_milli(best) + stopping_milli(best);
 	for (GList *i = best->runs.tail; i && need > 0; i = i->prev) {
 		struct sched_run *run = i->data;
 
-		if (!can_free_cpu(run, r->priority))
+		if (run->stopping || !can_free_cpu(run, r->priority))
 			continue;
 		need -= run->task->step->def->cpu_milli;
-		if (run->stopping)
-			continue;
 		s->counts.evicted++;
 		sched_run_stop(s, run, now_ms,
 			       "evicted for a task of higher priority");
