Ask for tickets where long-running tasks may reserve room

A long-running step whose queue uses the policy service asked for tickets only at workers with room, and without a ticket it reserved nothing: it waited while short tasks took each gap.

Change: where none has room it asks for others by turns, so that it reserves where it may run. The right to use reserved room is set before workers are chosen, and ends with the step's turn: it made room look free to the evacuation of VMs.

/sched/policy-step-reserves, overdue-policy-step-asks and reserved-right-ends-with-start failed before.

--- a/src/coordination/sched.h
+++ b/src/coordination/sched.h
@@ -176,6 +176,7 @@
 	struct sched_task *tasks;
 	GHashTable *tickets; /* worker id to struct sched_ticket */
 	int64_t advice_sent_ms;
+	uint32_t advice_next; /* candidate to ask for next, if none fits */
 };
 
 /* One scheduled occurrence of a job, with its own copy of all steps. */
--- a/src/coordination/sched_place.c
+++ b/src/coordination/sched_place.c
@@ -124,21 +124,38 @@
 	s->ops->start(s->priv, run, &ref);
 }
 
+/* Collects workers without a valid ticket that fit the step, or else any, from
+ * where the last call ended: room is reserved only where the step may run. */
+static int32_t find_unasked(struct sched_step *step, struct sched_worker **list,
+			    int32_t n, bool any, const char **ids,
+			    int64_t now_ms)
+{
+	int32_t n_ids = 0;
+
+	for (int32_t i = 0; i < n && n_ids < ADVICE_WORKERS_MAX; i++) {
+		const struct sched_worker *w =
+			any ? list[step->advice_next++ % n] : list[i];
+
+		if ((any || sched_fits(step, w)) &&
+		    !sched_has_ticket(step, w, now_ms))
+			ids[n_ids++] = w->row.id;
+	}
+	return n_ids;
+}
+
 static bool request_tickets(struct sched *s, struct sched_step *step,
 			    struct sched_worker **list, int32_t n,
 			    int64_t now_ms)
 {
 	const char *ids[ADVICE_WORKERS_MAX];
-	int32_t n_ids = 0;
+	int32_t n_ids;
 
 	if (step->advice_sent_ms &&
 	    now_ms < step->advice_sent_ms + ADVICE_RETRY_MS)
 		return false;
-	for (int32_t i = 0; i < n && n_ids < ADVICE_WORKERS_MAX; i++) {
-		if (sched_fits(step, list[i]) &&
-		    !sched_has_ticket(step, list[i], now_ms))
-			ids[n_ids++] = list[i]->row.id;
-	}
+	n_ids = find_unasked(step, list, n, false, ids, now_ms);
+	if (!n_ids && step->def->is_long_running)
+		n_ids = find_unasked(step, list, n, true, ids, now_ms);
 	if (!n_ids)
 		return false;
 	step->advice_sent_ms = now_ms;
@@ -251,9 +268,6 @@
 	struct sched_step *step = r->step;
 	bool may_fit = true;
 
-	/* If reservations held among overdue tasks, too, room could stay unused
-	 * while one of them waits that fits. */
-	step->uses_reserved = r->overdue;
 	for (int32_t k = 0; k < step->def->tasks && !pass_is_over(s); k++) {
 		struct sched_task *t = &step->tasks[k];
 		struct sched_worker *w;
@@ -387,14 +401,19 @@
 static void place_step(struct sched *s, const struct sched_rank *r,
 		       struct sched_worker **list, int64_t now_ms)
 {
-	int32_t n = find_candidates(s, r, false, list, now_ms);
+	int32_t n;
 
+	/* If reservations held among overdue tasks, too, room could stay unused
+	 * while one of them waits that fits. */
+	r->step->uses_reserved = r->overdue;
+	n = find_candidates(s, r, false, list, now_ms);
 	if (n && r->step->def->gang)
 		place_gang(s, r, list, n, now_ms);
 	else if (n)
 		place_tasks(s, r, list, n, now_ms);
 	if (r->overdue && has_ready_task(s, r->step, now_ms))
 		place_on_quarantined(s, r, list, now_ms);
+	r->step->uses_reserved = false;
 }
 
 static bool is_starved(const struct sched *s, const struct sched_step *step,
