Reserve room for gangs that last

A long-running gang needs room for all its members in one pass, reserved none, and when it was overdue was placed at quarantined workers alone, never at these and the sound ones together.

Change: a long-running gang that doesn't fit reserves room for each member; an overdue one is placed at sound and quarantined workers. /sched/gang-finds-room and gang-with-suspect failed before.

--- a/src/coordination/sched_place.c
+++ b/src/coordination/sched_place.c
@@ -217,14 +217,12 @@
 	       now_ms + extra > r->latest_ms;
 }
 
-/* Fills `list` with the workers that may run the step, or with those that may
- * but for their quarantine. Returns their number. */
+/* Fills `list` with the workers that may run the step, quarantined ones too if
+ * `quarantined` is set. Returns their number. */
 static int32_t find_candidates(struct sched *s, const struct sched_rank *r,
 			       bool quarantined, struct sched_worker **list,
 			       int64_t now_ms)
 {
-	enum sched_obstacle wanted =
-		quarantined ? SCHED_OBSTACLE_QUARANTINED : SCHED_OBSTACLE_NONE;
 	const struct catalog_queue *q = r->step->round->job->queue;
 	int32_t n = 0;
 
@@ -233,7 +231,11 @@
 	for (guint i = 0; i < s->worker_list->len; i++) {
 		struct sched_worker *w = g_ptr_array_index(s->worker_list, i);
 
-		if (sched_find_obstacle(s, r->step, q, w, now_ms) == wanted)
+		enum sched_obstacle o =
+			sched_find_obstacle(s, r->step, q, w, now_ms);
+
+		if (o == SCHED_OBSTACLE_NONE ||
+		    (quarantined && o == SCHED_OBSTACLE_QUARANTINED))
 			list[n++] = w;
 	}
 	if (*r->step->def->data_rack && prefers_data_rack(s, r, now_ms))
@@ -291,6 +293,18 @@
 	}
 }
 
+static void reserve_for_gang(struct sched *s, const struct sched_rank *r,
+			     struct sched_worker **list, int32_t n,
+			     int64_t now_ms)
+{
+	if (!r->step->def->is_long_running)
+		return;
+	for (int32_t k = 0; k < r->step->def->tasks; k++) {
+		if (!sched_reserve_room(s, r, list, n, now_ms))
+			return;
+	}
+}
+
 /* Starts all members of a gang or none: a member that waits for others would
  * occupy room to no use. */
 static void place_gang(struct sched *s, const struct sched_rank *r,
@@ -320,8 +334,10 @@
 	}
 	for (int32_t k = 0; k < placed; k++)
 		sched_run_free(s, step->tasks[k].runs);
-	if (placed < count)
+	if (placed < count) {
+		reserve_for_gang(s, r, list, n, now_ms);
 		goto out;
+	}
 	step->gang_run = number;
 	for (int32_t k = 0; k < count; k++)
 		start_task(s, &step->tasks[k], chosen[k], number, now_ms);
@@ -380,10 +396,6 @@
 
 	if (!n)
 		return;
-	if (step->def->gang) {
-		place_gang(s, r, list, n, now_ms);
-		return;
-	}
 	for (int32_t k = 0; k < step->def->tasks && !pass_is_over(s); k++) {
 		struct sched_task *t = &step->tasks[k];
 		struct sched_worker *w;
@@ -401,17 +413,20 @@
 static void place_step(struct sched *s, const struct sched_rank *r,
 		       struct sched_worker **list, int64_t now_ms)
 {
+	bool gang = r->step->def->gang;
 	int32_t n;
 
 	/* If reservations held among overdue tasks, too, room could stay unused
 	 * while one of them waits that fits. */
 	r->step->uses_reserved = r->overdue;
-	n = find_candidates(s, r, false, list, now_ms);
-	if (n && r->step->def->gang)
+	/* The members of a gang start at sound and quarantined workers, or not
+	 * at all. */
+	n = find_candidates(s, r, gang && r->overdue, list, now_ms);
+	if (n && gang)
 		place_gang(s, r, list, n, now_ms);
 	else if (n)
 		place_tasks(s, r, list, n, now_ms);
-	if (r->overdue && has_ready_task(s, r->step, now_ms))
+	if (r->overdue && !gang && has_ready_task(s, r->step, now_ms))
 		place_on_quarantined(s, r, list, now_ms);
 	r->step->uses_reserved = false;
 }
