--- a/src/coordination/sched_place.c
+++ b/src/coordination/sched_place.c
@@ -213,7 +213,7 @@
 	int64_t extra = r->step->def->expected_ms *
 			(s->lim.off_rack_factor_milli - 1000) / 1000;
 
-	return now_ms - r->step->ready_ms < extra &&
+	return !r->overdue && now_ms - r->step->ready_ms < extra &&
 	       now_ms + extra > r->latest_ms;
 }
 
