--- a/src/coordination/sched_place.c
+++ b/src/coordination/sched_place.c
@@ -164,28 +164,34 @@
 }
 
 /* Returns the rack where the step already runs, else the one with most room. */
-static const char *choose_rack(const struct sched_step *step,
+static const char *choose_rack(struct sched *s, const struct sched_step *step,
 			       struct sched_worker **list, int32_t n)
 {
+	GHashTable *rooms =
+		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
 	const char *best = NULL;
 	int64_t best_room = -1;
 
 	for (int32_t i = 0; i < n; i++) {
-		int64_t room = 0;
-
-		if (sched_count_tasks_at(step, list[i]))
-			return list[i]->row.rack;
-		for (int32_t k = 0; k < n; k++) {
-			if (strcmp(list[k]->row.rack, list[i]->row.rack))
-				continue;
-			room += list[k]->row.total.cpu_milli -
-				list[k]->used.cpu_milli;
-		}
-		if (room > best_room) {
-			best_room = room;
+		const struct place_resources *total = &list[i]->row.total;
+		int64_t *room = g_hash_table_lookup(rooms, list[i]->row.rack);
+
+		s->pass_work += 1 + (int64_t)list[i]->runs.length;
+		if (sched_count_tasks_at(step, list[i])) {
 			best = list[i]->row.rack;
+			break;
 		}
+		if (!room) {
+			room = g_new0(int64_t, 1);
+			g_hash_table_insert(rooms, list[i]->row.rack, room);
+		}
+		*room += MAX(0, total->cpu_milli - list[i]->used.cpu_milli);
+		if (*room <= best_room)
+			continue;
+		best = list[i]->row.rack;
+		best_room = *room;
 	}
+	g_hash_table_destroy(rooms);
 	return best;
 }
 
@@ -228,6 +234,7 @@
 
 	if (!q)
 		return 0;
+	s->pass_work += s->worker_list->len;
 	for (guint i = 0; i < s->worker_list->len; i++) {
 		struct sched_worker *w = g_ptr_array_index(s->worker_list, i);
 
@@ -241,7 +248,7 @@
 	if (*r->step->def->data_rack && prefers_data_rack(s, r, now_ms))
 		n = filter_rack(list, n, r->step->def->data_rack);
 	if (r->step->def->one_rack && n) {
-		const char *rack = choose_rack(r->step, list, n);
+		const char *rack = choose_rack(s, r->step, list, n);
 
 		if (rack)
 			n = filter_rack(list, n, rack);
--- a/tests/unit_suspect.c
+++ b/tests/unit_suspect.c
@@ -181,8 +181,36 @@
 	g_assert_cmpint(w.quarantine_until_ms, ==, 1000 + 5000);
 }
 
+#define MANY_WORKERS 350
+
+/* The work of a pass is bounded by what it counts: the choice of a rack, which
+ * looks at all workers, has to count, too. */
+static void test_rack_choice_is_counted(void)
+{
+	struct sched_fixture p;
+	struct jobspec *spec;
+	char id[16];
+
+	fixture_open(&p, 1, NULL);
+	for (int i = 0; i < MANY_WORKERS; i++) {
+		g_snprintf(id, sizeof(id), "w%d", i);
+		fixture_add_worker(&p, id, i % 2 ? "r" : "s");
+		fixture_poll(&p, id, NULL, 0, NULL, 0, 10);
+	}
+	spec = fixture_spec("a", "short", 1, 1);
+	spec->steps[0].cpu_milli = 9000;
+	spec->steps[0].one_rack = true;
+	fixture_add_job(&p, spec);
+	sched_place(&p.s, 100);
+	/* Candidates, racks, and the workers of one rack. */
+	g_assert_cmpint(p.s.pass_work, >=, 2 * MANY_WORKERS + MANY_WORKERS / 2);
+	fixture_close(&p);
+}
+
 void unit_add_suspect(void)
 {
+	g_test_add_func("/sched/rack-choice-is-counted",
+			test_rack_choice_is_counted);
 	g_test_add_func("/sched/suspect-in-domain-out",
 			test_suspect_in_domain_out);
 	g_test_add_func("/sched/suspect-without-label",
