Give up tasks that crash their workers

Cause: a run that is lost with its worker was dropped and started again like one that was cut off; nothing told a crash from a cut, and nothing counted. (Class: a retry without a limit.)

Change: a worker crashed if its VM has a later worker, or its id a later birth, while runs there had not ended. The crash counts against each task there, by the number of its run, in the job's progress row. A task with a crash runs apart: no other starts at its worker for a second. If that worker crashes too, the task is given up and its job fails; after two crashes it runs apart for ten seconds and is cleared if it comes through; four crashes suffice in any case. Of many crashes at once only those count under which the worker had never reported the run.

--- a/src/coordination/sched.c
+++ b/src/coordination/sched.c
@@ -46,6 +46,8 @@
 	s->worker_list = g_ptr_array_new();
 	g_queue_init(&s->ready_steps);
 	g_queue_init(&s->dirty_jobs);
+	g_queue_init(&s->lost_workers);
+	g_queue_init(&s->given_up);
 }
 
 static void free_worker(struct sched *s, struct sched_worker *w)
@@ -65,6 +67,7 @@
 	for (GList *i = ids; i; i = i->next)
 		sched_job_remove(s, i->data);
 	g_list_free(ids);
+	sched_crash_finish(s);
 	while (s->worker_list->len)
 		free_worker(s, g_ptr_array_index(s->worker_list, 0));
 	g_hash_table_destroy(s->mean_work);
@@ -147,8 +150,10 @@
 }
 
 static void start_incarnation(struct sched *s, struct sched_worker *w,
-			      int64_t now_ms)
+			      bool was_leaving, int64_t now_ms)
 {
+	if (!was_leaving)
+		sched_crash_worker_restarted(s, w, now_ms);
 	end_old_incarnation(s, w, now_ms);
 	w->inherited_runs_known |= w->reconciled;
 	w->reconciled = false;
@@ -174,6 +179,7 @@
 	struct sched_worker *w = g_hash_table_lookup(s->workers, row->id);
 	bool restarted = w && w->row.born_ms && row->born_ms &&
 			 w->row.born_ms < row->born_ms;
+	bool was_leaving = w && (w->row.draining || w->evacuating);
 
 	if (!w) {
 		w = talloc_zero(NULL, struct sched_worker);
@@ -201,8 +207,9 @@
 	w->row = *row;
 	w->row_outdated = false;
 	w->listed = true;
+	sched_crash_worker_listed(s, row, now_ms);
 	if (restarted)
-		start_incarnation(s, w, now_ms);
+		start_incarnation(s, w, was_leaving, now_ms);
 }
 
 void sched_worker_unlisted(struct sched *s, const char *id, int64_t now_ms)
@@ -272,9 +279,9 @@
 void sched_expire_runs(struct sched *s, struct sched_worker *w, int64_t now_ms,
 		       const char *why)
 {
-	(void)now_ms;
 	if (w->runs.length)
 		s->ops->log_decision(s->priv, "worker lost", NULL, w, why);
+	sched_crash_worker_lost(s, w, now_ms);
 	while (w->runs.head)
 		drop_lost_run(s, w->runs.head->data);
 	w->lease_end_clock_ms = 0;
@@ -342,6 +349,7 @@
 		if (job->spec->rounds && !sched_job_has_ended(job))
 			sched_create_due_rounds(s, job, now_ms, wall_ms);
 	}
+	sched_crash_tick(s, now_ms, wall_ms);
 	sched_check_stalls(s, now_ms);
 	sched_check_waits(s, now_ms);
 	sched_move_paused(s, now_ms);
--- a/src/coordination/sched.h
+++ b/src/coordination/sched.h
@@ -139,6 +139,9 @@
 	int64_t measured_ms; /* the worker's measured_ms, if of one report */
 	int64_t unused_milli; /* reserved CPU that it leaves unused */
 	int64_t over_target_since_ms; /* 0: tail latency within the target */
+	/* No other task starts at the worker: workers have crashed under the
+	 * task before, and this run has not shown yet that it is harmless. */
+	bool isolated;
 	bool stopping; /* a stop was sent and no end is reported yet */
 	int64_t stop_sent_ms;
 };
@@ -152,6 +155,8 @@
 	int32_t last_ended_run; /* highest run number known to have ended */
 	int32_t failures; /* length of failed_runs */
 	int32_t *failed_runs; /* numbers of failed runs, unsorted, no doubles */
+	int32_t crashes; /* length of crashed_runs */
+	int32_t *crashed_runs; /* runs under which a worker crashed */
 	int64_t not_before_ms; /* retry delay after a failure */
 	int64_t idle_since_ms; /* no run is active since then; 0: one is */
 	char *checkpoint; /* NULL if none */
@@ -248,6 +253,7 @@
 	const struct sched_step *reserved_for; /* latest reservation */
 	int32_t n_reserved; /* tasks of that step */
 	int32_t foreign_runs; /* reported runs that this owner doesn't track */
+	int32_t n_isolated; /* runs that keep other tasks from starting here */
 	int32_t n_small; /* small tasks, see sched_is_small() */
 	int32_t n_best_effort; /* best-effort tasks */
 	int64_t best_effort_milli; /* CPU that their paces allow them */
@@ -313,8 +319,13 @@
 	int64_t done, failed, stopped, lease_expired, gang_broken,
 		gang_incomplete, evicted, moved;
 	int64_t jobs_done, jobs_failed, jobs_cancelled;
+	int64_t crashes; /* of workers, while tasks ran there */
+	int64_t given_up; /* tasks under which workers crashed */
 };
 
+/* Most crashes of workers that are remembered to tell a series of them. */
+#define SCHED_CRASHES_RECENT 3
+
 /* Bounds on the leases that previous owners of the shard may have granted. */
 struct sched_prev_owner {
 	int64_t renews_until_ms; /* none of them renews a lease later */
@@ -379,6 +390,12 @@
 	 * started: a successor holds back only jobs older than its claim. */
 	int64_t start_before_version;
 	struct interfere interfere;
+	/* Workers that fell silent with runs (struct lost_worker); whether they
+	 * crashed is known once their VM has a new worker. */
+	GQueue lost_workers;
+	GQueue given_up; /* ids of jobs that the next tick ends as failed */
+	int64_t crashed_ms[SCHED_CRASHES_RECENT]; /* last crashes, newest first
+						   */
 	struct sched_counts counts;
 };
 
--- /dev/null
+++ b/src/coordination/sched_crash.c
@@ -0,0 +1,299 @@
+/*
+ * Tasks that crash their workers. Each crash counts against all tasks that ran
+ * at the worker. A task with a crash is started apart: no other task starts at
+ * its worker until it has run there for a while. If the worker crashes before,
+ * the task is given up and its job fails.
+ */
+#include <stdio.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "coordination/sched_int.h"
+
+/* How long a task runs apart after one crash, and after more: the next one
+ * decides. In ms. */
+#define APART_MS 1000
+#define APART_REPEATED_MS 10000
+/* Crashes after which a task is given up even if it never ran apart. */
+#define CRASHES_MAX 4
+/* More crashes than SCHED_CRASHES_RECENT within this time, in ms, have another
+ * cause, such as the loss of a failure domain: they count only against tasks
+ * that no worker has reported running. */
+#define SERIES_MS 3000
+/* The VM of a lost worker has a new one within this time, in ms, or isn't
+ * expected to get one. */
+#define REMEMBER_LOST_MS 60000
+/* Most lost workers that are remembered. */
+#define LOST_WORKERS_MAX 512
+
+/* A run that was active, or may have been, when its worker was lost. */
+struct lost_run {
+	struct sched_ref ref;
+	bool reported; /* by the worker */
+	bool isolated;
+};
+
+struct lost_worker {
+	char id[SCHED_ID_MAX];
+	char vm[SCHED_ID_MAX];
+	char address[48];
+	int64_t born_ms;
+	int64_t lost_ms;
+	int32_t n_runs;
+	struct lost_run runs[];
+};
+
+bool sched_crash_count(struct sched_task *t, int32_t run)
+{
+	for (int32_t i = 0; i < t->crashes; i++) {
+		if (t->crashed_runs[i] == run)
+			return false;
+	}
+	t->crashed_runs = talloc_realloc(t->step->round, t->crashed_runs,
+					 int32_t, t->crashes + 1);
+	t->crashed_runs[t->crashes++] = run;
+	return true;
+}
+
+void sched_isolate_run(struct sched_run *run, bool on)
+{
+	run->worker->n_isolated += on - run->isolated;
+	run->isolated = on;
+}
+
+/* The start of the run took effect after the crash that was counted. */
+static void uncount(struct sched *s, struct sched_run *run)
+{
+	struct sched_task *t = run->task;
+
+	for (int32_t i = 0; i < t->crashes; i++) {
+		if (t->crashed_runs[i] != run->number)
+			continue;
+		t->crashed_runs[i] = t->crashed_runs[--t->crashes];
+		sched_mark_dirty(s, t->step->round->job);
+		return;
+	}
+}
+
+void sched_crash_run_reported(struct sched *s, struct sched_run *run,
+			      int64_t now_ms)
+{
+	struct sched_task *t = run->task;
+	int64_t apart_ms = t->crashes > 1 ? APART_REPEATED_MS : APART_MS;
+
+	uncount(s, run);
+	if (!run->isolated || now_ms - run->started_ms < apart_ms)
+		return;
+	sched_isolate_run(run, false);
+	if (t->crashes < 2)
+		return;
+	/* Harmless for that long: the crashes had other causes. */
+	t->crashes = 0;
+	sched_mark_dirty(s, t->step->round->job);
+}
+
+/* Returns whether the crash is one of many at about the same time. */
+static bool is_in_series(struct sched *s, int64_t now_ms)
+{
+	int64_t oldest_ms = s->crashed_ms[SCHED_CRASHES_RECENT - 1];
+
+	memmove(&s->crashed_ms[1], s->crashed_ms,
+		sizeof(s->crashed_ms) - sizeof(s->crashed_ms[0]));
+	s->crashed_ms[0] = now_ms;
+	return oldest_ms && now_ms - oldest_ms < SERIES_MS;
+}
+
+static bool is_convicted(const struct sched_task *t, const struct lost_run *run)
+{
+	return t->crashes >= CRASHES_MAX || (run->isolated && t->crashes > 1);
+}
+
+static void give_up(struct sched *s, struct sched_task *t)
+{
+	s->counts.given_up++;
+	/* Its job ends with the next tick; it must not start before. */
+	t->not_before_ms = INT64_MAX;
+	g_queue_push_tail(&s->given_up,
+			  g_strdup(t->step->round->job->spec->id));
+}
+
+static void count_against(struct sched *s, const struct lost_run *run,
+			  const struct sched_worker *w)
+{
+	struct sched_task *t = sched_find_task(s, &run->ref);
+	bool convicted;
+	char text[80];
+
+	if (!t || sched_job_has_ended(t->step->round->job))
+		return;
+	/* The members of a gang crash a worker together. */
+	if (t->step->def->gang)
+		t = &t->step->tasks[0];
+	if (t->done || !sched_crash_count(t, run->ref.run))
+		return;
+	/* So that a successor uses higher numbers, which count anew. */
+	t->last_ended_run = MAX(t->last_ended_run, run->ref.run);
+	sched_mark_dirty(s, t->step->round->job);
+	convicted = is_convicted(t, run);
+	snprintf(text, sizeof(text), "crashes=%d reported=%d apart=%d%s",
+		 t->crashes, run->reported, run->isolated,
+		 convicted ? "; given up" : "");
+	s->ops->log_decision(s->priv, "crash counted", &run->ref, w, text);
+	if (convicted)
+		give_up(s, t);
+}
+
+static void count_crash(struct sched *s, const struct lost_run *runs, int32_t n,
+			const struct sched_worker *w, int64_t now_ms)
+{
+	bool in_series = is_in_series(s, now_ms);
+
+	s->counts.crashes++;
+	for (int32_t i = 0; i < n; i++) {
+		if (!in_series || !runs[i].reported)
+			count_against(s, &runs[i], w);
+	}
+}
+
+static struct lost_worker *describe(const struct sched_worker *w,
+				    int64_t now_ms)
+{
+	struct lost_worker *lost = g_malloc0(
+		sizeof(*lost) + w->runs.length * sizeof(lost->runs[0]));
+
+	g_strlcpy(lost->id, w->row.id, sizeof(lost->id));
+	g_strlcpy(lost->vm, w->row.vm, sizeof(lost->vm));
+	g_strlcpy(lost->address, w->row.address, sizeof(lost->address));
+	lost->born_ms = w->row.born_ms;
+	lost->lost_ms = now_ms;
+	for (const GList *i = w->runs.head; i; i = i->next) {
+		const struct sched_run *run = i->data;
+		struct lost_run *to = &lost->runs[lost->n_runs++];
+
+		sched_run_ref(run, &to->ref);
+		to->reported = run->reported;
+		to->isolated = run->isolated;
+	}
+	return lost;
+}
+
+/* Returns whether the row is of a later worker in the place of the lost one. */
+static bool replaces(const struct sched_worker_row *row,
+		     const struct lost_worker *lost)
+{
+	if (row->born_ms <= lost->born_ms || !lost->born_ms)
+		return false;
+	return (*lost->vm && !strcmp(row->vm, lost->vm)) ||
+	       (*lost->address && !strcmp(row->address, lost->address));
+}
+
+static const struct sched_worker *find_replacement(const struct sched *s,
+						   const struct lost_worker *l)
+{
+	for (guint i = 0; i < s->worker_list->len; i++) {
+		const struct sched_worker *w =
+			g_ptr_array_index(s->worker_list, i);
+
+		if (w->listed && replaces(&w->row, l))
+			return w;
+	}
+	return NULL;
+}
+
+void sched_crash_worker_lost(struct sched *s, const struct sched_worker *w,
+			     int64_t now_ms)
+{
+	struct lost_worker *lost;
+
+	if (!w->runs.length || w->row.draining || w->evacuating)
+		return;
+	lost = describe(w, now_ms);
+	if (find_replacement(s, lost)) {
+		count_crash(s, lost->runs, lost->n_runs, w, now_ms);
+		g_free(lost);
+		return;
+	}
+	g_queue_push_tail(&s->lost_workers, lost);
+	if (s->lost_workers.length > LOST_WORKERS_MAX)
+		g_free(g_queue_pop_head(&s->lost_workers));
+}
+
+void sched_crash_worker_restarted(struct sched *s, const struct sched_worker *w,
+				  int64_t now_ms)
+{
+	struct lost_worker *lost;
+
+	if (!w->runs.length)
+		return;
+	lost = describe(w, now_ms);
+	count_crash(s, lost->runs, lost->n_runs, w, now_ms);
+	g_free(lost);
+}
+
+static bool is_same_life(const struct sched_worker_row *row,
+			 const struct lost_worker *lost)
+{
+	return !strcmp(row->id, lost->id) &&
+	       (row->born_ms == lost->born_ms || !row->born_ms);
+}
+
+void sched_crash_worker_listed(struct sched *s,
+			       const struct sched_worker_row *row,
+			       int64_t now_ms)
+{
+	GList *next;
+
+	for (GList *i = s->lost_workers.head; i; i = next) {
+		struct lost_worker *lost = i->data;
+		bool crashed = replaces(row, lost);
+
+		next = i->next;
+		if (!crashed && !is_same_life(row, lost))
+			continue;
+		if (crashed)
+			count_crash(s, lost->runs, lost->n_runs,
+				    g_hash_table_lookup(s->workers, row->id),
+				    now_ms);
+		g_queue_delete_link(&s->lost_workers, i);
+		g_free(lost);
+	}
+}
+
+void sched_crash_worker_answered(struct sched *s, const char *id)
+{
+	GList *next;
+
+	for (GList *i = s->lost_workers.head; i; i = next) {
+		struct lost_worker *lost = i->data;
+
+		next = i->next;
+		if (strcmp(lost->id, id))
+			continue;
+		g_queue_delete_link(&s->lost_workers, i);
+		g_free(lost);
+	}
+}
+
+void sched_crash_tick(struct sched *s, int64_t now_ms, int64_t wall_ms)
+{
+	struct lost_worker *lost;
+	char *id;
+
+	while ((id = g_queue_pop_head(&s->given_up))) {
+		struct sched_job *job = g_hash_table_lookup(s->jobs, id);
+
+		if (job && !sched_job_has_ended(job))
+			sched_job_end(s, job, SCHED_JOB_FAILED, now_ms,
+				      wall_ms);
+		g_free(id);
+	}
+	while ((lost = g_queue_peek_head(&s->lost_workers)) &&
+	       now_ms - lost->lost_ms > REMEMBER_LOST_MS)
+		g_free(g_queue_pop_head(&s->lost_workers));
+}
+
+void sched_crash_finish(struct sched *s)
+{
+	g_queue_clear_full(&s->lost_workers, g_free);
+	g_queue_clear_full(&s->given_up, g_free);
+}
--- a/src/coordination/sched_int.h
+++ b/src/coordination/sched_int.h
@@ -111,6 +111,7 @@
 	SCHED_OBSTACLE_CPU,
 	SCHED_OBSTACLE_MEMORY,
 	SCHED_OBSTACLE_ACCELERATORS,
+	SCHED_OBSTACLE_ISOLATED, /* a task there has to run apart */
 	SCHED_OBSTACLE_RESERVED, /* the room is kept for another task */
 	SCHED_OBSTACLE_SPREAD, /* too many tasks of the step */
 	SCHED_OBSTACLE_SLOW, /* serving tasks would slow it down too much */
@@ -179,6 +180,32 @@
 struct sched_worker *sched_choose_starved(struct sched *s,
 					  struct sched_worker **list, int32_t n,
 					  const struct sched_step *step);
+/* The worker's runs are given up since it doesn't answer. Call it before they
+ * are freed. */
+void sched_crash_worker_lost(struct sched *s, const struct sched_worker *w,
+			     int64_t now_ms);
+/* The worker's process was restarted under the same id. Call it before the runs
+ * of the old one are freed. */
+void sched_crash_worker_restarted(struct sched *s, const struct sched_worker *w,
+				  int64_t now_ms);
+/* A worker is listed: it may be the next one on the VM of a lost worker, or the
+ * lost worker itself, which didn't crash then. */
+void sched_crash_worker_listed(struct sched *s,
+			       const struct sched_worker_row *row,
+			       int64_t now_ms);
+/* The worker answers: it didn't crash. */
+void sched_crash_worker_answered(struct sched *s, const char *id);
+/* Ends the jobs of tasks that are given up, and forgets old losses. */
+void sched_crash_tick(struct sched *s, int64_t now_ms, int64_t wall_ms);
+void sched_crash_finish(struct sched *s);
+/* Adds a crash under this run of the task. Returns false if it was counted
+ * before. */
+bool sched_crash_count(struct sched_task *t, int32_t run);
+/* Starts or ends the isolation of a run. */
+void sched_isolate_run(struct sched_run *run, bool on);
+/* A report lists the run: ends the isolation if it has lasted long enough. */
+void sched_crash_run_reported(struct sched *s, struct sched_run *run,
+			      int64_t now_ms);
 
 /* Adds the worker to the roster, or removes it if it is draining and idle: a
  * successor would wait for its lease in vain. */
--- a/src/coordination/sched_job.c
+++ b/src/coordination/sched_job.c
@@ -292,12 +292,12 @@
 	hex[n] = '\0';
 }
 
-static json_t *pack_failed(const struct sched_task *t)
+static json_t *pack_runs(const int32_t *runs, int32_t n)
 {
 	json_t *list = json_array();
 
-	for (int32_t i = 0; i < t->failures; i++)
-		json_array_append_new(list, json_integer(t->failed_runs[i]));
+	for (int32_t i = 0; i < n; i++)
+		json_array_append_new(list, json_integer(runs[i]));
 	return list;
 }
 
@@ -310,12 +310,15 @@
 
 		const char *checkpoint = checkpoints ? t->checkpoint : NULL;
 
-		if (t->done || (!t->last_ended_run && !checkpoint))
+		if (t->done ||
+		    (!t->last_ended_run && !checkpoint && !t->crashes))
 			continue;
 		json_array_append_new(
-			list, json_pack("[i,i,o,s]", t->index,
-					t->last_ended_run, pack_failed(t),
-					checkpoint ? checkpoint : ""));
+			list,
+			json_pack("[i,i,o,s,o]", t->index, t->last_ended_run,
+				  pack_runs(t->failed_runs, t->failures),
+				  checkpoint ? checkpoint : "",
+				  pack_runs(t->crashed_runs, t->crashes)));
 	}
 	return list;
 }
@@ -381,6 +384,8 @@
 			const json_t *row)
 {
 	const json_t *failed = json_array_get(row, 2);
+	/* Absent in rows of older releases. */
+	const json_t *crashed = json_array_get(row, 4);
 	const char *checkpoint = json_string_value(json_array_get(row, 3));
 	struct sched_task *t;
 	const json_t *run;
@@ -404,6 +409,13 @@
 		else
 			log_unusable_progress(s, step->round->job);
 	}
+	json_array_foreach(crashed, i, run)
+	{
+		if (num_integer(run, 0, RUN_MAX, &n))
+			sched_crash_count(t, (int32_t)n);
+		else
+			log_unusable_progress(s, step->round->job);
+	}
 	t->ever_started = true;
 	t->last_run += t->last_ended_run;
 	if (step->gang_run < t->last_run)
--- a/src/coordination/sched_place.c
+++ b/src/coordination/sched_place.c
@@ -113,6 +113,8 @@
 	struct sched_run *run = sched_run_new(s, t, w, number, now_ms);
 	struct sched_ref ref;
 
+	if (t->crashes && !t->step->def->gang)
+		sched_isolate_run(run, true);
 	if (t->step->def->best_effort)
 		sched_record_exploration(s, run, now_ms);
 
--- a/src/coordination/sched_run.c
+++ b/src/coordination/sched_run.c
@@ -121,6 +121,7 @@
 
 	run->task->step->round->job->n_runs--;
 	(void)s;
+	sched_isolate_run(run, false);
 	adjust_usage(run, -1);
 	while (*at != run)
 		at = &(*at)->next_of_task;
@@ -329,6 +330,7 @@
 		run->progressed_ms = now_ms;
 	run->percent = a->percent;
 	run->gauge = a->gauge;
+	sched_crash_run_reported(s, run, now_ms);
 	mark_job_running(s, t->step->round->job);
 	store_checkpoint(t, a->checkpoint);
 	return true;
@@ -412,6 +414,8 @@
 {
 	w->last_answer_ms = now_ms;
 	w->unreachable = false;
+	if (!report->born_ms || report->born_ms == w->row.born_ms)
+		sched_crash_worker_answered(s, w->row.id);
 	if (report->born_ms && w->row.born_ms &&
 	    report->born_ms != w->row.born_ms) {
 		struct sched_worker_row row = w->row;
--- a/src/coordination/sched_wait.c
+++ b/src/coordination/sched_wait.c
@@ -34,6 +34,7 @@
 	[SCHED_OBSTACLE_CPU] = "cpu",
 	[SCHED_OBSTACLE_MEMORY] = "memory",
 	[SCHED_OBSTACLE_ACCELERATORS] = "accelerators",
+	[SCHED_OBSTACLE_ISOLATED] = "isolated",
 	[SCHED_OBSTACLE_RESERVED] = "reserved",
 	[SCHED_OBSTACLE_SPREAD] = "spread",
 	[SCHED_OBSTACLE_SLOW] = "slow",
--- a/src/fleet/wkr_links.c
+++ b/src/fleet/wkr_links.c
@@ -13,6 +13,9 @@
  * tail latency must be seen soon. It covers half a second, so that more
  * frequent polls show much the same. */
 #define POLL_WAIT_PACING_MS 550
+/* The same at workers that are closed to other tasks until a report shows that
+ * a task does no harm. */
+#define POLL_WAIT_ISOLATED_MS 300
 /* Minimum time between an answer and the next poll, in ms: tasks tend to end in
  * groups. */
 #define POLL_GAP_MS 30
@@ -249,6 +252,8 @@
 {
 	if (urgent || !w->reconciled || w->unreachable || !w->runs.length)
 		return 0;
+	if (w->n_isolated)
+		return POLL_WAIT_ISOLATED_MS;
 	if (w->n_serving && w->n_best_effort)
 		return POLL_WAIT_PACING_MS;
 	return POLL_WAIT_MS;
--- a/tests/unit.h
+++ b/tests/unit.h
@@ -26,5 +26,6 @@
 void unit_add_wait(void);
 void unit_add_reserve(void);
 void unit_add_suspect(void);
+void unit_add_crash(void);
 
 #endif
--- a/tests/unit_tests.c
+++ b/tests/unit_tests.c
@@ -37,5 +37,6 @@
 	unit_add_wait();
 	unit_add_reserve();
 	unit_add_suspect();
+	unit_add_crash();
 	return g_test_run();
 }
