Let starved best-effort jobs take turns

Found by reading's change again: the job that had waited longest was tried in each pass, so that one which can start nowhere kept all others waiting.

Change: they take turns. Beside it, the start of what fits is one function for sound and quarantined workers, and so is the reservation for single tasks and gangs; no decision of theirs changes.

/sched/starved-take-turns failed before.

--- a/src/coordination/sched_place.c
+++ b/src/coordination/sched_place.c
@@ -273,47 +273,51 @@
 	return s->pass_work >= PASS_WORK_MAX;
 }
 
-static void place_tasks(struct sched *s, const struct sched_rank *r,
-			struct sched_worker **list, int32_t n, int64_t now_ms)
+/* Starts the step's tasks as far as they fit. Returns whether one is left for
+ * which there is no room. */
+static bool start_fitting(struct sched *s, struct sched_step *step,
+			  struct sched_worker **list, int32_t n, int64_t now_ms)
 {
-	struct sched_step *step = r->step;
-	bool may_fit = true;
-
 	for (int32_t k = 0; k < step->def->tasks && !pass_is_over(s); k++) {
 		struct sched_task *t = &step->tasks[k];
 		struct sched_worker *w;
 
 		if (!sched_task_is_ready(s, t, now_ms))
 			continue;
-		w = may_fit ? sched_choose_worker(s, list, n, step) : NULL;
-		may_fit = w != NULL;
-		if (!w && step->def->is_long_running) {
-			if (!sched_reserve_room(s, r, list, n, now_ms))
-				return;
-			continue;
-		}
-		if (!w) {
-			if (r->tier == 0)
-				sched_evict_for_step(s, r, list, n, now_ms);
-			return;
-		}
+		w = sched_choose_worker(s, list, n, step);
+		if (!w)
+			return true;
 		s->pass_work += START_WORK;
 		start_task(s, t, w, t->last_run + 1, now_ms);
 	}
+	return false;
 }
 
-static void reserve_for_gang(struct sched *s, const struct sched_rank *r,
+/* Reserves room for the step's tasks that are ready. */
+static void reserve_for_step(struct sched *s, const struct sched_rank *r,
 			     struct sched_worker **list, int32_t n,
 			     int64_t now_ms)
 {
-	if (!r->step->def->is_long_running)
-		return;
-	for (int32_t k = 0; k < r->step->def->tasks; k++) {
-		if (!sched_reserve_room(s, r, list, n, now_ms))
+	const struct sched_step *step = r->step;
+
+	for (int32_t k = 0; k < step->def->tasks && !pass_is_over(s); k++) {
+		if (sched_task_is_ready(s, &step->tasks[k], now_ms) &&
+		    !sched_reserve_room(s, r, list, n, now_ms))
 			return;
 	}
 }
 
+static void place_tasks(struct sched *s, const struct sched_rank *r,
+			struct sched_worker **list, int32_t n, int64_t now_ms)
+{
+	if (!start_fitting(s, r->step, list, n, now_ms))
+		return;
+	if (r->step->def->is_long_running)
+		reserve_for_step(s, r, list, n, now_ms);
+	else if (r->tier == SCHED_TIER_IN_TIME)
+		sched_evict_for_step(s, r, list, n, now_ms);
+}
+
 /* Starts all members of a gang or none: a member that waits for others would
  * occupy room to no use. */
 static void place_gang(struct sched *s, const struct sched_rank *r,
@@ -344,7 +348,8 @@
 	for (int32_t k = 0; k < placed; k++)
 		sched_run_free(s, step->tasks[k].runs);
 	if (placed < count) {
-		reserve_for_gang(s, r, list, n, now_ms);
+		if (step->def->is_long_running)
+			reserve_for_step(s, r, list, n, now_ms);
 		goto out;
 	}
 	step->gang_run = number;
@@ -395,30 +400,6 @@
 	return n;
 }
 
-/* Starts long-running tasks that fit nowhere else at quarantined workers: their
- * failures cost no attempts, and they may well do. */
-static void place_on_quarantined(struct sched *s, const struct sched_rank *r,
-				 struct sched_worker **list, int64_t now_ms)
-{
-	struct sched_step *step = r->step;
-	int32_t n = find_candidates(s, r, true, list, now_ms);
-
-	if (!n)
-		return;
-	for (int32_t k = 0; k < step->def->tasks && !pass_is_over(s); k++) {
-		struct sched_task *t = &step->tasks[k];
-		struct sched_worker *w;
-
-		if (!sched_task_is_ready(s, t, now_ms))
-			continue;
-		w = sched_choose_worker(s, list, n, step);
-		if (!w)
-			return;
-		s->pass_work += START_WORK;
-		start_task(s, t, w, t->last_run + 1, now_ms);
-	}
-}
-
 static void place_step(struct sched *s, const struct sched_rank *r,
 		       struct sched_worker **list, int64_t now_ms)
 {
@@ -435,8 +416,12 @@
 		place_gang(s, r, list, n, now_ms);
 	else if (n)
 		place_tasks(s, r, list, n, now_ms);
-	if (r->overdue && !gang && has_ready_task(s, r->step, now_ms))
-		place_on_quarantined(s, r, list, now_ms);
+	/* At quarantined workers, too, if need be: long-running tasks have no
+	 * attempts to lose there. */
+	if (r->overdue && !gang && has_ready_task(s, r->step, now_ms)) {
+		n = find_candidates(s, r, true, list, now_ms);
+		start_fitting(s, r->step, list, n, now_ms);
+	}
 	r->step->uses_reserved = false;
 }
 
@@ -449,27 +434,37 @@
 	       has_ready_task(s, step, now_ms);
 }
 
-/* Starts a task of the job that waits longest, one in each pass. */
+static bool goes_before(const struct sched_step *a, const struct sched_step *b)
+{
+	if (a->starved_turn_ms != b->starved_turn_ms)
+		return a->starved_turn_ms < b->starved_turn_ms;
+	return a->ready_ms < b->ready_ms;
+}
+
+/* Starts one task of a starved job in each pass: the jobs take turns, first the
+ * one that waits longest. */
 static void place_starved(struct sched *s, const struct sched_rank *ranks,
 			  int32_t n_ranks, struct sched_worker **list,
 			  int64_t now_ms)
 {
-	const struct sched_rank *oldest = NULL;
+	const struct sched_rank *next = NULL;
+	struct sched_step *step;
 	struct sched_worker *w;
 	int32_t n;
 
 	for (int32_t i = 0; i < n_ranks; i++) {
 		if (is_starved(s, ranks[i].step, now_ms) &&
-		    (!oldest ||
-		     ranks[i].step->ready_ms < oldest->step->ready_ms))
-			oldest = &ranks[i];
+		    (!next || goes_before(ranks[i].step, next->step)))
+			next = &ranks[i];
 	}
-	if (!oldest)
+	if (!next)
 		return;
-	n = find_candidates(s, oldest, false, list, now_ms);
-	w = sched_choose_starved(s, list, n, oldest->step);
-	for (int32_t k = 0; w && k < oldest->step->def->tasks; k++) {
-		struct sched_task *t = &oldest->step->tasks[k];
+	step = next->step;
+	step->starved_turn_ms = now_ms;
+	n = find_candidates(s, next, false, list, now_ms);
+	w = sched_choose_starved(s, list, n, step);
+	for (int32_t k = 0; w && k < step->def->tasks; k++) {
+		struct sched_task *t = &step->tasks[k];
 
 		if (!sched_task_is_ready(s, t, now_ms))
 			continue;
--- a/tests/unit_pace.c
+++ b/tests/unit_pace.c
@@ -340,6 +340,31 @@
 	fixture_close(&p);
 }
 
+/* The same while a job that can start nowhere has waited for longer. */
+static void test_starved_take_turns(void)
+{
+	struct jobspec *stuck = fixture_spec("0", "long", 1, 1);
+	struct sched_fixture p;
+	struct sched_active a;
+
+	open_serving_and_batch(&p, 1, 800);
+	stuck->steps[0].best_effort = true;
+	g_strlcpy(stuck->steps[0].label, "none", sizeof(stuck->steps[0].label));
+	fixture_add_job(&p, stuck)->rounds->steps[0].ready_ms = -1000;
+	a = fixture_active(fixture_start(&p, 0), 100);
+	a.gauge = 25;
+	fixture_worker(&p, "w")->row.total.cpu_milli = 16000;
+	fixture_poll(&p, "w", &a, 1, NULL, 0, 400);
+	teach_pair(&p, 0.1, 2.0);
+	for (int64_t t = 410; t < 12000; t += 400) {
+		fixture_poll(&p, "w", &a, 1, NULL, 0, t);
+		sched_tick(&p.s, t, 0);
+		sched_place(&p.s, t);
+	}
+	g_assert_cmpuint(p.starts->len, ==, 2);
+	fixture_close(&p);
+}
+
 /*
  * Many images of best-effort tasks and no measurements yet (the grown sites
  * have 10 serving images and 18 others). An unknown pair is explored at one
@@ -435,6 +460,7 @@
 	g_test_add_func("/sched/tail-shows-what-left", test_stale_tail_latency);
 	g_test_add_func("/sched/harmful-not-begun",
 			test_harmful_is_not_started);
+	g_test_add_func("/sched/starved-take-turns", test_starved_take_turns);
 	g_test_add_func("/sched/harmful-starts-in-the-end",
 			test_harmful_starts_in_the_end);
 	g_test_add_func("/sched/one-try-at-a-time",
