--- a/src/coordination/sched_place.c
+++ b/src/coordination/sched_place.c
@@ -312,7 +312,7 @@
 {
 	if (!start_fitting(s, r->step, list, n, now_ms))
 		return;
-	if (r->step->def->is_long_running)
+	if (r->overdue)
 		reserve_for_step(s, r, list, n, now_ms);
 	else if (r->tier == SCHED_TIER_IN_TIME)
 		sched_evict_for_step(s, r, list, n, now_ms);
@@ -348,7 +348,7 @@
 	for (int32_t k = 0; k < placed; k++)
 		sched_run_free(s, step->tasks[k].runs);
 	if (placed < count) {
-		if (step->def->is_long_running)
+		if (r->overdue)
 			reserve_for_step(s, r, list, n, now_ms);
 		goto out;
 	}
--- a/tests/unit_reserve.c
+++ b/tests/unit_reserve.c
@@ -123,6 +123,16 @@
 	return n;
 }
 
+/* Adds a job of one step whose tasks are idle for long, so that they may
+ * reserve room. */
+static void add_overdue(struct sched_fixture *p, struct jobspec *spec)
+{
+	struct sched_step *step = fixture_add_job(p, spec)->rounds->steps;
+
+	for (int32_t k = 0; k < step->def->tasks; k++)
+		step->tasks[k].idle_since_ms = -3000;
+}
+
 /* Room is reserved where little is missing, though it is held by a task that
  * runs for an hour; elsewhere room would be free within a second. */
 static void test_reserved_beside_hour_long(void)
@@ -296,7 +306,7 @@
 	fixture_worker(&p, "w")->used.cpu_milli = 8000;
 	spec = fixture_long_running("a", 3000, 2);
 	spec->steps[0].spread_max = 1;
-	fixture_add_job(&p, spec);
+	add_overdue(&p, spec);
 	fixture_pass_time(&p, 100, 200);
 	g_assert_cmpint(fixture_worker(&p, "v")->reserved.cpu_milli, ==, 3000);
 	g_assert_cmpint(fixture_worker(&p, "w")->reserved.cpu_milli, ==, 3000);
@@ -324,7 +334,7 @@
 	fixture_started(&p, fixture_start(&p, 1), 30);
 	spec = fixture_long_running("f", 4000, 1);
 	spec->steps[0].best_effort = true;
-	fixture_add_job(&p, spec);
+	add_overdue(&p, spec);
 	fixture_pass_time(&p, 100, 300);
 	g_assert_cmpuint(p.stops->len, ==, 0);
 	g_assert_cmpint(fixture_worker(&p, "w")->reserved.cpu_milli, ==, 0);
@@ -366,7 +376,7 @@
 	/* Half of `half` is free now and kept for this one. */
 	g_assert_cmpint(fixture_worker(&p, "half")->used.cpu_milli, ==, 4000);
 	fixture_worker(&p, "low")->long_lived.cpu_milli = 1000;
-	fixture_add_job(&p, fixture_long_running("a", 8000, 1));
+	add_overdue(&p, fixture_long_running("a", 8000, 1));
 	fixture_add_job(&p, fixture_spec("u", "short", 1, 1));
 	fixture_pass_time(&p, 100, 1500);
 	g_assert_cmpint(fixture_worker(&p, "half")->reserved.cpu_milli, ==,
@@ -401,7 +411,7 @@
 	/* Job b, the older run, is being stopped. */
 	sched_job_cancel(&p.s, "b", 40, 1000040);
 	g_assert_cmpuint(p.stops->len, ==, 1);
-	fixture_add_job(&p, fixture_long_running("a", 4000, 1));
+	add_overdue(&p, fixture_long_running("a", 4000, 1));
 	fixture_pass_time(&p, 100, 200);
 	g_assert_cmpuint(p.stops->len, ==, 1);
 	fixture_close(&p);
@@ -428,7 +438,7 @@
 	g_assert_cmpuint(p.starts->len, ==, 2);
 	fixture_started(&p, fixture_start(&p, 0), 30);
 	fixture_started(&p, fixture_start(&p, 1), 30);
-	fixture_add_job(&p, fixture_long_running("a", 8000, 1));
+	add_overdue(&p, fixture_long_running("a", 8000, 1));
 	fixture_pass_time(&p, 100, 200);
 	g_assert_cmpuint(p.stops->len, ==, 0);
 	fixture_close(&p);
@@ -455,39 +465,12 @@
 		fixture_started(&p, fixture_start(&p, i), 30);
 	spec = fixture_long_running("a", 100, 1);
 	spec->steps[0].accelerators = 4;
-	fixture_add_job(&p, spec);
+	add_overdue(&p, spec);
 	fixture_pass_time(&p, 100, 200);
 	g_assert_cmpuint(p.stops->len, ==, 4);
 	fixture_close(&p);
 }
 
-/* Tasks of a long-running step don't fit: the second one can't find what the
- * first one didn't. */
-static void test_cost_of_many_idle(void)
-{
-	struct sched_fixture p;
-	char id[16];
-
-	fixture_open(&p, 1, NULL);
-	for (int i = 0; i < 350; i++) {
-		g_snprintf(id, sizeof(id), "w%d", i);
-		fixture_add_worker(&p, id, "r");
-		fixture_poll(&p, id, NULL, 0, NULL, 0, 10);
-		fixture_worker(&p, id)->used.cpu_milli = 8000;
-		fixture_worker(&p, id)->long_lived.cpu_milli = 8000;
-	}
-	fixture_add_job(&p, fixture_long_running("a", 4000, 5000));
-	sched_place(&p.s, 100);
-	for (int i = 0; i < 350; i++) {
-		g_snprintf(id, sizeof(id), "w%d", i);
-		fixture_worker(&p, id)->used.cpu_milli = 0;
-		fixture_worker(&p, id)->long_lived.cpu_milli = 0;
-	}
-	g_test_message("work %" G_GINT64_FORMAT, p.s.pass_work);
-	g_assert_cmpint(p.s.pass_work, <, 10000);
-	fixture_close(&p);
-}
-
 /* Evacuation ends only as many tasks as find room elsewhere. */
 static void test_evacuation_counts_room_once(void)
 {
@@ -585,7 +568,6 @@
 	g_test_add_func("/sched/no-eviction-in-vain", test_no_eviction_in_vain);
 	g_test_add_func("/sched/accelerators-are-freed",
 			test_accelerators_are_freed);
-	g_test_add_func("/sched/cost-of-many-idle", test_cost_of_many_idle);
 	g_test_add_func("/sched/evacuation-counts-room-once",
 			test_evacuation_counts_room_once);
 	g_test_add_func("/sched/data-rack-is-left", test_data_rack_is_left);
--- a/tests/unit_wait.c
+++ b/tests/unit_wait.c
@@ -136,12 +136,13 @@
 	fixture_add_job(&p, fixture_long_running("a", 8000, 1));
 	e = fixture_end(fixture_start(&p, 0), 1, SCHED_END_DONE);
 	still = fixture_active(fixture_start(&p, 1), 50);
-	fixture_poll(&p, "w", &still, 1, &e, 1, 1000);
-	fixture_pass_time(&p, 1100, 1400);
+	fixture_pass_time(&p, 100, 2400);
+	fixture_poll(&p, "w", &still, 1, &e, 1, 2500);
+	fixture_pass_time(&p, 2500, 2900);
 	g_assert_cmpuint(p.starts->len, ==, 2);
 	e = fixture_end(fixture_start(&p, 1), 2, SCHED_END_DONE);
-	fixture_poll(&p, "w", NULL, 0, &e, 1, 1500);
-	fixture_pass_time(&p, 1600, 1900);
+	fixture_poll(&p, "w", NULL, 0, &e, 1, 3000);
+	fixture_pass_time(&p, 3000, 3400);
 	g_assert_cmpuint(p.starts->len, ==, 3);
 	g_assert_cmpstr(fixture_start(&p, 2)->ref.job, ==, "a");
 	fixture_close(&p);
@@ -194,7 +195,7 @@
 	spec = fixture_long_running("a", 4000, 1);
 	spec->steps[0].mem_mib = 4000;
 	fixture_add_job(&p, spec);
-	fixture_pass_time(&p, 100, 300);
+	fixture_pass_time(&p, 100, 2400);
 	g_assert_cmpuint(p.stops->len, ==, 1);
 	g_assert_cmpuint(p.starts->len, ==, 1);
 	fixture_close(&p);
@@ -247,8 +248,36 @@
 	fixture_close(&p);
 }
 
+/* Tasks of a long-running step don't fit: the second one can't find what the
+ * first one didn't. */
+static void test_cost_of_many_idle(void)
+{
+	struct sched_fixture p;
+	char id[16];
+
+	fixture_open(&p, 1, NULL);
+	for (int i = 0; i < 350; i++) {
+		g_snprintf(id, sizeof(id), "w%d", i);
+		fixture_add_worker(&p, id, "r");
+		fixture_poll(&p, id, NULL, 0, NULL, 0, 10);
+		fixture_worker(&p, id)->used.cpu_milli = 8000;
+		fixture_worker(&p, id)->long_lived.cpu_milli = 8000;
+	}
+	fixture_add_job(&p, fixture_long_running("a", 4000, 5000));
+	sched_place(&p.s, 100);
+	for (int i = 0; i < 350; i++) {
+		g_snprintf(id, sizeof(id), "w%d", i);
+		fixture_worker(&p, id)->used.cpu_milli = 0;
+		fixture_worker(&p, id)->long_lived.cpu_milli = 0;
+	}
+	g_test_message("work %" G_GINT64_FORMAT, p.s.pass_work);
+	g_assert_cmpint(p.s.pass_work, <, 10000);
+	fixture_close(&p);
+}
+
 void unit_add_wait(void)
 {
+	g_test_add_func("/sched/cost-of-many-idle", test_cost_of_many_idle);
 	g_test_add_func("/sched/suspect-worker-is-used",
 			test_suspect_worker_is_used);
 	g_test_add_func("/sched/refusing-worker-rests",
