Use no entry whose address can't be called

An entry of the workers' list that another writer left, with a port out of range or a host name for its address, was taken for a worker.

Seen: with 10.0.0.1:99999 each call fails at once and is repeated every 0.6 s; the "worker" never answers, so that each new owner holds inherited work until leases have expired (up to 9 s).

The platform gives addresses as IP:PORT, and the settings ask for the same.

--- /dev/null
+++ b/tests/unit_odd.c
@@ -0,0 +1,80 @@
+/* Tests of entries of other writers among those of the workers: an odd one
+ * names no worker to use, and the others hold. */
+#include <glib.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "pf_decode.h"
+#include "tests/unit.h"
+
+static bool is_usable(const char *id, const char *address, const char *born)
+{
+	g_autofree char *text = g_strdup_printf(
+		"{\"service\":\"p\",\"addr\":\"%s\",\"zone\":\"z\",\"state\":"
+		"\"ready\",\"capacity\":{\"cpu\":1000},\"born\":%s}",
+		address, born);
+	struct sched_worker_row row;
+	struct err e = { 0 };
+
+	return pf_decode_worker(id, text, &row, &e);
+}
+
+/*
+ * Guards against LOST: an address that can't be called was taken for that of a
+ * worker, for whose answer each new owner waited until leases had expired.
+ */
+static void test_address(void)
+{
+	static const char *const good[] = { "10.0.0.1:1", "10.200.1.7:65535",
+					    "[::1]:80" };
+	static const char *const odd[] = {
+		"10.0.0.1:99999",
+		"10.0.0.1:65536",
+		"10.0.0.1:0",
+		"10.0.0.1:-1",
+		"10.0.0.1:+1",
+		"10.0.0.1: 1",
+		"10.0.0.1:1 ",
+		"10.0.0.1:00080",
+		"10.0.0.1:12345678901234567890",
+		"10.0.0.1:",
+		"10.0.0.1",
+		":80",
+		"80",
+		"256.0.0.1:80",
+		"10.0.0:80",
+		"::1:80",
+		"[::1:80",
+		"[10.0.0.1]:80",
+		"[]:80",
+		"10.0.0.1:80/v1",
+		"10.0.0.1/x:80",
+		"u@10.0.0.1:80",
+		"http://10.0.0.1:80",
+		"10.0.0.1:80\\r\\nHost: x",
+		"10.0.0.1\\n:80",
+	};
+
+	for (size_t i = 0; i < G_N_ELEMENTS(good); i++)
+		g_assert_true(is_usable("i-1", good[i], "5"));
+	for (size_t i = 0; i < G_N_ELEMENTS(odd); i++) {
+		g_test_message("%s", odd[i]);
+		g_assert_false(is_usable("i-1", odd[i], "5"));
+	}
+}
+
+/*
+ * Guards against a stalled process: the address of a worker was a host name,
+ * and when the call's time was over, the loop waited for the name service.
+ */
+static void test_host_name(void)
+{
+	g_assert_false(is_usable("i-1", "worker.example:80", "5"));
+	g_assert_false(is_usable("i-1", "localhost:80", "5"));
+}
+
+void unit_add_odd(void)
+{
+	g_test_add_func("/odd/address", test_address);
+	g_test_add_func("/odd/host-name", test_host_name);
+}
--- a/tests/unit_tests.c
+++ b/tests/unit_tests.c
@@ -31,6 +31,7 @@
 	unit_add_lives();
 	unit_add_stale();
 	unit_add_state();
+	unit_add_odd();
 	unit_add_owner_age();
 	unit_add_restart();
 	unit_add_upkeep();
