--- a/tests/unit_odd.c
+++ b/tests/unit_odd.c
@@ -73,8 +73,30 @@
 	g_assert_false(is_usable("i-1", "localhost:80", "5"));
 }
 
+/*
+ * Guards against header lines that an id adds to calls, against lines that it
+ * adds to the log, and against TWICE: the empty id is that of the workers
+ * missing from an incomplete roster.
+ */
+static void test_id(void)
+{
+	static const char *const odd[] = { "",	   "a b", "a\r\nX: 1",
+					   "a\n",  "a\t", "a\x01",
+					   "a\"b", "a\\", "\xc3\xa9" };
+	g_autofree char *longest = g_strnfill(SCHED_ID_MAX - 1, 'a');
+	g_autofree char *long_id = g_strnfill(200, 'a');
+
+	g_assert_true(is_usable("i-m0-1", "10.0.0.1:1", "5"));
+	g_assert_true(is_usable("A.b_c:9", "10.0.0.1:1", "5"));
+	g_assert_true(is_usable(longest, "10.0.0.1:1", "5"));
+	g_assert_false(is_usable(long_id, "10.0.0.1:1", "5"));
+	for (size_t i = 0; i < G_N_ELEMENTS(odd); i++)
+		g_assert_false(is_usable(odd[i], "10.0.0.1:1", "5"));
+}
+
 void unit_add_odd(void)
 {
 	g_test_add_func("/odd/address", test_address);
 	g_test_add_func("/odd/host-name", test_host_name);
+	g_test_add_func("/odd/id", test_id);
 }
