--- a/tests/unit_odd.c
+++ b/tests/unit_odd.c
@@ -94,9 +94,38 @@
 		g_assert_false(is_usable(odd[i], "10.0.0.1:1", "5"));
 }
 
+/*
+ * Guards against LOST: a birth beyond all bounds was taken for that of a later
+ * incarnation, so that neither the worker's answers nor its own entries
+ * counted any more.
+ */
+static void test_born(void)
+{
+	static const char *const odd[] = {
+		"1e15",
+		"9007199254740992",
+		"9223372036854775807",
+		"1e300",
+		"-1",
+		"5.5",
+		"\"5\"",
+		"true",
+		"[]",
+		"1e14",
+	};
+
+	g_assert_true(is_usable("i-1", "10.0.0.1:1", "1796457600000"));
+	g_assert_true(is_usable("i-1", "10.0.0.1:1", "0"));
+	for (size_t i = 0; i < G_N_ELEMENTS(odd); i++) {
+		g_test_message("%s", odd[i]);
+		g_assert_false(is_usable("i-1", "10.0.0.1:1", odd[i]));
+	}
+}
+
 void unit_add_odd(void)
 {
 	g_test_add_func("/odd/address", test_address);
 	g_test_add_func("/odd/host-name", test_host_name);
 	g_test_add_func("/odd/id", test_id);
+	g_test_add_func("/odd/born", test_born);
 }
