--- a/tests/unit.h
+++ b/tests/unit.h
@@ -21,6 +21,7 @@
 void unit_add_shard_ctl(void);
 void unit_add_lives(void);
 void unit_add_odd(void);
+void unit_add_odd_list(void);
 void unit_add_owner_age(void);
 void unit_add_state(void);
 void unit_add_upkeep(void);
--- a/tests/unit_tests.c
+++ b/tests/unit_tests.c
@@ -32,6 +32,7 @@
 	unit_add_stale();
 	unit_add_state();
 	unit_add_odd();
+	unit_add_odd_list();
 	unit_add_owner_age();
 	unit_add_restart();
 	unit_add_upkeep();
