--- a/tests/unit_odd_list.c
+++ b/tests/unit_odd_list.c
@@ -1,5 +1,5 @@
 /* Tests of an owner whose list of workers has odd entries: it goes on with the
- * others. */
+ * others, and keeps track of what runs at a worker whose entry turns odd. */
 #include <glib.h>
 #include <string.h>
 #include <talloc.h>
@@ -13,6 +13,8 @@
 #include "tests/unit.h"
 
 #define TIMEOUT_MS 10000
+/* Many polls and placements, in ms. */
+#define SETTLE_MS 300
 #define LOG_LEVEL_ALL 7
 
 /* One fleet process whose workers answer at once; what is started runs on. */
@@ -205,6 +207,35 @@
 	}
 }
 
+/*
+ * Guards against tasks that start where an odd entry says that there is no
+ * worker, since the entry before stayed in use. What runs there is still
+ * tracked and its lease renewed, and a good entry brings the worker back.
+ */
+static void test_entry_turns_odd(void)
+{
+	int polls;
+
+	odd_fixture_open();
+	add_job("a");
+	await_starts(1);
+	apply_worker("v", 99999);
+	run_loop_ms(SETTLE_MS);
+	add_job("b");
+	polls = fx->polls;
+	run_loop_ms(2 * TIMEOUT_MS / 10);
+	g_assert_cmpuint(fx->active->len, ==, 1);
+	g_assert_cmpint(fx->polls, >, polls);
+	g_assert_cmpuint(((struct sched_worker *)g_hash_table_lookup(
+				  sched_of_owner()->workers, "v"))
+				 ->runs.length,
+			 ==, 1);
+	g_assert_cmpint(sched_of_owner()->counts.lease_expired, ==, 0);
+	apply_worker("v", 1);
+	await_starts(2);
+	odd_fixture_close();
+}
+
 /* Guards against odd entries that hide the others: a page of 500 of them. */
 static void test_page_of_odd_entries(void)
 {
@@ -245,6 +276,7 @@
 
 void unit_add_odd_list(void)
 {
+	g_test_add_func("/odd/entry-turns-odd", test_entry_turns_odd);
 	g_test_add_func("/odd/page-of-odd-entries", test_page_of_odd_entries);
 	g_test_add_func("/odd/log-line", test_log_line);
 }
