--- a/tests/unit_answers.c
+++ b/tests/unit_answers.c
@@ -60,6 +60,54 @@
 		g_assert_cmpint(decode_read(broken[i]), ==, ROWS_UNKNOWN);
 }
 
+struct read_result {
+	enum rows_result res;
+	int32_t n;
+	bool has_good;
+	bool has_cut;
+};
+
+static void copy_rows(const struct rows_answer *ans, void *priv)
+{
+	struct read_result *r = priv;
+
+	r->res = ans->result;
+	r->n = ans->n;
+	for (int32_t i = 0; i < ans->n; i++) {
+		r->has_good |=
+			!strcmp(ans->rows[i].key, "good") && ans->rows[i].value;
+		r->has_cut |= !strcmp(ans->rows[i].key, "cut");
+	}
+}
+
+/*
+ * Guards against LOST and processes that stop following a table: a key with a
+ * NUL made the page, or all changes after it, unreadable for good. Cut at the
+ * NUL, it would be the key of another row.
+ */
+static void test_key_with_nul(void)
+{
+	static const char text[] =
+		"{\"rows\":[{\"key\":\"cut\\u0000x\",\"ver\":1,\"value\":"
+		"\"e30=\"},{\"key\":\"good\",\"ver\":2,\"value\":\"e30=\"}],"
+		"\"ver\":2}";
+	static const struct pf_rows_ops ops = { ignore_clock };
+	struct rows_range range = { .table = "t", .part = "" };
+	struct pf_rows *p =
+		pf_rows_start(NULL, NULL, &clk_system, "", &ops, NULL);
+	struct rows rows = pf_rows_iface(p);
+	struct read_result got = { ROWS_COMPACTED, 0, false, false };
+
+	rows.ops->read(rows.self, &range, copy_rows, &got);
+	fuzz_respond(text, strlen(text));
+	talloc_free(p);
+	g_assert_cmpint(got.res, ==, ROWS_OK);
+	/* A page without rows would count as the last one. */
+	g_assert_cmpint(got.n, ==, 2);
+	g_assert_true(got.has_good);
+	g_assert_false(got.has_cut);
+}
+
 struct poll_result {
 	bool valid;
 	int32_t n_active;
@@ -238,4 +286,5 @@
 	g_test_add_func("/answers/checkpoint-not-cut", test_checkpoint_not_cut);
 	g_test_add_func("/answers/advice", test_advice);
 	g_test_add_func("/answers/read-without-rows", test_read_without_rows);
+	g_test_add_func("/answers/key-with-nul", test_key_with_nul);
 }
