Wait for no worker that never answered

An entry can be well-formed and yet name an address where no worker answers, or a service that isn't configured.

What callers would see: after the owner is lost, each successor holds the jobs that it inherits until such a worker's lease is over (LOST): 6.3 s of lease and the time for which a lost owner may renew leases, up to 9 s.

Cause: each worker of the list was put on the roster as soon as it was listed, and a successor waits for all on the roster, and for all listed.

The fix puts a worker on the roster when it has answered, and a successor waits for the roster's workers only. Tasks start only at workers that have answered and are on the stored roster, so nothing can run at others. If part of the roster can't be read, all listed workers are waited for, as before. A new worker gets its first task one commit later than before; the commit is asked for with its first answer.

Changes of tests: the fixture stores the roster after the poll that adds a worker to it, and lists workers of a later epoch on the predecessor's roster: /sched tests of successors assumed runs at workers that no roster had, which can't be. /sched/roster-comes-first checked that listing marks the roster for storing; it now checks that the first answer does. That nothing starts before it is stored is checked as before.

--- a/src/coordination/sched.c
+++ b/src/coordination/sched.c
@@ -181,12 +181,10 @@
 		w->index = s->worker_list->len;
 		w->row = *row;
 		w->last_answer_ms = now_ms;
-		w->prev_lease_expiry_ms = sched_prev_lease_expiry_ms(s);
-		w->on_roster = true;
+		w->prev_lease_expiry_ms = s->roster_incomplete_until_ms;
 		g_queue_init(&w->runs);
 		g_ptr_array_add(s->worker_list, w);
 		g_hash_table_insert(s->workers, w->row.id, w);
-		sched_roster_mark_dirty(s, w);
 		s->ops->poll(s->priv, w);
 	}
 	/* The list of workers lags behind: a row of an older incarnation must
--- a/src/coordination/sched.h
+++ b/src/coordination/sched.h
@@ -223,6 +223,9 @@
 	bool roster_stored;
 	bool roster_committing; /* in the roster that is being committed */
 	bool on_roster; /* belongs on the roster: tasks may run there */
+	/* It has answered this owner or, by the roster, a previous one. No task
+	 * has started at any other worker. */
+	bool heard;
 	bool evacuating; /* its VM is due for upkeep: accepts no new tasks */
 	int64_t fence; /* fence token that commands to it carry */
 	int64_t clock_ms; /* worker's clock in its latest report */
--- a/src/coordination/sched_roster.c
+++ b/src/coordination/sched_roster.c
@@ -19,13 +19,18 @@
 	       w->seen_seq == w->durable_seq;
 }
 
-void sched_roster_update(struct sched *s, struct sched_worker *w)
+/* Returns whether tasks may run at the worker. A successor waits for the leases
+ * of all workers on the roster, so that one that never answered is left out. */
+static bool belongs_on_roster(const struct sched_worker *w)
 {
-	bool belongs = !is_idle_and_draining(w);
+	return w->heard && !is_idle_and_draining(w);
+}
 
-	if (belongs == w->on_roster)
+void sched_roster_update(struct sched *s, struct sched_worker *w)
+{
+	if (belongs_on_roster(w) == w->on_roster)
 		return;
-	w->on_roster = belongs;
+	w->on_roster = !w->on_roster;
 	w->roster_stored = false;
 	sched_roster_mark_dirty(s, w);
 }
@@ -43,7 +48,7 @@
 	for (guint i = 0; i < s->worker_list->len; i++) {
 		struct sched_worker *w = g_ptr_array_index(s->worker_list, i);
 
-		if (roster_row_of(w->row.id) != row || is_idle_and_draining(w))
+		if (roster_row_of(w->row.id) != row || !belongs_on_roster(w))
 			continue;
 		w->roster_committing = true;
 		json_array_append_new(
@@ -73,20 +78,37 @@
 	if (!id || !address || strlen(id) >= sizeof(row.id) ||
 	    strlen(address) >= sizeof(row.address))
 		return false;
-	if (g_hash_table_contains(s->workers, id))
-		return true;
-	g_strlcpy(row.id, id, sizeof(row.id));
-	g_strlcpy(row.address, address, sizeof(row.address));
-	row.born_ms = json_integer_value(json_array_get(entry, 2));
-	sched_worker_listed(s, &row, now_ms);
 	w = g_hash_table_lookup(s->workers, id);
-	/* The worker counts as listed only once the list of workers has it. */
-	w->listed = false;
+	if (!w) {
+		g_strlcpy(row.id, id, sizeof(row.id));
+		g_strlcpy(row.address, address, sizeof(row.address));
+		row.born_ms = json_integer_value(json_array_get(entry, 2));
+		sched_worker_listed(s, &row, now_ms);
+		w = g_hash_table_lookup(s->workers, id);
+		/* The worker counts as listed only once the list of workers
+		 * has it. */
+		w->listed = false;
+	} else if (strcmp(w->row.address, address)) {
+		sched_roster_mark_dirty(s, w);
+	}
+	w->prev_lease_expiry_ms = sched_prev_lease_expiry_ms(s);
+	w->heard = true;
 	w->on_roster = true;
 	w->roster_stored = true;
 	return true;
 }
 
+/* Any worker may be one of those that could not be read. */
+static void await_all_workers(struct sched *s)
+{
+	s->roster_incomplete_until_ms = sched_prev_lease_expiry_ms(s);
+	for (guint i = 0; i < s->worker_list->len; i++) {
+		struct sched_worker *w = g_ptr_array_index(s->worker_list, i);
+
+		w->prev_lease_expiry_ms = s->roster_incomplete_until_ms;
+	}
+}
+
 bool sched_roster_restore(struct sched *s, const json_t *list, int64_t now_ms)
 {
 	const json_t *entry;
@@ -96,6 +118,6 @@
 	json_array_foreach(list, i, entry) complete &=
 		restore_entry(s, entry, now_ms);
 	if (!complete)
-		s->roster_incomplete_until_ms = sched_prev_lease_expiry_ms(s);
+		await_all_workers(s);
 	return complete;
 }
--- a/src/coordination/sched_run.c
+++ b/src/coordination/sched_run.c
@@ -410,6 +410,8 @@
 {
 	w->last_answer_ms = now_ms;
 	w->unreachable = false;
+	w->heard = true;
+	sched_roster_update(s, w);
 	if (report->born_ms && w->row.born_ms &&
 	    report->born_ms != w->row.born_ms) {
 		struct sched_worker_row row = w->row;
--- a/src/fleet/shard_ctl.c
+++ b/src/fleet/shard_ctl.c
@@ -120,7 +120,7 @@
 	gpointer value;
 
 	shard_ctl_place_soon(sc);
-	if (sc->sched.dirty_jobs.length) {
+	if (sc->sched.dirty_jobs.length || sc->sched.roster_dirty) {
 		owner_request_commit(sc->owner);
 		return;
 	}
--- a/tests/sched_fixture.c
+++ b/tests/sched_fixture.c
@@ -119,6 +119,14 @@
 	return g_hash_table_lookup(p->s.workers, id);
 }
 
+static void restore_worker(struct sched_fixture *p, const char *id)
+{
+	json_t *roster = json_pack("[[s,s,i]]", id, "", 1);
+
+	sched_roster_restore(&p->s, roster, 0);
+	json_decref(roster);
+}
+
 void fixture_add_worker(struct sched_fixture *p, const char *id,
 			const char *rack)
 {
@@ -132,6 +140,8 @@
 	g_strlcpy(row.rack, rack, sizeof(row.rack));
 	g_strlcpy(row.labels[0], "a", sizeof(row.labels[0]));
 	g_strlcpy(row.labels[1], rack, sizeof(row.labels[1]));
+	if (p->s.epoch > 1)
+		restore_worker(p, id);
 	sched_worker_listed(&p->s, &row, 0);
 	fixture_store_roster(p);
 }
@@ -157,8 +167,11 @@
 				       .n_ends = n_ends,
 				       .active = a,
 				       .ends = e };
+	bool was_on_roster = w->on_roster;
 
 	sched_poll_answered(&p->s, w, &report, now_ms, 1000000 + now_ms);
+	if (w->on_roster && !was_on_roster)
+		fixture_store_roster(p);
 }
 
 struct jobspec *fixture_spec(const char *id, const char *queue, int32_t steps,
--- a/tests/sched_fixture.h
+++ b/tests/sched_fixture.h
@@ -29,12 +29,13 @@
 void fixture_open(struct sched_fixture *p, int64_t epoch, GHashTable *out);
 void fixture_close(struct sched_fixture *p);
 struct sched_worker *fixture_worker(struct sched_fixture *p, const char *id);
+/* Lists a worker. A later epoch finds it on its predecessor's roster, too. */
 void fixture_add_worker(struct sched_fixture *p, const char *id,
 			const char *rack);
 /* Marks the present roster as stored. */
 void fixture_store_roster(struct sched_fixture *p);
 /* The worker answers a poll, sent 5 ms before `now_ms`, with a status report of
- * these runs and ends. */
+ * these runs and ends. If that adds it to the roster, the roster is stored. */
 void fixture_poll(struct sched_fixture *p, const char *id,
 		  struct sched_active *a, int32_t n_active, struct sched_end *e,
 		  int32_t n_ends, int64_t now_ms);
--- a/tests/unit_sched.c
+++ b/tests/unit_sched.c
@@ -428,7 +428,7 @@
 }
 
 /* No task starts at a worker before the stored roster contains it, since a
- * successor would not know of the worker. */
+ * successor would not know of the worker. It belongs there once it answers. */
 static void test_roster_stored_before_start(void)
 {
 	struct sched_fixture p;
@@ -436,12 +436,15 @@
 					.domain = "d",
 					.born_ms = 1,
 					.total = { 8000, 8000, 0 } };
+	struct sched_report idle = { .clock_ms = 5, .born_ms = 1 };
 
 	fixture_open(&p, 1, NULL);
 	g_strlcpy(row.id, "w", sizeof(row.id));
 	sched_worker_listed(&p.s, &row, 0);
+	fixture_store_roster(&p);
+	idle.fence = fixture_worker(&p, "w")->fence;
+	sched_poll_answered(&p.s, fixture_worker(&p, "w"), &idle, 10, 1000010);
 	g_assert_cmpuint(p.s.roster_dirty, !=, 0);
-	fixture_poll(&p, "w", NULL, 0, NULL, 0, 10);
 	fixture_add_job(&p, fixture_spec("a", "short", 1, 1));
 	sched_place(&p.s, 20);
 	g_assert_cmpuint(p.starts->len, ==, 0);
