Test that odd entries stop no owner

/fleet/odd-entries lists 601 odd entries (nesting of 10,000, a number too large, a port out of range, a host name, a key of 200 bytes), kills the owner while tasks run, and asks that all jobs end, nothing runs twice, and the other VMs stay ready.

--- a/tests/fleet_tests.c
+++ b/tests/fleet_tests.c
@@ -499,6 +499,79 @@
 	hf_stop(&s);
 }
 
+#define ODD_ENTRIES 600
+#define DEEP 10000
+
+static void put_worker_entry(const struct hf *s, const char *key,
+			     const char *value)
+{
+	json_t *j = json_pack("{s:s,s:s,s:s}", "table", "servers", "key", key,
+			      "value", value);
+	char *text = json_dumps(j, JSON_COMPACT);
+
+	hf_control(s->platform_port, "/control/row", "%s", text);
+	free(text);
+	json_decref(j);
+}
+
+/* Deeply nested; a number too large; a port out of range; a host name; a key
+ * of 200 bytes, with quotes. */
+static void put_odd_entries(const struct hf *s)
+{
+	static const char form[] =
+		"{\"service\":\"pool\",\"addr\":\"%s\",\"zone\":\"z1\","
+		"\"state\":"
+		"\"ready\",\"machine\":\"m9\",\"capacity\":{\"cpu\":64000,"
+		"\"mem_mb\":64000,\"gpu\":0},\"labels\":[\"a\",\"r1\"],\"seq\":"
+		"%s}";
+	g_autofree char *long_key = g_strnfill(199, 'i');
+	g_autofree char *quoted_key = g_strconcat(long_key, "\"", NULL);
+	g_autofree char *deep = g_strnfill(DEEP, '[');
+	char *values[] = {
+		g_strdup_printf(form, "127.0.0.1:1", deep),
+		g_strdup_printf(form, "127.0.0.1:1", "1e999"),
+		g_strdup_printf(form, "127.0.0.1:99999", "1"),
+		g_strdup_printf(form, "worker.invalid:80", "1"),
+	};
+
+	for (int i = 0; i < ODD_ENTRIES; i++) {
+		g_autofree char *key = g_strdup_printf("a-odd-%d", i);
+
+		put_worker_entry(s, key, values[i % G_N_ELEMENTS(values)]);
+	}
+	put_worker_entry(s, quoted_key, values[0]);
+	for (size_t i = 0; i < G_N_ELEMENTS(values); i++)
+		g_free(values[i]);
+}
+
+/*
+ * Guards against LOST, and against processes that end or stop following the
+ * list of workers: it has more than a page of odd entries, and the owner is
+ * killed.
+ */
+static void test_odd_entries(void)
+{
+	struct hf s;
+	struct task_summary sum;
+	int owner;
+
+	start_cluster(&s);
+	put_odd_entries(&s);
+	for (int i = 0; i < 2; i++)
+		submit(&s, TWO_STEPS, "ms=1500");
+	hx_sleep_ms(500);
+	owner = wait_owner(&s);
+	hf_kill_vm(&s, owner);
+	for (int i = 0; i < 2; i++)
+		wait_state(&s, (owner + 1) % VMS, i, "done");
+	for (int vm = 0; vm < VMS; vm++)
+		g_assert_cmpint(vm == owner || hf_is_ready(&s, vm), ==, true);
+	sum = read_platform_log(&s);
+	g_assert_cmpint(sum.done, ==, 12);
+	g_assert_cmpint(sum.concurrent_runs, ==, 0);
+	hf_stop(&s);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -516,5 +589,6 @@
 	g_test_add_func("/fleet/pending-after-owner-lost",
 			test_pending_after_owner_lost);
 	g_test_add_func("/fleet/upkeep-wave", test_upkeep_wave);
+	g_test_add_func("/fleet/odd-entries", test_odd_entries);
 	return g_test_run();
 }
