--- a/standins/site.h
+++ b/standins/site.h
@@ -29,7 +29,7 @@
 	struct tevent_context *ev;
 	int port;
 	int worker_port_base; /* worker i is at base + i; 0: at port */
-	int64_t lease_max_ms; /* 0: the default of site_workers.c */
+	int64_t lease_max_ms; /* 0: the default of site_runs.c */
 	/* The store. */
 	GPtrArray *rows; /* struct site_row, by table, part, key */
 	GPtrArray *watches; /* struct site_watch */
