Let tasks of the simulator crash their workers

Change: a spec with "deadly" takes the worker down 5 ms after the start. It goes silent, its row is removed after 3 s, and it is back, born later, after "back=N" ms: under a new id, or with "same-id" under its old one. The log shows "crash" before the runs that it cuts.

--- a/standins/site_runs.c
+++ b/standins/site_runs.c
@@ -10,6 +10,10 @@
 
 #define LEASE_MAX_MS 6000
 #define RUN_DEFAULT_MS 100
+/* How long after its start a deadly task crashes its worker, and how long the
+ * worker is down by default. */
+#define CRASH_AFTER_MS 5
+#define CRASH_DOWN_MS 4000
 #define POLL_WAIT_MAX_MS 2000
 /* Only start and stop, the first calls of the table, can be delayed. */
 #define N_DELAYABLE 2
@@ -157,15 +161,23 @@
 		w->lease_until_ms = until;
 }
 
+/* Returns the number after `name` in the spec text. */
+static int64_t spec_int(const char *text, const char *name, int64_t otherwise)
+{
+	const char *at = text ? strstr(text, name) : NULL;
+
+	return at ? atoll(at + strlen(name)) : otherwise;
+}
+
 /*
  * The task's spec text controls the run: "ms=N" sets its duration, "bad" makes
- * it fail, "lasts" makes it run until it is stopped.
+ * it fail, "lasts" makes it run until it is stopped, "deadly" makes it crash
+ * the worker, which is back after "back=N" ms, with "same-id" under its id.
  */
 static void add_run(struct site_worker *w, const json_t *body)
 {
 	const char *task = json_string_value(json_object_get(body, "task"));
 	const char *text = json_string_value(json_object_get(body, "spec"));
-	const char *ms = text ? strstr(text, "ms=") : NULL;
 	struct site_run *r = g_new0(struct site_run, 1);
 
 	r->task = g_strdup(task);
@@ -174,7 +186,12 @@
 	r->fails = text && strstr(text, "bad");
 	if (!text || !strstr(text, "lasts"))
 		r->ends_ms =
-			r->started_ms + (ms ? atoll(ms + 3) : RUN_DEFAULT_MS);
+			r->started_ms + spec_int(text, "ms=", RUN_DEFAULT_MS);
+	if (text && strstr(text, "deadly")) {
+		r->crashes_at_ms = r->started_ms + CRASH_AFTER_MS;
+		r->crash_down_ms = spec_int(text, "back=", CRASH_DOWN_MS);
+		r->crash_same_id = strstr(text, "same-id");
+	}
 	g_ptr_array_add(w->runs, r);
 	printf("%lld start %s %s %lld %lld %d %s\n", (long long)r->started_ms,
 	       w->id, task, (long long)r->attempt, (long long)w->fence_token,
@@ -330,6 +347,11 @@
 	for (guint i = w->runs->len; i > 0; i--) {
 		const struct site_run *r = g_ptr_array_index(w->runs, i - 1);
 
+		if (r->crashes_at_ms && site_now_ms() >= r->crashes_at_ms) {
+			runs_log("crash", w, r->task, r->attempt);
+			worker_crash(w, r->crash_down_ms, r->crash_same_id);
+			return;
+		}
 		if (lease_expired)
 			end_run(w, i - 1, "lapsed", true);
 		else if (r->ends_ms && site_now_ms() >= r->ends_ms)
--- a/standins/site_runs.h
+++ b/standins/site_runs.h
@@ -13,6 +13,9 @@
 	int64_t started_ms;
 	int64_t ends_ms; /* 0: runs until it is stopped */
 	bool fails;
+	int64_t crashes_at_ms; /* takes its worker down then; 0: never */
+	int64_t crash_down_ms;
+	bool crash_same_id; /* the worker returns under its id */
 };
 
 struct site_run_end {
@@ -56,13 +59,18 @@
 	GPtrArray *polls;
 };
 
+/* The worker goes silent with all it runs, and returns after down_ms, but under
+ * a new id not before its row has been removed. */
+void worker_crash(struct site_worker *w, int64_t down_ms, bool same_id);
+
 void runs_init(struct site_worker *w);
 /* Serves a call of the owner about runs. `w` is NULL if the intended worker is
  * unknown. Returns false if it is no such call. */
 bool runs_handle(struct site *s, struct site_worker *w, struct hts_req *req);
 /* Ends all runs and forgets all ends, as a crash does. */
 void runs_drop(struct site_worker *w);
-/* Ends the runs that are due or whose lease has expired. */
+/* Ends the runs that are due or whose lease has expired, and crashes the worker
+ * if a run does. */
 void runs_tick(struct site_worker *w);
 /* Answers the polls that are due. */
 void runs_tick_polls(struct site_worker *w);
--- a/standins/site_workers.c
+++ b/standins/site_workers.c
@@ -79,6 +79,16 @@
 	w->down_until_ms = site_now_ms() + for_ms;
 }
 
+void worker_crash(struct site_worker *w, int64_t down_ms, bool same_id)
+{
+	if (!same_id && down_ms < UNLIST_AFTER_MS)
+		down_ms = UNLIST_AFTER_MS;
+	end_incarnation(w, down_ms);
+	w->unresponsive = true;
+	w->same_id = same_id;
+	w->unlist_at_ms = site_now_ms() + UNLIST_AFTER_MS;
+}
+
 static int64_t int_field(const json_t *body, const char *name)
 {
 	return json_integer_value(json_object_get(body, name));
@@ -171,10 +181,7 @@
 	if (!w || !what || w->down_until_ms)
 		return;
 	if (!strcmp(what, "die")) {
-		end_incarnation(w, for_ms > UNLIST_AFTER_MS ? for_ms
-							    : UNLIST_AFTER_MS);
-		w->unresponsive = true;
-		w->unlist_at_ms = now + UNLIST_AFTER_MS;
+		worker_crash(w, for_ms, false);
 	} else if (!strcmp(what, "reborn")) {
 		end_incarnation(w, for_ms);
 		w->unresponsive = w->same_id = true;
