Let the simulator's workers shrink, and mind their capacity

The simulator's workers started whatever they were told.

Change: the fault "shrink" sets a worker's CPU and memory for a time; its row shows both changes at once, and the log says "shrink" and "grow" with the new size. A run's size comes from "cpu=N" and "mem=N" of its spec. A start that doesn't fit is refused with 409 room, or with the new argument "overcommit" carried out.

Evidence: tried by hand on gd-site alone: beside 9000 of CPU and shrunk to 8000, a start of 500 is refused, with overcommit carried out; both work again after "grow".

--- a/standins/site.c
+++ b/standins/site.c
@@ -91,8 +91,9 @@
 	struct err err;
 
 	if (argc < 3) {
-		fprintf(stderr, "usage: gd-site PORT WORKERS"
-				" [WORKER-PORTS [LEASE-MAX-MS]]\n");
+		fprintf(stderr,
+			"usage: gd-site PORT WORKERS"
+			" [WORKER-PORTS [LEASE-MAX-MS [overcommit]]]\n");
 		return 64;
 	}
 	signal(SIGPIPE, SIG_IGN);
@@ -101,6 +102,7 @@
 	s->port = atoi(argv[1]);
 	s->worker_port_base = argc > 3 ? atoi(argv[3]) : 0;
 	s->lease_max_ms = argc > 4 ? atoll(argv[4]) : 0;
+	s->overcommits = argc > 5 && !strcmp(argv[5], "overcommit");
 	faults_init(s);
 	store_init(s);
 	workers_init(s, atoi(argv[2]));
--- a/standins/site.h
+++ b/standins/site.h
@@ -30,6 +30,7 @@
 	int port;
 	int worker_port_base; /* worker i is at base + i; 0: at port */
 	int64_t lease_max_ms; /* 0: the default of site_runs.c */
+	bool overcommits; /* workers start what doesn't fit */
 	/* The store. */
 	GPtrArray *rows; /* struct site_row, by table, part, key */
 	GPtrArray *watches; /* struct site_watch */
@@ -68,8 +69,9 @@
  * Injects a fault into a worker that is up. `body` is
  * {"worker": INDEX, "do": ACTION, "for_ms": N, "count": N} with the actions
  * die (VM down, removed from the list), reborn (down, returns under the same
- * id), drain (drains, then ends), lapse (row missing for that time) and late
- * (the next `count` start and stop commands run after for_ms, unanswered).
+ * id), drain (drains, then ends), lapse (row missing for that time), late
+ * (the next `count` start and stop commands run after for_ms, unanswered) and
+ * shrink (its capacity is "cpu" and "mem_mb" for that time).
  */
 void workers_control(struct site *s, const json_t *body);
 
--- a/standins/site_runs.c
+++ b/standins/site_runs.c
@@ -170,9 +170,10 @@
 }
 
 /*
- * The task's spec text controls the run: "ms=N" sets its duration, "bad" makes
- * it fail, "lasts" makes it run until it is stopped, "deadly" makes it crash
- * the worker, which is back after "back=N" ms, with "same-id" under its id.
+ * The task's spec text controls the run: "ms=N" sets its duration, "cpu=N"
+ * and "mem=N" what it takes of the worker's capacity, "bad" makes it fail,
+ * "lasts" makes it run until it is stopped, "deadly" makes it crash the worker,
+ * which is back after "back=N" ms, with "same-id" under its id.
  */
 static void add_run(struct site_worker *w, const json_t *body)
 {
@@ -182,6 +183,8 @@
 
 	r->task = g_strdup(task);
 	r->attempt = int_field(body, "attempt");
+	r->cpu_milli = spec_int(text, "cpu=", 0);
+	r->mem_mib = spec_int(text, "mem=", 0);
 	r->started_ms = site_now_ms();
 	r->fails = text && strstr(text, "bad");
 	if (!text || !strstr(text, "lasts"))
@@ -198,6 +201,21 @@
 	       w->s->delivered_late, text ? text : "");
 }
 
+static bool has_room(const struct site_worker *w, const json_t *body)
+{
+	const char *text = json_string_value(json_object_get(body, "spec"));
+	int64_t cpu_milli = spec_int(text, "cpu=", 0);
+	int64_t mem_mib = spec_int(text, "mem=", 0);
+
+	for (guint i = 0; i < w->runs->len; i++) {
+		const struct site_run *r = g_ptr_array_index(w->runs, i);
+
+		cpu_milli += r->cpu_milli;
+		mem_mib += r->mem_mib;
+	}
+	return cpu_milli <= w->cpu_milli && mem_mib <= w->mem_mib;
+}
+
 static void handle_start(struct site_worker *w, struct hts_req *req,
 			 const json_t *body)
 {
@@ -221,8 +239,13 @@
 		reply_conflict(w, req, "late");
 		return;
 	}
-	if (!r || r->attempt != attempt)
+	if (!r || r->attempt != attempt) {
+		if (!w->s->overcommits && !has_room(w, body)) {
+			reply_conflict(w, req, "room");
+			return;
+		}
 		add_run(w, body);
+	}
 	site_reply(w->s, req, 200,
 		   json_pack("{s:I}", "clock_ms", (json_int_t)clock_ms(w)));
 }
--- a/standins/site_runs.h
+++ b/standins/site_runs.h
@@ -10,6 +10,7 @@
 	char *task;
 	int64_t attempt;
 	int64_t cpu_milli;
+	int64_t mem_mib;
 	int64_t started_ms;
 	int64_t ends_ms; /* 0: runs until it is stopped */
 	bool fails;
@@ -45,6 +46,9 @@
 	int64_t lease_until_ms; /* on the worker's clock */
 	int64_t seq;
 	int64_t down_until_ms; /* 0: the VM is up */
+	int64_t cpu_milli; /* capacity */
+	int64_t mem_mib;
+	int64_t shrunk_until_ms; /* 0: the capacity is full */
 	bool unresponsive; /* requests get no response at all */
 	bool same_id; /* the next incarnation keeps the id */
 	int64_t drain_until_ms; /* 0: not draining */
--- a/standins/site_workers.c
+++ b/standins/site_workers.c
@@ -20,11 +20,12 @@
 		"{\"service\":\"pool\",\"addr\":\"127.0.0.1:%d\","
 		"\"zone\":\"z1\",\"version\":\"v1\",\"slots\":8,"
 		"\"state\":\"%s\",\"cold_left_ms\":0,\"machine\":\"%s\","
-		"\"capacity\":{\"cpu\":%d,\"mem_mb\":%d,\"gpu\":0},"
+		"\"capacity\":{\"cpu\":%lld,\"mem_mb\":%lld,\"gpu\":0},"
 		"\"labels\":[\"a\",\"r1\"],\"born\":%lld,\"seq\":1}",
 		s->worker_port_base ? s->worker_port_base + w->index : s->port,
-		w->drain_until_ms ? "draining" : "ready", w->vm, CPU_MILLI,
-		MEM_MIB, (long long)w->born_ms);
+		w->drain_until_ms ? "draining" : "ready", w->vm,
+		(long long)w->cpu_milli, (long long)w->mem_mib,
+		(long long)w->born_ms);
 
 	store_put(s, "servers", "", w->id, text);
 	g_free(text);
@@ -64,6 +65,8 @@
 		snprintf(w->vm, sizeof(w->vm), "m%d", i);
 		w->s = s;
 		w->index = i;
+		w->cpu_milli = CPU_MILLI;
+		w->mem_mib = MEM_MIB;
 		w->waves = g_hash_table_new_full(g_int64_hash, g_int64_equal,
 						 g_free, NULL);
 		runs_init(w);
@@ -79,6 +82,17 @@
 	w->down_until_ms = site_now_ms() + for_ms;
 }
 
+static void set_capacity(struct site_worker *w, const char *what,
+			 int64_t cpu_milli, int64_t mem_mib)
+{
+	w->cpu_milli = cpu_milli;
+	w->mem_mib = mem_mib;
+	printf("%lld %s %s mem=%lld %lld\n", (long long)site_now_ms(), what,
+	       w->id, (long long)mem_mib, (long long)cpu_milli);
+	if (!w->down_until_ms && !w->relist_at_ms)
+		report_worker(w->s, w);
+}
+
 void worker_crash(struct site_worker *w, int64_t down_ms, bool same_id)
 {
 	if (!same_id && down_ms < UNLIST_AFTER_MS)
@@ -195,6 +209,10 @@
 	} else if (!strcmp(what, "late")) {
 		w->to_delay = int_field(body, "count");
 		w->command_delay_ms = for_ms;
+	} else if (!strcmp(what, "shrink")) {
+		w->shrunk_until_ms = now + for_ms;
+		set_capacity(w, what, int_field(body, "cpu"),
+			     int_field(body, "mem_mb"));
 	}
 }
 
@@ -208,6 +226,10 @@
 		w->unresponsive = true;
 		end_incarnation(w, UPKEEP_DURATION_MS);
 	}
+	if (w->shrunk_until_ms && now >= w->shrunk_until_ms) {
+		w->shrunk_until_ms = 0;
+		set_capacity(w, "grow", CPU_MILLI, MEM_MIB);
+	}
 	if (w->unlist_at_ms && now >= w->unlist_at_ms) {
 		w->unlist_at_ms = 0;
 		store_put(s, "servers", "", w->id, NULL);
