--- a/tests/unit.h
+++ b/tests/unit.h
@@ -19,6 +19,7 @@
 void unit_add_sched(void);
 void unit_add_handover(void);
 void unit_add_shard_ctl(void);
+void unit_add_shrink(void);
 void unit_add_lives(void);
 void unit_add_owner_age(void);
 void unit_add_state(void);
--- a/tests/unit_tests.c
+++ b/tests/unit_tests.c
@@ -28,6 +28,7 @@
 	unit_add_sched();
 	unit_add_handover();
 	unit_add_shard_ctl();
+	unit_add_shrink();
 	unit_add_lives();
 	unit_add_stale();
 	unit_add_state();
