Choose one rack for a step although workers have shrunk

Cause: the room of a rack is the sum of its workers' free CPU. Once capacities shrink, that of a worker may be negative; if every rack's sum is, no rack is chosen, and the tasks of a step that belongs in one rack are spread over several. A negative one also hides the room of its neighbours.

Change: a worker that runs more than its capacity counts as full.

Evidence: /sched/shrunk-one-rack failed before (6 starts, not 5).

--- a/src/coordination/sched_place.c
+++ b/src/coordination/sched_place.c
@@ -157,8 +157,9 @@
 		for (int32_t k = 0; k < n; k++) {
 			if (strcmp(list[k]->row.rack, list[i]->row.rack))
 				continue;
-			room += list[k]->row.total.cpu_milli -
-				list[k]->used.cpu_milli;
+			/* What a shrunk worker lacks takes none from others. */
+			room += MAX(0, list[k]->row.total.cpu_milli -
+					       list[k]->used.cpu_milli);
 		}
 		if (room > best_room) {
 			best_room = room;
--- a/tests/unit_shrink.c
+++ b/tests/unit_shrink.c
@@ -189,6 +189,37 @@
 	fixture_close(&p);
 }
 
+/* Tasks that belong in one rack stay in one, also when each rack has a worker
+ * that runs more than its capacity. */
+static void test_one_rack(void)
+{
+	static const char *const racks[] = { "r", "s" };
+	struct sched_fixture p;
+	struct jobspec *spec = fixture_spec("b", "short", 1, 2);
+	char id[8];
+
+	fixture_open(&p, 1, NULL);
+	for (int i = 0; i < 4; i++) {
+		g_snprintf(id, sizeof(id), "w%d", i);
+		fixture_add_worker(&p, id, racks[i % 2]);
+		fixture_poll(&p, id, NULL, 0, NULL, 0, 10);
+	}
+	resize(&p, "w2", 0, 0, 15);
+	resize(&p, "w3", 0, 0, 15);
+	fixture_add_job(&p, fixture_spec("a", "short", 1, 4));
+	sched_place(&p.s, 20);
+	g_assert_cmpuint(p.starts->len, ==, 4);
+	resize(&p, "w0", 0, 8000, 30);
+	resize(&p, "w1", 0, 8000, 30);
+	resize(&p, "w2", 4000, 8000, 30);
+	resize(&p, "w3", 4000, 8000, 30);
+	spec->steps[0].one_rack = true;
+	fixture_add_job(&p, spec);
+	sched_place(&p.s, 40);
+	g_assert_cmpuint(p.starts->len, ==, 5);
+	fixture_close(&p);
+}
+
 void unit_add_shrink(void)
 {
 	g_test_add_func("/sched/shrunk-runs-stay", test_runs_stay);
@@ -199,4 +230,5 @@
 	g_test_add_func("/sched/shrunk-best-effort-pauses",
 			test_best_effort_pauses);
 	g_test_add_func("/sched/shrunk-not-reserved", test_not_reserved);
+	g_test_add_func("/sched/shrunk-one-rack", test_one_rack);
 }
