Evict only where the urgent task then has its memory, too

Cause: evictions for a task of higher priority look at CPU alone. A worker whose memory has shrunk has much free CPU and is chosen, with nothing to evict, while others could make room; or its tasks are stopped, and the urgent one doesn't fit for want of memory all the same.

Change: a worker is chosen if evictions free the CPU and the memory that the task lacks there. A task that lacks memory alone evicts nothing, as before.

Evidence: /sched/shrunk-evicts-elsewhere (0 stops, not 1) and /sched/shrunk-evicts-not-in-vain (1 stop, not 0) failed before.

--- a/src/coordination/sched_evict.c
+++ b/src/coordination/sched_evict.c
@@ -25,19 +25,28 @@
 				 !run->task->step->def->best_effort);
 }
 
-/* Returns the CPU that stops under way and evictions can free at the worker, in
- * thousandths of a core. */
-static int64_t evictable_milli(const struct sched_worker *w, int32_t priority)
-{
-	int64_t sum = 0;
+/* What a task of a step lacks at a worker. */
+struct shortage {
+	int64_t cpu_milli;
+	int64_t mem_mib;
+};
 
+/* Returns whether stops under way and evictions free CPU for the task, and the
+ * memory that it lacks besides. */
+static bool can_make_room(const struct sched_worker *w, int32_t priority,
+			  struct shortage lacks)
+{
+	if (lacks.cpu_milli <= 0)
+		return lacks.mem_mib <= 0;
 	for (const GList *i = w->runs.head; i; i = i->next) {
 		const struct sched_run *run = i->data;
 
-		if (can_free_cpu(run, priority))
-			sum += run->task->step->def->cpu_milli;
+		if (!can_free_cpu(run, priority))
+			continue;
+		lacks.cpu_milli -= run->task->step->def->cpu_milli;
+		lacks.mem_mib -= run->task->step->def->mem_mib;
 	}
-	return sum;
+	return lacks.cpu_milli <= 0 && lacks.mem_mib <= 0;
 }
 
 /* Returns whether evictions for the step have had time to take effect. */
@@ -48,34 +57,30 @@
 	       now_ms >= step->evicted_ms + s->lim.stop_ms + EVICT_PAUSE_MS;
 }
 
-void sched_evict_for_step(struct sched *s, const struct sched_rank *r,
-			  struct sched_worker **list, int32_t n, int64_t now_ms)
+/* Returns what the task lacks, reserved room aside; negative: what is left. */
+static struct shortage balance_at(const struct jobspec_step *def,
+				  const struct sched_worker *w)
 {
-	int64_t need = r->step->def->cpu_milli;
-	struct sched_worker *best = NULL;
-
-	if (r->step->def->best_effort || !may_evict(s, r->step, now_ms))
-		return;
-	for (int32_t i = 0; i < n; i++) {
-		int64_t left =
-			list[i]->row.total.cpu_milli - list[i]->used.cpu_milli;
+	return (struct shortage){
+		.cpu_milli = def->cpu_milli + w->used.cpu_milli -
+			     w->row.total.cpu_milli,
+		.mem_mib =
+			def->mem_mib + w->used.mem_mib - w->row.total.mem_mib,
+	};
+}
 
-		if (left + evictable_milli(list[i], r->priority) < need)
-			continue;
-		if (!best ||
-		    left > best->row.total.cpu_milli - best->used.cpu_milli)
-			best = list[i];
-	}
-	if (!best)
-		return;
-	r->step->evicted_ms = now_ms;
-	need -= best->row.total.cpu_milli - best->used.cpu_milli;
-	for (GList *i = best->runs.tail; i && need > 0; i = i->prev) {
+static void evict_for_cpu(struct sched *s, const struct sched_rank *r,
+			  struct sched_worker *w, struct shortage lacks,
+			  int64_t now_ms)
+{
+	for (GList *i = w->runs.tail;
+	     i && (lacks.cpu_milli > 0 || lacks.mem_mib > 0); i = i->prev) {
 		struct sched_run *run = i->data;
 
 		if (!can_free_cpu(run, r->priority))
 			continue;
-		need -= run->task->step->def->cpu_milli;
+		lacks.cpu_milli -= run->task->step->def->cpu_milli;
+		lacks.mem_mib -= run->task->step->def->mem_mib;
 		if (run->stopping)
 			continue;
 		s->counts.evicted++;
@@ -84,11 +89,30 @@
 	}
 }
 
-/* What a task of a step lacks at a worker. */
-struct shortage {
-	int64_t cpu_milli;
-	int64_t mem_mib;
-};
+void sched_evict_for_step(struct sched *s, const struct sched_rank *r,
+			  struct sched_worker **list, int32_t n, int64_t now_ms)
+{
+	const struct jobspec_step *def = r->step->def;
+	struct sched_worker *best = NULL;
+	struct shortage least = { 0 };
+
+	if (def->best_effort || !may_evict(s, r->step, now_ms))
+		return;
+	for (int32_t i = 0; i < n; i++) {
+		struct shortage lacks = balance_at(def, list[i]);
+
+		if (!can_make_room(list[i], r->priority, lacks))
+			continue;
+		if (best && lacks.cpu_milli >= least.cpu_milli)
+			continue;
+		best = list[i];
+		least = lacks;
+	}
+	if (!best)
+		return;
+	r->step->evicted_ms = now_ms;
+	evict_for_cpu(s, r, best, least, now_ms);
+}
 
 static struct shortage shortage_at(const struct jobspec_step *def,
 				   const struct sched_worker *w)
--- a/tests/unit_shrink.c
+++ b/tests/unit_shrink.c
@@ -220,6 +220,49 @@
 	fixture_close(&p);
 }
 
+/* An urgent task is made room for, though most free CPU is at a worker that has
+ * no memory for it. */
+static void test_evicts_elsewhere(void)
+{
+	struct sched_fixture p;
+	struct jobspec *low = fixture_spec("a", "long", 1, 2);
+
+	open_with_worker(&p);
+	low->steps[0].checkpoints = true;
+	fixture_add_job(&p, low);
+	sched_place(&p.s, 20);
+	g_assert_cmpuint(p.starts->len, ==, 2);
+	for (guint i = 0; i < 2; i++)
+		fixture_started(&p, fixture_start(&p, i), 25);
+	fixture_add_worker(&p, "v", "r");
+	fixture_poll(&p, "v", NULL, 0, NULL, 0, 30);
+	resize(&p, "v", 8000, 50, 35);
+	fixture_add_job(&p, fixture_spec("b", "short", 1, 1));
+	sched_place(&p.s, 40);
+	g_assert_cmpuint(p.stops->len, ==, 1);
+	fixture_close(&p);
+}
+
+/* Nothing is evicted where the task won't fit in any case. */
+static void test_evicts_not_in_vain(void)
+{
+	struct sched_fixture p;
+	struct jobspec *low = fixture_spec("a", "long", 1, 2);
+
+	open_with_worker(&p);
+	low->steps[0].checkpoints = true;
+	fixture_add_job(&p, low);
+	sched_place(&p.s, 20);
+	g_assert_cmpuint(p.starts->len, ==, 2);
+	for (guint i = 0; i < 2; i++)
+		fixture_started(&p, fixture_start(&p, i), 25);
+	resize(&p, "w", 8000, 50, 30);
+	fixture_add_job(&p, fixture_spec("b", "short", 1, 1));
+	sched_place(&p.s, 40);
+	g_assert_cmpuint(p.stops->len, ==, 0);
+	fixture_close(&p);
+}
+
 void unit_add_shrink(void)
 {
 	g_test_add_func("/sched/shrunk-runs-stay", test_runs_stay);
@@ -231,4 +274,8 @@
 			test_best_effort_pauses);
 	g_test_add_func("/sched/shrunk-not-reserved", test_not_reserved);
 	g_test_add_func("/sched/shrunk-one-rack", test_one_rack);
+	g_test_add_func("/sched/shrunk-evicts-elsewhere",
+			test_evicts_elsewhere);
+	g_test_add_func("/sched/shrunk-evicts-not-in-vain",
+			test_evicts_not_in_vain);
 }
