Shrink workers in the soak, and check LIMIT

No test with processes shrank a worker.

Change: seeds from 2000 on draw shrinking workers, from a generator of their own; in three of four of them the workers don't guard their capacity. Tasks state their size to gd-site. A start counts against the room of a worker, or, if that has shrunk, against the largest within 5 s before it (4 s and a heartbeat); that has a time limit, so a connected owner must have sent it.

--- a/tests/harness_fleet.c
+++ b/tests/harness_fleet.c
@@ -193,7 +193,10 @@
 	char workers[16];
 	char worker_ports[16];
 	char lease[24];
-	char *argv[] = { "gd-site", port, workers, worker_ports, lease, NULL };
+	char *argv[] = { "gd-site", port,
+			 workers,   worker_ports,
+			 lease,	    f->opt.overcommits ? "overcommit" : NULL,
+			 NULL };
 
 	snprintf(port, sizeof(port), "%d", f->platform_port);
 	snprintf(workers, sizeof(workers), "%d", f->opt.workers);
@@ -205,6 +208,8 @@
 
 void hf_start(struct hf *f, const struct hf_options *opt)
 {
+	char *config;
+
 	memset(f, 0, sizeof(*f));
 	f->opt = *opt;
 	f->bin = getenv("GD_BIN") ? getenv("GD_BIN") : "build";
@@ -215,14 +220,16 @@
 	if (opt->use_proxy)
 		start_proxy(f);
 	start_platform(f);
-	hf_put_row(
-		f, "config",
+	config = g_strdup_printf(
 		"{\"version\":1,\"routes\":[{\"name\":\"q\",\"host\":"
 		"\"jobs.example\",\"prefix\":\"/q/\",\"service\":\"pool\","
 		"\"prio\":0,\"attempts\":3,\"slack_factor\":2,\"aim_ms\":600,"
 		"\"timeout_ms\":3000,\"kind\":\"mutating\"}],"
 		"\"services\":[{\"name\":\"pool\","
-		"\"enforces_capacity\":true}],\"limits\":{}}");
+		"\"enforces_capacity\":%s}],\"limits\":{}}",
+		opt->overcommits ? "false" : "true");
+	hf_put_row(f, "config", config);
+	g_free(config);
 	for (int i = 0; i < opt->vms; i++) {
 		write_settings(f, i);
 		hf_start_vm(f, i);
--- a/tests/harness_fleet.h
+++ b/tests/harness_fleet.h
@@ -18,6 +18,7 @@
 	int workers;
 	bool use_proxy; /* all connections pass the fault proxy */
 	int64_t lease_max_ms; /* at workers; 0: the simulator's default */
+	bool overcommits; /* workers don't guard their capacity */
 	const char *bounds; /* more lines for the VMs' settings */
 };
 
--- a/tests/soak.c
+++ b/tests/soak.c
@@ -69,6 +69,7 @@
 	k->jobs = g_ptr_array_new_with_free_func(free_job);
 	k->jobs_by_id = g_hash_table_new(g_str_hash, g_str_equal);
 	k->disruptions = g_array_new(FALSE, TRUE, sizeof(struct sk_disruption));
+	k->capacities = g_array_new(FALSE, TRUE, sizeof(struct sk_capacity));
 	k->reported =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 }
@@ -78,6 +79,7 @@
 	fclose(k->site_log);
 	g_hash_table_destroy(k->reported);
 	g_array_free(k->disruptions, TRUE);
+	g_array_free(k->capacities, TRUE);
 	g_hash_table_destroy(k->jobs_by_id);
 	g_ptr_array_free(k->jobs, TRUE);
 	g_mutex_clear(&k->lock);
@@ -100,12 +102,14 @@
 		.workers = g_rand_int_range(k->rand, 4, 10),
 		.use_proxy = true,
 		.lease_max_ms = SK_LEASE_MAX_MS,
+		.overcommits = k->seed >= SK_FIRST_CAPACITY_SEED && k->seed % 4,
 		.bounds = BOUNDS,
 	};
 
 	k->fleet.opt = opt;
 	sk_draw_schedule(k, WINDOW_MS);
-	printf("seed %u: %d VMs, %d workers\n", k->seed, opt.vms, opt.workers);
+	printf("seed %u: %d VMs, %d workers%s\n", k->seed, opt.vms, opt.workers,
+	       opt.overcommits ? " without limits" : "");
 	sk_print_schedule(k);
 	fflush(stdout);
 	hf_start(&k->fleet, &opt);
--- a/tests/soak.h
+++ b/tests/soak.h
@@ -29,9 +29,18 @@
 #define SK_DONE_VISIBLE_MS 1000
 #define SK_ATTEMPTS 3 /* of the queue in harness_fleet */
 
+#define SK_SPEC_MAX 96
 #define SK_STEPS_MAX 2
 #define SK_TASKS_MAX 8
 #define SK_CLIENTS 4
+/* Each task asks for this. */
+#define SK_TASK_CPU_MILLI 500
+#define SK_TASK_MEM_MIB 100
+/* Rule LIMIT: a shrunk capacity counts after that, and one heartbeat. */
+#define SK_SHRUNK_MS (SK_STABLE_MS + 1000)
+/* Seeds from this on also shrink workers, which don't guard their capacity in
+ * three of four. */
+#define SK_FIRST_CAPACITY_SEED 2000
 
 enum sk_job_kind {
 	SK_ONE_STEP,
@@ -58,7 +67,7 @@
 	enum sk_job_kind kind;
 	int32_t steps;
 	int32_t count; /* tasks of each step */
-	char spec[48];
+	char spec[SK_SPEC_MAX];
 	/* Seen by callers. */
 	int32_t attempts;
 	int32_t n_rejected;
@@ -72,6 +81,13 @@
 					  */
 };
 
+/* From then on, a worker has room for so many tasks. */
+struct sk_capacity {
+	int32_t worker;
+	int32_t tasks;
+	int64_t at_ms;
+};
+
 /* What a disruption affects: a VM by its number, one of these, or a worker's
  * link by SK_LINKS minus the worker's number. */
 enum { SK_STORE = -1, SK_ALL_VMS = -2, SK_OTHER = -3, SK_LINKS = -4 };
@@ -110,6 +126,7 @@
 	GPtrArray *jobs; /* struct sk_job */
 	GHashTable *jobs_by_id;
 	GArray *disruptions; /* struct sk_disruption */
+	GArray *capacities; /* struct sk_capacity, in order of time */
 	GHashTable *reported; /* "RULE subject" of violations printed */
 	int32_t n_starts;
 	int32_t n_violations;
@@ -127,7 +144,7 @@
 
 /* Generators beside sk.rand and those of the clients, so that what is drawn
  * from one changes no draw of another. */
-enum sk_stream { SK_STREAM_SERIES, SK_STREAM_COUNTS };
+enum sk_stream { SK_STREAM_SERIES, SK_STREAM_COUNTS, SK_STREAM_CAPACITY };
 GRand *sk_rand_new(const struct sk *k, enum sk_stream stream, int number);
 
 /* soak_check.c; all are called with the lock held. */
@@ -141,6 +158,11 @@
 bool sk_is_calm(const struct sk *k, int64_t at_ms, int64_t for_ms);
 /* Have the VM and the store been without disruption for SK_STABLE_MS? */
 bool sk_is_connected(const struct sk *k, int vm, int64_t at_ms);
+/* Returns the number of the VM that the worker with this id is on. */
+int32_t sk_worker_number(const char *id);
+/* Did a connected owner send the start command, and was it not delayed on its
+ * way? Only such a start counts against the rules' time limits. */
+bool sk_is_timely(const struct sk *k, const struct sk_run *r);
 /* Reads and checks the new lines of gd-site's log. */
 void sk_check_log(struct sk *k);
 /* Checks that no due task waits too long and no cancelled one still runs. */
@@ -155,6 +177,13 @@
 /* Checks that no job whose attempts were all rejected has started. */
 void sk_check_end(struct sk *k);
 
+/* soak_workers.c; both are called with the lock held. */
+void sk_set_capacity(struct sk *k, const char *worker, int64_t cpu_milli,
+		     int64_t mem_mib, int64_t at_ms);
+/* Checks that the run that just started fits on its worker. */
+void sk_check_capacity(struct sk *k, const struct sk_run *started,
+		       const char *task);
+
 /* soak_faults.c */
 void sk_draw_schedule(struct sk *k, int64_t window_ms);
 void sk_print_schedule(const struct sk *k);
--- a/tests/soak_check.c
+++ b/tests/soak_check.c
@@ -88,16 +88,18 @@
 	       sk_is_connected(k, q->vm, q->answered_ms);
 }
 
-/* Did a connected owner send the start command, and was it not delayed on its
- * way? Only such a start counts against the rules' time limits. */
-static bool is_timely(const struct sk *k, const struct sk_run *r)
+int32_t sk_worker_number(const char *id)
+{
+	return atoi(id + strcspn(id, "0123456789"));
+}
+
+bool sk_is_timely(const struct sk *k, const struct sk_run *r)
 {
 	int vm = hf_owner(&k->fleet, (long)(r->fence / FENCES_PER_EPOCH));
-	int worker = atoi(r->worker + strcspn(r->worker, "0123456789"));
+	int32_t link = SK_LINKS - sk_worker_number(r->worker);
 
-	return !r->is_delayed &&
-	       !is_disrupted(k, SK_LINKS - worker, r->start_ms) && vm >= 0 &&
-	       sk_is_connected(k, vm, r->start_ms);
+	return !r->is_delayed && !is_disrupted(k, link, r->start_ms) &&
+	       vm >= 0 && sk_is_connected(k, vm, r->start_ms);
 }
 
 static struct sk_run *run_at(GArray *runs, guint i)
@@ -196,14 +198,14 @@
 					    "task %d is not done", i);
 	}
 	if (j->cancelled_ms && r->start_ms > j->cancelled_ms + SK_CANCEL_MS &&
-	    is_timely(k, r))
+	    sk_is_timely(k, r))
 		sk_report_violation(k, "UNASKED", task,
 				    "started at %lld, cancelled at %lld",
 				    (long long)r->start_ms,
 				    (long long)j->cancelled_ms);
 	if (j->done_shown_ms &&
 	    r->start_ms > j->done_shown_ms + SK_DONE_VISIBLE_MS &&
-	    is_timely(k, r))
+	    sk_is_timely(k, r))
 		sk_report_violation(k, "TWICE", task,
 				    "started at %lld, reported done at %lld",
 				    (long long)r->start_ms,
@@ -235,7 +237,7 @@
 		     const char *task)
 {
 	struct sk_run run = *r;
-	char spec[48] = "";
+	char spec[SK_SPEC_MAX] = "";
 	int is_delayed = 0;
 	int index;
 	struct sk_job *j = find_task(k, task, &index);
@@ -246,12 +248,13 @@
 				    "no client submitted it");
 		return;
 	}
-	sscanf(line, "%*s %*s %*s %*s %*s %" G_GINT64_FORMAT " %d %47s",
+	sscanf(line, "%*s %*s %*s %*s %*s %" G_GINT64_FORMAT " %d %95s",
 	       &run.fence, &is_delayed, spec);
 	run.is_delayed = is_delayed;
 	g_array_append_val(j->task_runs[index], run);
 	check_start(k, j, index, task, spec);
 	check_finality(k, j, j->task_runs[index], task);
+	sk_check_capacity(k, &run, task);
 }
 
 static void on_event(struct sk *k, const char *event_kind,
@@ -290,6 +293,9 @@
 				    line);
 	else if (!strcmp(event_kind, "start"))
 		on_start(k, line, &r, task);
+	else if (!strcmp(event_kind, "shrink") || !strcmp(event_kind, "grow"))
+		sk_set_capacity(k, r.worker, r.number,
+				atoll(task + strlen("mem=")), r.start_ms);
 	else
 		on_event(k, event_kind, &r, task);
 }
--- a/tests/soak_clients.c
+++ b/tests/soak_clients.c
@@ -9,6 +9,10 @@
 #define RETRIES 4
 #define RETRY_MS 200
 #define PAUSE_MAX_MS 250
+/* What gd-site takes a task's size from. */
+#define SIZE                                                                   \
+	"cpu=" G_STRINGIFY(SK_TASK_CPU_MILLI) ",mem=" G_STRINGIFY(             \
+		SK_TASK_MEM_MIB)
 
 struct client {
 	struct sk *k;
@@ -44,9 +48,9 @@
 	snprintf(j->id, sizeof(j->id), "%08x%08x", c->number + 1,
 		 g_rand_int(c->rand));
 	if (j->kind == SK_LONG_RUNNING)
-		snprintf(j->spec, sizeof(j->spec), "lasts,%s", j->id);
+		snprintf(j->spec, sizeof(j->spec), "lasts," SIZE ",%s", j->id);
 	else
-		snprintf(j->spec, sizeof(j->spec), "%s,ms=%d,%s",
+		snprintf(j->spec, sizeof(j->spec), "%s,ms=%d," SIZE ",%s",
 			 j->kind == SK_FAILING ? "bad" : "good",
 			 draw_below(c, 4) ? 100 + draw_below(c, 900)
 					  : 1000 + draw_below(c, 5000),
@@ -69,9 +73,10 @@
 		[SK_LONG_RUNNING] = ",\"long_running\":true",
 		[SK_FAILING] = "",
 	};
-	char *step = g_strdup_printf("{\"count\":%d,\"cpu\":500,\"mem_mb\":100,"
+	char *step = g_strdup_printf("{\"count\":%d,\"cpu\":%d,\"mem_mb\":%d,"
 				     "\"estimate_ms\":500%s",
-				     j->count, step_fields[j->kind]);
+				     j->count, SK_TASK_CPU_MILLI,
+				     SK_TASK_MEM_MIB, step_fields[j->kind]);
 	char *body = g_strdup_printf("{\"spec\":\"%s\",\"steps\":[%s}%s%s%s]}",
 				     j->spec, step, j->steps > 1 ? "," : "",
 				     j->steps > 1 ? step : "",
--- a/tests/soak_faults.c
+++ b/tests/soak_faults.c
@@ -179,9 +179,32 @@
 		   f->target, modes[f->variant], (long long)f->for_ms);
 }
 
+static void shrink_worker(struct sk *k, struct sk_fault *f)
+{
+	static const struct {
+		int cpu_milli;
+		int mem_mib;
+	} sizes[] = {
+		{ 0, 64000 }, { 1500, 6400 }, { 16000, 200 }, { 4000, 600 }
+	};
+
+	hf_control(k->fleet.platform_port, "/control/worker",
+		   "{\"worker\":%d,\"do\":\"shrink\",\"for_ms\":%lld,"
+		   "\"cpu\":%d,\"mem_mb\":%d}",
+		   f->target, (long long)f->for_ms, sizes[f->variant].cpu_milli,
+		   sizes[f->variant].mem_mib);
+}
+
 enum { STORE_REFUSING, STORE_SILENT };
 enum { WORKER_ENTRY_EXPIRES = 4 };
-enum { KILL_ALL, STORE, WORKER, SIMPLE_KINDS = 10, OWNERS_LOST = SIMPLE_KINDS };
+enum {
+	KILL_ALL,
+	STORE,
+	WORKER,
+	SIMPLE_KINDS = 10,
+	OWNERS_LOST = SIMPLE_KINDS,
+	CAPACITY_SHRINKS
+};
 
 static const struct sk_fault_kind kinds[] = {
 	[KILL_ALL] = { "all VMs killed", kill_vms, request_restart,
@@ -201,6 +224,8 @@
 	  'w' },
 	[OWNERS_LOST] = { "owners in series", lose_owner, restore_owner,
 			  SCOPE_VM, 3000, 8000, 2 },
+	[CAPACITY_SHRINKS] = { "capacity shrinks", shrink_worker, NULL,
+			       SCOPE_WORKER, 4000, 18000, 4 },
 };
 
 static int64_t draw_from(GRand *rand, int64_t from, int64_t to)
@@ -300,6 +325,24 @@
 	g_rand_free(rand);
 }
 
+static void draw_shrinking(struct sk *k, int64_t window_ms)
+{
+	const struct sk_fault_kind *kind = &kinds[CAPACITY_SHRINKS];
+	GRand *rand = sk_rand_new(k, SK_STREAM_CAPACITY, 0);
+
+	for (int64_t n = draw_from(rand, 4, 11); n > 0; n--) {
+		int32_t worker =
+			(int32_t)draw_from(rand, 0, k->fleet.opt.workers);
+		int32_t variant = (int32_t)draw_from(rand, 0, kind->n_variants);
+		int64_t at_ms = draw_from(rand, 1000, window_ms * 3 / 4);
+
+		add_fault(k, CAPACITY_SHRINKS, at_ms,
+			  draw_from(rand, kind->min_ms, kind->max_ms), worker,
+			  variant);
+	}
+	g_rand_free(rand);
+}
+
 static gint by_time(gconstpointer a, gconstpointer b)
 {
 	const struct sk_fault *fa = a;
@@ -322,6 +365,8 @@
 		draw_simple(k, window_ms);
 	if (has_series)
 		draw_series(k, window_ms);
+	if (k->seed >= SK_FIRST_CAPACITY_SEED)
+		draw_shrinking(k, window_ms);
 	g_array_sort(k->faults, by_time);
 }
 
