Check BUDGET and LOST for tasks that crash workers

Change: a job kind with one deadly task, which no client submits yet. More than two starts by connected owners after the third crash break BUDGET. Such a job may be shown as failed after two crashes; it is not due in the checks of idle jobs and needn't end. Any other job that is shown as failed without failed ends still breaks LOST, whatever crashed under its tasks. A crash counts as a disruption of an instant. For the time of a lease after one, idle jobs aren't reported: their tasks may be waiting for it to expire.

--- a/tests/soak.c
+++ b/tests/soak.c
@@ -151,8 +151,14 @@
 	k->traffic_end_ms = hx_now_ms();
 }
 
-/* Queries all accepted jobs that haven't ended; returns whether all but the
- * long-running ones have. */
+/* Does the job have to end? */
+static bool is_finite(const struct sk_job *j)
+{
+	return j->kind != SK_LONG_RUNNING && j->kind != SK_DEADLY;
+}
+
+/* Queries all accepted jobs that haven't ended; returns whether all that have
+ * to end have. */
 static bool query_open_jobs(struct sk *k, CURL *easy)
 {
 	bool all_ended = true;
@@ -163,7 +169,7 @@
 		if (!j->accepted_ms || j->cancel_sent || j->has_ended)
 			continue;
 		sk_query_job(k, easy, (int)i % k->fleet.opt.vms, j);
-		all_ended &= j->has_ended || j->kind == SK_LONG_RUNNING;
+		all_ended &= j->has_ended || !is_finite(j);
 		run_checks(k);
 	}
 	return all_ended;
@@ -191,7 +197,7 @@
 		const struct sk_job *j = g_ptr_array_index(k->jobs, i);
 
 		if (j->accepted_ms && !j->cancel_sent && !j->has_ended &&
-		    j->kind != SK_LONG_RUNNING)
+		    is_finite(j))
 			sk_report_violation(k, "LOST", j->id,
 					    "never reported as ended");
 	}
--- a/tests/soak.h
+++ b/tests/soak.h
@@ -32,6 +32,11 @@
 #define SK_SPEC_MAX 96
 #define SK_STEPS_MAX 2
 #define SK_TASKS_MAX 8
+/* Rule BUDGET: a task may be given up after so many crashes, and may start less
+ * than three times after so many. */
+#define SK_CRASHES_GIVE_UP 2
+#define SK_CRASHES_MAX 3
+#define SK_STARTS_AFTER_CRASHES 2
 #define SK_CLIENTS 4
 /* Each task asks for this. */
 #define SK_TASK_CPU_MILLI 500
@@ -47,6 +52,7 @@
 	SK_TWO_STEPS,
 	SK_LONG_RUNNING,
 	SK_FAILING,
+	SK_DEADLY, /* one task, which crashes each worker that starts it */
 	SK_KINDS
 };
 
@@ -60,6 +66,7 @@
 	char outcome[12];
 	bool acknowledged; /* an owner has acknowledged its end */
 	bool is_delayed; /* the worker executed the command late */
+	bool crashed_worker;
 };
 
 struct sk_job {
@@ -120,6 +127,7 @@
 	bool restart_wanted[HF_VMS_MAX];
 	int64_t traffic_end_ms; /* 0: not over yet */
 	FILE *site_log; /* of gd-site */
+	int64_t crash_ms; /* last crash of a worker by a task; 0: none */
 	/* The lock protects all fields below. */
 	GMutex lock;
 	bool traffic_on;
@@ -177,7 +185,13 @@
 /* Checks that no job whose attempts were all rejected has started. */
 void sk_check_end(struct sk *k);
 
-/* soak_workers.c; both are called with the lock held. */
+/* soak_workers.c; all are called with the lock held. */
+/* Notes that the run has crashed its worker. */
+void sk_set_crashed(struct sk *k, struct sk_run *run);
+/* Has a task of the job crashed so many workers that it may be given up? */
+bool sk_may_give_up(const struct sk_job *j);
+/* Checks that a task that has crashed workers doesn't start again and again. */
+void sk_check_crashes(struct sk *k, GArray *runs, const char *task);
 void sk_set_capacity(struct sk *k, const char *worker, int64_t cpu_milli,
 		     int64_t mem_mib, int64_t at_ms);
 /* Checks that the run that just started fits on its worker. */
--- a/tests/soak_check.c
+++ b/tests/soak_check.c
@@ -254,6 +254,7 @@
 	g_array_append_val(j->task_runs[index], run);
 	check_start(k, j, index, task, spec);
 	check_finality(k, j, j->task_runs[index], task);
+	sk_check_crashes(k, j->task_runs[index], task);
 	sk_check_capacity(k, &run, task);
 }
 
@@ -272,6 +273,8 @@
 		if (!strcmp(event_kind, "noted")) {
 			r->acknowledged = true;
 			check_finality(k, j, j->task_runs[index], task);
+		} else if (!strcmp(event_kind, "crash")) {
+			sk_set_crashed(k, r);
 		} else {
 			r->end_ms = event->start_ms;
 			g_strlcpy(r->outcome, event_kind, sizeof(r->outcome));
@@ -373,6 +376,10 @@
 
 	for (int i = 0; i < j->steps * j->count; i++)
 		since = MAX(since, idle_since_ms(j, i));
+	/* For all that the owner knows, tasks of a worker that has crashed run
+	 * until their leases expire. */
+	if (k->crash_ms && now < k->crash_ms + SK_LEASE_MAX_MS + SK_IDLE_MS)
+		return;
 	if (k->traffic_end_ms && !j->has_ended && !is_finished(j) &&
 	    now > k->traffic_end_ms + SK_FINISH_MS + SK_IDLE_MS &&
 	    since < now - SK_IDLE_MS)
@@ -419,7 +426,7 @@
 			continue;
 		if (j->kind == SK_LONG_RUNNING)
 			check_long_running(k, j, now);
-		else
+		else if (j->kind != SK_DEADLY)
 			check_unfinished(k, j, now);
 	}
 }
@@ -459,7 +466,7 @@
 		check_done(k, j, q->answered_ms);
 	if (!strcmp(state, "done") && !j->done_shown_ms)
 		j->done_shown_ms = hx_now_ms();
-	if (!strcmp(state, "failed") && !is_failed(j))
+	if (!strcmp(state, "failed") && !is_failed(j) && !sk_may_give_up(j))
 		sk_report_violation(k, "LOST", j->id,
 				    "reported failed, no task did");
 	if (!strcmp(state, "canceled") && !j->cancel_sent)
--- a/tests/soak_clients.c
+++ b/tests/soak_clients.c
@@ -72,6 +72,7 @@
 		[SK_TWO_STEPS] = "",
 		[SK_LONG_RUNNING] = ",\"long_running\":true",
 		[SK_FAILING] = "",
+		[SK_DEADLY] = "",
 	};
 	char *step = g_strdup_printf("{\"count\":%d,\"cpu\":%d,\"mem_mb\":%d,"
 				     "\"estimate_ms\":500%s",
--- a/tests/soak_workers.c
+++ b/tests/soak_workers.c
@@ -1,10 +1,51 @@
-/* The soak's checks of what workers may be told to run: rule LIMIT. */
+/* The soak's checks of what workers may be told to run: rules BUDGET, for tasks
+ * that crash them, and LIMIT. */
 #include "tests/soak.h"
 
 /* Capacity of gd-site's workers unless they have shrunk. */
 #define FULL_CPU_MILLI 16000
 #define FULL_MEM_MIB 64000
 
+void sk_set_crashed(struct sk *k, struct sk_run *run)
+{
+	run->crashed_worker = true;
+	k->crash_ms = hx_now_ms();
+	sk_disruption_end(k, sk_disruption_begin(k, SK_OTHER));
+}
+
+static int32_t count_crashes(GArray *runs)
+{
+	int32_t n = 0;
+
+	for (guint i = 0; i < runs->len; i++)
+		n += g_array_index(runs, struct sk_run, i).crashed_worker;
+	return n;
+}
+
+bool sk_may_give_up(const struct sk_job *j)
+{
+	return j->kind == SK_DEADLY &&
+	       count_crashes(j->task_runs[0]) >= SK_CRASHES_GIVE_UP;
+}
+
+void sk_check_crashes(struct sk *k, GArray *runs, const char *task)
+{
+	int32_t crashes = 0;
+	int32_t starts = 0;
+
+	/* A task has one run at a time, see check_overlap(). */
+	for (guint i = 0; i < runs->len; i++) {
+		const struct sk_run *r = &g_array_index(runs, struct sk_run, i);
+
+		starts += crashes >= SK_CRASHES_MAX && sk_is_timely(k, r);
+		crashes += r->crashed_worker;
+	}
+	if (starts > SK_STARTS_AFTER_CRASHES)
+		sk_report_violation(k, "BUDGET", task,
+				    "started %d times after %d crashes", starts,
+				    SK_CRASHES_MAX);
+}
+
 static int32_t tasks_in(int64_t cpu_milli, int64_t mem_mib)
 {
 	return (int32_t)MIN(cpu_milli / SK_TASK_CPU_MILLI,
