--- a/src/coordination/sched_evict.c
+++ b/src/coordination/sched_evict.c
@@ -17,27 +17,10 @@
 	       !def->is_long_running && run->state == SCHED_RUN_ACTIVE;
 }
 
-/* Returns whether the run's end is under way or can be brought about, and frees
- * CPU: best-effort tasks have none of their own. */
-static bool can_free_cpu(const struct sched_run *run, int32_t priority)
+static bool has_evictable_cpu(const struct sched_run *run, int32_t priority)
 {
-	return (run->stopping || is_evictable(run, priority)) &&
-	       !run->task->step->def->best_effort;
-}
-
-/* Returns the CPU that stops under way and evictions can free at the worker, in
- * thousandths of a core. */
-static int64_t evictable_milli(const struct sched_worker *w, int32_t priority)
-{
-	int64_t sum = 0;
-
-	for (const GList *i = w->runs.head; i; i = i->next) {
-		const struct sched_run *run = i->data;
-
-		if (can_free_cpu(run, priority))
-			sum += run->task->step->def->cpu_milli;
-	}
-	return sum;
+	return !run->task->step->def->best_effort &&
+	       is_evictable(run, priority);
 }
 
 /* Returns whether evictions for the step have had time to take effect. */
@@ -48,61 +31,6 @@
 	       now_ms >= step->evicted_ms + s->lim.stop_ms + EVICT_PAUSE_MS;
 }
 
-/* Returns the CPU that neither tasks use nor reservations keep. */
-static int64_t free_milli(const struct sched_worker *w)
-{
-	return w->row.total.cpu_milli - w->used.cpu_milli -
-	       w->reserved.cpu_milli;
-}
-
-/* Returns the CPU that stops under way free at the worker. */
-static int64_t stopping_milli(const struct sched_worker *w)
-{
-	int64_t sum = 0;
-
-	for (const GList *i = w->runs.head; i; i = i->next) {
-		const struct sched_run *run = i->data;
-
-		if (run->stopping && !run->task->step->def->best_effort)
-			sum += run->task->step->def->cpu_milli;
-	}
-	return sum;
-}
-
-void sched_evict_for_step(struct sched *s, const struct sched_rank *r,
-			  struct sched_worker **list, int32_t n, int64_t now_ms)
-{
-	int64_t need = r->step->def->cpu_milli;
-	struct sched_worker *best = NULL;
-
-	if (r->step->def->best_effort || !may_evict(s, r->step, now_ms))
-		return;
-	for (int32_t i = 0; i < n; i++) {
-		int64_t left = free_milli(list[i]);
-
-		/* Where the CPU suffices, something else is lacking. */
-		if (left >= need ||
-		    left + evictable_milli(list[i], r->priority) < need)
-			continue;
-		if (!best || left > free_milli(best))
-			best = list[i];
-	}
-	if (!best)
-		return;
-	r->step->evicted_ms = now_ms;
-	need -= free_milli(best) + stopping_milli(best);
-	for (GList *i = best->runs.tail; i && need > 0; i = i->prev) {
-		struct sched_run *run = i->data;
-
-		if (run->stopping || !can_free_cpu(run, r->priority))
-			continue;
-		need -= run->task->step->def->cpu_milli;
-		s->counts.evicted++;
-		sched_run_stop(s, run, now_ms,
-			       "evicted for a task of higher priority");
-	}
-}
-
 /* Subtracts what the run's end frees: best-effort tasks have no CPU of their
  * own. */
 static void subtract(struct place_resources *lacks, const struct sched_run *run)
@@ -138,6 +66,70 @@
 	};
 }
 
+/* Returns what is lacking once stops under way have taken effect. */
+static struct place_resources lacking_after_stops(struct place_resources lacks,
+						  const struct sched_worker *w)
+{
+	for (const GList *i = w->runs.head; i; i = i->next) {
+		const struct sched_run *run = i->data;
+
+		if (run->stopping)
+			subtract(&lacks, run);
+	}
+	return lacks;
+}
+
+/* Returns whether evicting runs that have CPU of their own makes room for the
+ * task. Where no CPU is lacking, nothing is evicted. */
+static bool can_make_room(const struct sched_worker *w, int32_t priority,
+			  struct place_resources lacks)
+{
+	if (lacks.cpu_milli <= 0)
+		return false;
+	lacks = lacking_after_stops(lacks, w);
+	for (const GList *i = w->runs.head; i; i = i->next) {
+		const struct sched_run *run = i->data;
+
+		if (!run->stopping && has_evictable_cpu(run, priority))
+			subtract(&lacks, run);
+	}
+	return !is_lacking(&lacks);
+}
+
+void sched_evict_for_step(struct sched *s, const struct sched_rank *r,
+			  struct sched_worker **list, int32_t n, int64_t now_ms)
+{
+	const struct jobspec_step *def = r->step->def;
+	struct place_resources lacks = { 0 };
+	struct sched_worker *best = NULL;
+
+	if (def->best_effort || !may_evict(s, r->step, now_ms))
+		return;
+	for (int32_t i = 0; i < n; i++) {
+		struct place_resources here = shortage_at(def, list[i]);
+
+		if ((best && here.cpu_milli >= lacks.cpu_milli) ||
+		    !can_make_room(list[i], r->priority, here))
+			continue;
+		best = list[i];
+		lacks = here;
+	}
+	if (!best)
+		return;
+	r->step->evicted_ms = now_ms;
+	lacks = lacking_after_stops(lacks, best);
+	for (GList *i = best->runs.tail; i && is_lacking(&lacks); i = i->prev) {
+		struct sched_run *run = i->data;
+
+		if (run->stopping || !has_evictable_cpu(run, r->priority))
+			continue;
+		subtract(&lacks, run);
+		s->counts.evicted++;
+		sched_run_stop(s, run, now_ms,
+			       "evicted for a task of higher priority");
+	}
+}
+
 /* Returns whether the task fits once all but long-running tasks have ended. */
 static bool will_fit(const struct sched_step *step,
 		     const struct sched_worker *w)
@@ -244,12 +236,7 @@
 {
 	struct place_resources after;
 
-	for (const GList *i = w->runs.head; i; i = i->next) {
-		const struct sched_run *run = i->data;
-
-		if (run->stopping)
-			subtract(&lacks, run);
-	}
+	lacks = lacking_after_stops(lacks, w);
 	after = lacks;
 	for (const GList *i = w->runs.head; i; i = i->next) {
 		const struct sched_run *run = i->data;
