--- a/tests/unit.h
+++ b/tests/unit.h
@@ -30,5 +30,7 @@
 void unit_add_reserve(void);
 void unit_add_suspect(void);
 void unit_add_crash(void);
+void unit_add_crash_count(void);
+void unit_add_crash_apart(void);
 
 #endif
--- a/tests/unit_crash.c
+++ b/tests/unit_crash.c
@@ -2,121 +2,44 @@
 #include <glib.h>
 #include <string.h>
 
-#include "tests/sched_fixture.h"
+#include "tests/crash_vms.h"
 #include "tests/unit.h"
 
-/* Longer than any lease, with all margins. */
-#define LEASE_OVER_MS 8000
-
-/* A VM whose worker may be replaced by a new one. */
-struct crash_vm {
-	char id[16];
-	char name[16];
-	int life;
-};
-
-static void list_worker(struct sched_fixture *p, const struct crash_vm *vm,
-			int64_t now)
-{
-	struct sched_worker_row row = {
-		.pool = "p",
-		.domain = "d",
-		.born_ms = vm->life,
-		.total = { 8000, 8000, 0 },
-	};
-
-	g_strlcpy(row.id, vm->id, sizeof(row.id));
-	g_strlcpy(row.vm, vm->name, sizeof(row.vm));
-	g_strlcpy(row.rack, "r", sizeof(row.rack));
-	sched_worker_listed(&p->s, &row, now);
-	fixture_store_roster(p);
-	fixture_poll(p, vm->id, NULL, 0, NULL, 0, now + 1);
-}
-
-static void add_vm(struct sched_fixture *p, struct crash_vm *vm, int number)
-{
-	g_snprintf(vm->id, sizeof(vm->id), "w%d-1", number);
-	g_snprintf(vm->name, sizeof(vm->name), "vm%d", number);
-	vm->life = 1;
-	list_worker(p, vm, 1);
-}
-
-/* The worker is silent and leaves the list; its leases expire. */
-static void lose_worker(struct sched_fixture *p, const struct crash_vm *vm,
-			int64_t now)
-{
-	sched_worker_unanswered(&p->s, fixture_worker(p, vm->id), now);
-	sched_worker_unlisted(&p->s, vm->id, now + 3000);
-	sched_tick(&p->s, now + LEASE_OVER_MS, 1000000 + now + LEASE_OVER_MS);
-}
-
-/* The VM has a new worker, under a new id. */
-static void replace_worker(struct sched_fixture *p, struct crash_vm *vm,
-			   int64_t now)
-{
-	vm->life++;
-	g_snprintf(vm->id, sizeof(vm->id), "%s-%d", vm->name, vm->life);
-	list_worker(p, vm, now);
-}
-
-static struct crash_vm *vm_of(struct crash_vm *vms, int n, const char *worker)
-{
-	for (int i = 0; i < n; i++) {
-		if (!strcmp(vms[i].id, worker))
-			return &vms[i];
-	}
-	g_assert_not_reached();
-}
-
-static const struct recorded_command *last_start(const struct sched_fixture *p)
-{
-	return fixture_start(p, p->starts->len - 1);
-}
-
 /* Starts what is ready and crashes the worker of the last start, whose command
  * gets no answer. Returns the time after the VM has its new worker. */
 static int64_t crash_last(struct sched_fixture *p, struct crash_vm *vms, int n,
 			  int64_t now)
 {
-	const struct recorded_command *start = last_start(p);
-	struct crash_vm *vm = vm_of(vms, n, start->worker);
+	const struct recorded_command *start = crash_last_start(p);
+	struct crash_vm *vm = crash_vm_of(vms, n, start->worker);
 
 	sched_start_answered(&p->s, &start->ref, start->worker,
 			     SCHED_START_UNKNOWN, now);
-	lose_worker(p, vm, now);
-	replace_worker(p, vm, now + LEASE_OVER_MS);
-	now += LEASE_OVER_MS + 100;
+	crash_lose_worker(p, vm, now);
+	crash_replace_worker(p, vm, now + CRASH_LEASE_OVER_MS);
+	now += CRASH_LEASE_OVER_MS + 100;
 	sched_tick(&p->s, now, 1000000 + now);
 	return now;
 }
 
-#define VMS 4
-
-static void open_vms(struct sched_fixture *p, struct crash_vm *vms)
-{
-	fixture_open(p, 1, NULL);
-	for (int i = 0; i < VMS; i++)
-		add_vm(p, &vms[i], i);
-}
-
 /* Adds the job and starts it as long as it is started, crashing each worker.
  * Returns the number of starts. */
 static guint start_until_given_up(struct jobspec *spec)
 {
-	struct crash_vm vms[VMS];
+	struct crash_vm vms[CRASH_VMS];
 	struct sched_fixture p;
 	struct sched_job *job;
 	int64_t now = 100;
 	guint starts = 0;
 
-	open_vms(&p, vms);
+	crash_open_vms(&p, vms);
 	job = fixture_add_job(&p, spec);
 	for (int i = 0; i < 8; i++) {
 		sched_place(&p.s, now);
 		if (p.starts->len == starts)
 			break;
 		starts = p.starts->len;
-		now = crash_last(&p, vms, VMS, now + 10);
+		now = crash_last(&p, vms, CRASH_VMS, now + 10);
 	}
 	g_assert_cmpint(job->state, ==, SCHED_JOB_FAILED);
 	fixture_close(&p);
@@ -151,11 +74,11 @@
 /* The worker comes back under its id. */
 static void test_restart_under_same_id(void)
 {
-	struct crash_vm vms[VMS];
+	struct crash_vm vms[CRASH_VMS];
 	struct sched_fixture p;
 	struct sched_job *job;
 
-	open_vms(&p, vms);
+	crash_open_vms(&p, vms);
 	job = fixture_add_job(&p, fixture_spec("d", "short", 1, 1));
 	for (int64_t now = 100; now < 20000; now += 5000) {
 		struct crash_vm *vm;
@@ -163,13 +86,13 @@
 		sched_place(&p.s, now);
 		if (sched_job_has_ended(job))
 			break;
-		vm = vm_of(vms, VMS, last_start(&p)->worker);
-		sched_start_answered(&p.s, &last_start(&p)->ref, vm->id,
+		vm = crash_vm_of(vms, CRASH_VMS, crash_last_start(&p)->worker);
+		sched_start_answered(&p.s, &crash_last_start(&p)->ref, vm->id,
 				     SCHED_START_UNKNOWN, now + 10);
 		sched_worker_unanswered(&p.s, fixture_worker(&p, vm->id),
 					now + 20);
 		vm->life++;
-		list_worker(&p, vm, now + 3000);
+		crash_list_worker(&p, vm, now + 3000);
 		sched_tick(&p.s, now + 3100, 1000000 + now + 3100);
 	}
 	g_assert_cmpint(job->state, ==, SCHED_JOB_FAILED);
@@ -180,22 +103,22 @@
 /* A worker that is cut off and comes back didn't crash. */
 static void test_cut_is_no_crash(void)
 {
-	struct crash_vm vms[VMS];
+	struct crash_vm vms[CRASH_VMS];
 	struct sched_fixture p;
 	struct sched_job *job;
 	int64_t now = 100;
 
-	open_vms(&p, vms);
+	crash_open_vms(&p, vms);
 	job = fixture_add_job(&p, fixture_spec("a", "short", 1, 1));
 	for (int i = 0; i < 6; i++) {
 		struct crash_vm *vm;
 
 		sched_place(&p.s, now);
-		fixture_started(&p, last_start(&p), now + 10);
-		vm = vm_of(vms, VMS, last_start(&p)->worker);
-		lose_worker(&p, vm, now + 20);
-		now += LEASE_OVER_MS + 100;
-		list_worker(&p, vm, now);
+		fixture_started(&p, crash_last_start(&p), now + 10);
+		vm = crash_vm_of(vms, CRASH_VMS, crash_last_start(&p)->worker);
+		crash_lose_worker(&p, vm, now + 20);
+		now += CRASH_LEASE_OVER_MS + 100;
+		crash_list_worker(&p, vm, now);
 		sched_tick(&p.s, now + 10, 1000000 + now + 10);
 	}
 	g_assert_false(sched_job_has_ended(job));
@@ -206,19 +129,19 @@
 /* A worker that leaves as announced didn't crash. */
 static void test_leaving_is_no_crash(void)
 {
-	struct crash_vm vms[VMS];
+	struct crash_vm vms[CRASH_VMS];
 	struct sched_fixture p;
 	struct sched_worker_row row;
 
-	open_vms(&p, vms);
+	crash_open_vms(&p, vms);
 	fixture_add_job(&p, fixture_spec("a", "short", 1, 1));
 	sched_place(&p.s, 100);
-	fixture_started(&p, last_start(&p), 110);
-	row = fixture_worker(&p, last_start(&p)->worker)->row;
+	fixture_started(&p, crash_last_start(&p), 110);
+	row = fixture_worker(&p, crash_last_start(&p)->worker)->row;
 	row.draining = true;
 	sched_worker_listed(&p.s, &row, 200);
-	lose_worker(&p, vm_of(vms, VMS, row.id), 300);
-	replace_worker(&p, vm_of(vms, VMS, row.id), 9000);
+	crash_lose_worker(&p, crash_vm_of(vms, CRASH_VMS, row.id), 300);
+	crash_replace_worker(&p, crash_vm_of(vms, CRASH_VMS, row.id), 9000);
 	g_assert_cmpint(p.s.counts.crashes, ==, 0);
 	fixture_close(&p);
 }
@@ -227,7 +150,7 @@
  * too is given up; no other starts beside it meanwhile. */
 static void test_innocent_neighbours(void)
 {
-	struct crash_vm vms[VMS];
+	struct crash_vm vms[CRASH_VMS];
 	struct sched_fixture p;
 	struct sched_job *good;
 	struct sched_job *bad;
@@ -236,16 +159,16 @@
 	char used[2][SCHED_ID_MAX];
 	int64_t now;
 
-	open_vms(&p, vms);
+	crash_open_vms(&p, vms);
 	good = fixture_add_job(&p, fixture_spec("good", "short", 1, 1));
 	sched_place(&p.s, 100);
-	fixture_started(&p, last_start(&p), 110);
-	g_strlcpy(used[0], last_start(&p)->worker, sizeof(used[0]));
+	fixture_started(&p, crash_last_start(&p), 110);
+	g_strlcpy(used[0], crash_last_start(&p)->worker, sizeof(used[0]));
 	/* Best fit puts the second task beside the first. */
 	bad = fixture_add_job(&p, fixture_spec("bad", "short", 1, 1));
 	sched_place(&p.s, 120);
-	g_assert_cmpstr(last_start(&p)->worker, ==, used[0]);
-	now = crash_last(&p, vms, VMS, 130);
+	g_assert_cmpstr(crash_last_start(&p)->worker, ==, used[0]);
+	now = crash_last(&p, vms, CRASH_VMS, 130);
 	sched_place(&p.s, now);
 	g_assert_cmpuint(p.starts->len, ==, 4);
 	for (guint i = 0; i < 2; i++) {
@@ -264,8 +187,10 @@
 		start = fixture_start(&p, 3);
 	sched_start_answered(&p.s, &start->ref, start->worker,
 			     SCHED_START_UNKNOWN, now + 10);
-	lose_worker(&p, vm_of(vms, VMS, start->worker), now + 20);
-	replace_worker(&p, vm_of(vms, VMS, start->worker), now + 9000);
+	crash_lose_worker(&p, crash_vm_of(vms, CRASH_VMS, start->worker),
+			  now + 20);
+	crash_replace_worker(&p, crash_vm_of(vms, CRASH_VMS, start->worker),
+			     now + 9000);
 	sched_tick(&p.s, now + 9100, 1000000 + now + 9100);
 	g_assert_cmpint(bad->state, ==, SCHED_JOB_FAILED);
 	g_assert_false(sched_job_has_ended(good));
@@ -275,26 +200,26 @@
 /* The count survives the loss of the owner; rows of older releases lack it. */
 static void test_successor_keeps_count(void)
 {
-	struct crash_vm vms[VMS];
+	struct crash_vm vms[CRASH_VMS];
 	struct sched_fixture p;
 	struct sched_job *job;
 	json_t *progress;
 	json_t *entry;
 	int64_t now;
 
-	open_vms(&p, vms);
+	crash_open_vms(&p, vms);
 	job = fixture_add_job(&p, fixture_spec("d", "short", 1, 1));
 	sched_place(&p.s, 100);
-	now = crash_last(&p, vms, VMS, 110);
+	now = crash_last(&p, vms, CRASH_VMS, 110);
 	g_assert_cmpuint(p.s.dirty_jobs.length, ==, 1);
 	progress = sched_job_progress(job, true);
 	fixture_close(&p);
 
-	open_vms(&p, vms);
+	crash_open_vms(&p, vms);
 	job = sched_job_add(&p.s, fixture_spec("d", "short", 1, 1), progress, 5,
 			    true, 0, 1000000);
 	sched_place(&p.s, now);
-	crash_last(&p, vms, VMS, now);
+	crash_last(&p, vms, CRASH_VMS, now);
 	g_assert_cmpint(job->state, ==, SCHED_JOB_FAILED);
 	fixture_close(&p);
 
@@ -303,7 +228,7 @@
 	entry = json_array_get(json_array_get(entry, 1), 0);
 	g_assert_cmpuint(json_array_size(entry), ==, 5);
 	json_array_remove(entry, 4);
-	open_vms(&p, vms);
+	crash_open_vms(&p, vms);
 	job = sched_job_add(&p.s, fixture_spec("d", "short", 1, 1), progress, 5,
 			    false, 0, 1000000);
 	g_assert_cmpint(job->rounds->steps[0].tasks[0].crashes, ==, 0);
@@ -324,7 +249,7 @@
 
 	fixture_open(&p, 1, NULL);
 	for (int i = 0; i < DOMAIN_VMS; i++)
-		add_vm(&p, &vms[i], i);
+		crash_add_vm(&p, &vms[i], i);
 	spec = fixture_spec("a", "short", 1, DOMAIN_VMS);
 	spec->steps[0].cpu_milli = 8000;
 	job = fixture_add_job(&p, spec);
@@ -339,7 +264,7 @@
 	}
 	for (int i = 0; i < DOMAIN_VMS; i++) {
 		vms[i].life++;
-		list_worker(&p, &vms[i], 2000 + 20 * i);
+		crash_list_worker(&p, &vms[i], 2000 + 20 * i);
 	}
 	for (int k = 0; k < DOMAIN_VMS; k++)
 		suspects += job->rounds->steps[0].tasks[k].crashes > 0;
@@ -350,21 +275,21 @@
 /* A run that is found at the restarted worker was started after the crash. */
 static void test_late_start_is_no_crash(void)
 {
-	struct crash_vm vms[VMS];
+	struct crash_vm vms[CRASH_VMS];
 	struct sched_fixture p;
 	struct sched_active a;
 	struct sched_job *job;
 	struct crash_vm *vm;
 
-	open_vms(&p, vms);
+	crash_open_vms(&p, vms);
 	job = fixture_add_job(&p, fixture_spec("a", "short", 1, 1));
 	sched_place(&p.s, 100);
-	vm = vm_of(vms, VMS, last_start(&p)->worker);
-	sched_start_answered(&p.s, &last_start(&p)->ref, vm->id,
+	vm = crash_vm_of(vms, CRASH_VMS, crash_last_start(&p)->worker);
+	sched_start_answered(&p.s, &crash_last_start(&p)->ref, vm->id,
 			     SCHED_START_UNKNOWN, 110);
 	vm->life++;
-	list_worker(&p, vm, 3000);
-	a = fixture_active(last_start(&p), 5);
+	crash_list_worker(&p, vm, 3000);
+	a = fixture_active(crash_last_start(&p), 5);
 	fixture_poll(&p, vm->id, &a, 1, NULL, 0, 3100);
 	g_assert_cmpint(job->rounds->steps[0].tasks[0].crashes, ==, 0);
 	fixture_close(&p);
--- a/tests/unit_tests.c
+++ b/tests/unit_tests.c
@@ -41,5 +41,7 @@
 	unit_add_reserve();
 	unit_add_suspect();
 	unit_add_crash();
+	unit_add_crash_count();
+	unit_add_crash_apart();
 	return g_test_run();
 }
