Clear a task of crashes by how long its runs last

A task that crashes workers after more than 10 s was never given up (12 starts in the test), since coming through the time apart cleared it. Gangs and tasks adopted by a successor never run apart, so nothing cleared them: four unrelated crashes in any time failed the job.

Change: the time apart, now 3 s after repeated crashes, and the time that clears a task are two things. A run clears it that lasts twice as long as the longest that crashed a worker, 10 to 30 s, at work, apart or not.

/crash/late-crash, gang-recovers, adopted-recovers and many-suspects-lasting (a long-running suspect waited for 10.3 s, LOST allows 9) failed before.

--- a/src/coordination/sched.h
+++ b/src/coordination/sched.h
@@ -156,6 +156,7 @@
 	int32_t failures; /* length of failed_runs */
 	int32_t *failed_runs; /* numbers of failed runs, unsorted, no doubles */
 	int32_t crashes; /* length of crashed_runs */
+	int64_t crash_lasted_ms; /* the longest of crashed_runs, roughly */
 	int32_t *crashed_runs; /* runs under which a worker crashed */
 	int64_t not_before_ms; /* retry delay after a failure */
 	int64_t idle_since_ms; /* no run is active since then; 0: one is */
--- a/src/coordination/sched_crash.c
+++ b/src/coordination/sched_crash.c
@@ -13,7 +13,11 @@
 /* How long a task runs apart after one crash, and after more: the next one
  * decides. In ms. */
 #define APART_MS 1000
-#define APART_REPEATED_MS 10000
+#define APART_REPEATED_MS 3000
+/* A run that lasts twice as long as the longest that crashed a worker clears
+ * its task, within these bounds, in ms. */
+#define CLEARED_MIN_MS 10000
+#define CLEARED_MAX_MS 30000
 /* Crashes after which a task is given up even if it never ran apart. */
 #define CRASHES_MAX 4
 /* More crashes than SCHED_CRASHES_RECENT within this time, in ms, have another
@@ -31,6 +35,7 @@
 	struct sched_ref ref;
 	bool reported; /* by the worker */
 	bool isolated;
+	int64_t lasted_ms; /* up to the last report */
 };
 
 struct lost_worker {
@@ -61,6 +66,13 @@
 	run->isolated = on;
 }
 
+/* Returns the task that counts crashes: for a gang its first one, since its
+ * members share their runs. */
+static struct sched_task *counting_task(struct sched_task *t)
+{
+	return t->step->def->gang ? &t->step->tasks[0] : t;
+}
+
 /* The start of the run took effect after the crash that was counted. */
 static void uncount(struct sched *s, struct sched_run *run)
 {
@@ -80,15 +92,21 @@
 {
 	struct sched_task *t = run->task;
 	int64_t apart_ms = t->crashes > 1 ? APART_REPEATED_MS : APART_MS;
+	int64_t lasted_ms = now_ms - run->started_ms;
+	int64_t cleared_ms;
 
 	uncount(s, run);
-	if (!run->isolated || now_ms - run->started_ms < apart_ms)
-		return;
-	sched_isolate_run(run, false);
-	if (t->crashes < 2)
+	if (run->isolated && lasted_ms >= apart_ms)
+		sched_isolate_run(run, false);
+	t = counting_task(t);
+	cleared_ms =
+		CLAMP(2 * t->crash_lasted_ms, CLEARED_MIN_MS, CLEARED_MAX_MS);
+	/* A paused run shows nothing. */
+	if (!t->crashes || !run->pace || lasted_ms < cleared_ms)
 		return;
 	/* Harmless for that long: the crashes had other causes. */
 	t->crashes = 0;
+	t->crash_lasted_ms = 0;
 	sched_mark_dirty(s, t->step->round->job);
 }
 
@@ -126,11 +144,10 @@
 
 	if (!t || sched_job_has_ended(t->step->round->job))
 		return;
-	/* The members of a gang crash a worker together. */
-	if (t->step->def->gang)
-		t = &t->step->tasks[0];
+	t = counting_task(t);
 	if (t->done || !sched_crash_count(t, run->ref.run))
 		return;
+	t->crash_lasted_ms = MAX(t->crash_lasted_ms, run->lasted_ms);
 	/* So that a successor uses higher numbers, which count anew. */
 	t->last_ended_run = MAX(t->last_ended_run, run->ref.run);
 	sched_mark_dirty(s, t->step->round->job);
@@ -173,6 +190,9 @@
 		sched_run_ref(run, &to->ref);
 		to->reported = run->reported;
 		to->isolated = run->isolated;
+		if (run->reported)
+			to->lasted_ms =
+				MAX(0, w->last_answer_ms - run->started_ms);
 	}
 	return lost;
 }
