Tell a crashed worker by what took its place since

A row of the crashed worker that outlived its lease by 400 ms (a stale list, a slow store) was taken as a sign that it lives on, and the crash wasn't counted. A row of another worker that had named the same VM all along, with a later birth, made a crash of each cut.

Change: only an answer shows that a worker lives on; a replacement has the same id and a later birth, or has appeared on the VM since the last answer. /crash/row-outlives-lease and two-on-one-vm failed before.

--- a/src/coordination/sched.c
+++ b/src/coordination/sched.c
@@ -186,6 +186,7 @@
 		w->fence = MAX(s->epoch * FENCES_PER_EPOCH, s->fence_min);
 		w->index = s->worker_list->len;
 		w->row = *row;
+		w->created_ms = now_ms;
 		w->last_answer_ms = now_ms;
 		w->prev_lease_expiry_ms = s->roster_incomplete_until_ms;
 		g_queue_init(&w->runs);
--- a/src/coordination/sched.h
+++ b/src/coordination/sched.h
@@ -243,6 +243,7 @@
 	int64_t seen_seq; /* last end that was processed */
 	int64_t commit_seq; /* last end in the commit under way */
 	int64_t durable_seq; /* last end that is stored */
+	int64_t created_ms; /* when this owner first knew of it */
 	int64_t last_answer_ms;
 	int64_t refused_until_ms; /* delay after it refused a start */
 	int32_t failures_in_row;
--- a/src/coordination/sched_crash.c
+++ b/src/coordination/sched_crash.c
@@ -44,6 +44,7 @@
 	char address[48];
 	int64_t born_ms;
 	int64_t lost_ms;
+	int64_t answered_ms; /* its last answer */
 	int32_t n_runs;
 	struct lost_run runs[];
 };
@@ -183,6 +184,7 @@
 	g_strlcpy(lost->address, w->row.address, sizeof(lost->address));
 	lost->born_ms = w->row.born_ms;
 	lost->lost_ms = now_ms;
+	lost->answered_ms = w->last_answer_ms;
 	for (const GList *i = w->runs.head; i; i = i->next) {
 		const struct sched_run *run = i->data;
 		struct lost_run *to = &lost->runs[lost->n_runs++];
@@ -197,14 +199,19 @@
 	return lost;
 }
 
-/* Returns whether the row is of a later worker in the place of the lost one. */
-static bool replaces(const struct sched_worker_row *row,
+/* Returns whether the worker took the place of the lost one: it has its id and
+ * a later birth, or appeared on its VM since. */
+static bool replaces(const struct sched_worker *w,
 		     const struct lost_worker *lost)
 {
-	if (row->born_ms <= lost->born_ms || !lost->born_ms)
+	if (w->row.born_ms <= lost->born_ms || !lost->born_ms)
 		return false;
-	return (*lost->vm && !strcmp(row->vm, lost->vm)) ||
-	       (*lost->address && !strcmp(row->address, lost->address));
+	if (!strcmp(w->row.id, lost->id))
+		return true;
+	if (w->created_ms < lost->answered_ms)
+		return false;
+	return (*lost->vm && !strcmp(w->row.vm, lost->vm)) ||
+	       (*lost->address && !strcmp(w->row.address, lost->address));
 }
 
 static const struct sched_worker *find_replacement(const struct sched *s,
@@ -214,7 +221,7 @@
 		const struct sched_worker *w =
 			g_ptr_array_index(s->worker_list, i);
 
-		if (w->listed && replaces(&w->row, l))
+		if (w->listed && replaces(w, l))
 			return w;
 	}
 	return NULL;
@@ -250,13 +257,6 @@
 	g_free(lost);
 }
 
-static bool is_same_life(const struct sched_worker_row *row,
-			 const struct lost_worker *lost)
-{
-	return !strcmp(row->id, lost->id) &&
-	       (row->born_ms == lost->born_ms || !row->born_ms);
-}
-
 void sched_crash_worker_listed(struct sched *s,
 			       const struct sched_worker_row *row,
 			       int64_t now_ms)
@@ -265,15 +265,13 @@
 
 	for (GList *i = s->lost_workers.head; i; i = next) {
 		struct lost_worker *lost = i->data;
-		bool crashed = replaces(row, lost);
+		const struct sched_worker *w =
+			g_hash_table_lookup(s->workers, row->id);
 
 		next = i->next;
-		if (!crashed && !is_same_life(row, lost))
+		if (!w || !replaces(w, lost))
 			continue;
-		if (crashed)
-			count_crash(s, lost->runs, lost->n_runs,
-				    g_hash_table_lookup(s->workers, row->id),
-				    now_ms);
+		count_crash(s, lost->runs, lost->n_runs, w, now_ms);
 		g_queue_delete_link(&s->lost_workers, i);
 		g_free(lost);
 	}
--- a/src/coordination/sched_int.h
+++ b/src/coordination/sched_int.h
@@ -188,8 +188,7 @@
  * of the old one are freed. */
 void sched_crash_worker_restarted(struct sched *s, const struct sched_worker *w,
 				  int64_t now_ms);
-/* A worker is listed: it may be the next one on the VM of a lost worker, or the
- * lost worker itself, which didn't crash then. */
+/* A worker is listed: it may be the next one on the VM of a lost worker. */
 void sched_crash_worker_listed(struct sched *s,
 			       const struct sched_worker_row *row,
 			       int64_t now_ms);
