Keep a gang's crash counted while other members run

Members of a gang share the number of their run: a member that waited elsewhere was taken for the crashed run, started late, and the crash was uncounted. /crash/gang-member-active failed before.

--- a/src/coordination/sched_crash.c
+++ b/src/coordination/sched_crash.c
@@ -79,6 +79,9 @@
 {
 	struct sched_task *t = run->task;
 
+	/* Another member's run has the same number. */
+	if (t->step->def->gang)
+		return;
 	for (int32_t i = 0; i < t->crashes; i++) {
 		if (t->crashed_runs[i] != run->number)
 			continue;
