--- a/src/coordination/sched_crash.c
+++ b/src/coordination/sched_crash.c
@@ -22,7 +22,7 @@
 #define CRASHES_MAX 4
 /* More crashes than SCHED_CRASHES_RECENT within this time, in ms, have another
  * cause, such as the loss of a failure domain: they count only against tasks
- * that no worker has reported running. */
+ * that no worker has reported running, and those that ran apart. */
 #define SERIES_MS 3000
 /* The VM of a lost worker has a new one within this time, in ms, or isn't
  * expected to get one. */
@@ -171,7 +171,7 @@
 
 	s->counts.crashes++;
 	for (int32_t i = 0; i < n; i++) {
-		if (!in_series || !runs[i].reported)
+		if (!in_series || !runs[i].reported || runs[i].isolated)
 			count_against(s, &runs[i], w);
 	}
 }
