Don't give up a task beside another suspect

Change: beside a suspect that is past its time apart it takes a third crash. /crash/beside-suspect failed before.

--- a/src/coordination/sched_crash.c
+++ b/src/coordination/sched_crash.c
@@ -125,9 +125,13 @@
 	return oldest_ms && now_ms - oldest_ms < SERIES_MS;
 }
 
-static bool is_convicted(const struct sched_task *t, const struct lost_run *run)
+/* `sole`: no other task at the worker had crashed one before and was past its
+ * time apart. */
+static bool is_convicted(const struct sched_task *t, const struct lost_run *run,
+			 bool sole)
 {
-	return t->crashes >= CRASHES_MAX || (run->isolated && t->crashes > 1);
+	return t->crashes >= CRASHES_MAX ||
+	       (run->isolated && t->crashes > (sole ? 1 : 2));
 }
 
 static void give_up(struct sched *s, struct sched_task *t)
@@ -140,7 +144,7 @@
 }
 
 static void count_against(struct sched *s, const struct lost_run *run,
-			  const struct sched_worker *w)
+			  const struct sched_worker *w, bool sole)
 {
 	struct sched_task *t = sched_find_task(s, &run->ref);
 	bool convicted;
@@ -155,7 +159,7 @@
 	/* So that a successor uses higher numbers, which count anew. */
 	t->last_ended_run = MAX(t->last_ended_run, run->ref.run);
 	sched_mark_dirty(s, t->step->round->job);
-	convicted = is_convicted(t, run);
+	convicted = is_convicted(t, run, sole);
 	snprintf(text, sizeof(text), "crashes=%d reported=%d apart=%d%s",
 		 t->crashes, run->reported, run->isolated,
 		 convicted ? "; given up" : "");
@@ -168,11 +172,17 @@
 			const struct sched_worker *w, int64_t now_ms)
 {
 	bool in_series = is_in_series(s, now_ms);
+	bool sole = true;
 
 	s->counts.crashes++;
+	for (int32_t i = 0; i < n; i++) {
+		const struct sched_task *t = sched_find_task(s, &runs[i].ref);
+
+		sole &= runs[i].isolated || !t || !t->crashes;
+	}
 	for (int32_t i = 0; i < n; i++) {
 		if (!in_series || !runs[i].reported || runs[i].isolated)
-			count_against(s, &runs[i], w);
+			count_against(s, &runs[i], w, sole);
 	}
 }
 
