--- a/tests/soak.h
+++ b/tests/soak.h
@@ -44,7 +44,7 @@
 /* Rule LIMIT: a shrunk capacity counts after that, and one heartbeat. */
 #define SK_SHRUNK_MS (SK_STABLE_MS + 1000)
 /* Seeds from this on also shrink workers, which don't guard their capacity in
- * three of four. */
+ * three of four, and submit tasks that crash workers. */
 #define SK_FIRST_CAPACITY_SEED 2000
 
 enum sk_job_kind {
@@ -152,7 +152,12 @@
 
 /* Generators beside sk.rand and those of the clients, so that what is drawn
  * from one changes no draw of another. */
-enum sk_stream { SK_STREAM_SERIES, SK_STREAM_COUNTS, SK_STREAM_CAPACITY };
+enum sk_stream {
+	SK_STREAM_SERIES,
+	SK_STREAM_COUNTS,
+	SK_STREAM_CAPACITY,
+	SK_STREAM_DEADLY
+};
 GRand *sk_rand_new(const struct sk *k, enum sk_stream stream, int number);
 
 /* soak_check.c; all are called with the lock held. */
--- a/tests/soak_clients.c
+++ b/tests/soak_clients.c
@@ -8,6 +8,8 @@
 /* As clients of the platform do, see PROTOCOL and the site's page. */
 #define RETRIES 4
 #define RETRY_MS 200
+/* One of so many jobs is deadly. */
+#define DEADLY_SHARE 60
 #define PAUSE_MAX_MS 250
 /* What gd-site takes a task's size from. */
 #define SIZE                                                                   \
@@ -18,6 +20,7 @@
 	struct sk *k;
 	CURL *easy;
 	GRand *rand;
+	GRand *deadly_rand; /* which jobs are deadly */
 	int number;
 	int vm;
 	GPtrArray *accepted_jobs; /* struct sk_job */
@@ -33,6 +36,20 @@
 	c->vm = (c->vm + 1) % c->k->fleet.opt.vms;
 }
 
+/* Replaces some jobs by deadly ones, whose worker is back under a new id or its
+ * old one. */
+static void draw_deadly(struct client *c, struct sk_job *j)
+{
+	if (c->k->seed < SK_FIRST_CAPACITY_SEED ||
+	    g_rand_int_range(c->deadly_rand, 0, DEADLY_SHARE))
+		return;
+	j->kind = SK_DEADLY;
+	j->steps = j->count = 1;
+	snprintf(j->spec, sizeof(j->spec), "deadly,back=%d%s," SIZE ",%s",
+		 g_rand_int_range(c->deadly_rand, 1000, 6000),
+		 g_rand_boolean(c->deadly_rand) ? ",same-id" : "", j->id);
+}
+
 static struct sk_job *new_job(struct client *c)
 {
 	static const int weights[] = { SK_ONE_STEP,	SK_ONE_STEP,
@@ -55,6 +72,7 @@
 			 draw_below(c, 4) ? 100 + draw_below(c, 900)
 					  : 1000 + draw_below(c, 5000),
 			 j->id);
+	draw_deadly(c, j);
 	for (int i = 0; i < j->steps * j->count; i++)
 		j->task_runs[i] =
 			g_array_new(FALSE, TRUE, sizeof(struct sk_run));
@@ -210,6 +228,7 @@
 	}
 	curl_easy_cleanup(c->easy);
 	g_rand_free(c->rand);
+	g_rand_free(c->deadly_rand);
 	g_ptr_array_free(c->accepted_jobs, TRUE);
 	g_free(c);
 	return NULL;
@@ -226,6 +245,7 @@
 		c->easy = curl_easy_init();
 		c->rand =
 			g_rand_new_with_seed(k->seed * SK_CLIENTS + (guint32)i);
+		c->deadly_rand = sk_rand_new(k, SK_STREAM_DEADLY, i);
 		c->accepted_jobs = g_ptr_array_new();
 		threads[i] = g_thread_new("client", client_main, c);
 	}
