--- a/src/coordination/sched_evict.c
+++ b/src/coordination/sched_evict.c
@@ -84,7 +84,7 @@
 static bool can_make_room(const struct sched_worker *w, int32_t priority,
 			  struct place_resources lacks)
 {
-	if (lacks.cpu_milli <= 0)
+	if (lacks.cpu_milli <= 0 || w->n_isolated)
 		return false;
 	lacks = lacking_after_stops(lacks, w);
 	for (const GList *i = w->runs.head; i; i = i->next) {
@@ -280,7 +280,7 @@
 	w->reserved.accelerators += def->accelerators;
 	w->n_reserved = w->reserved_for == r->step ? w->n_reserved + 1 : 1;
 	w->reserved_for = r->step;
-	if (may_evict(s, r->step, now_ms))
+	if (!w->n_isolated && may_evict(s, r->step, now_ms))
 		free_reserved(s, r, w, lacks, now_ms);
 	return true;
 }
