Let suspects close at most half of the workers, the emptiest first

Where suspects outnumber the workers that a step may use, they closed all of them: a task of a lower queue waited for 14.5 s beside 24 suspects, 40.9 s beside 8 with two crashes. And best fit sent a suspect to the fullest worker.

Change: suspects take at most half of a step's workers at a time, and start where they have the least company. An overdue long-running task isn't held back for that.

/crash/many-suspects-lower, many-suspects-repeated and suspect-avoids-long-running failed before.

--- a/src/coordination/sched_choose.c
+++ b/src/coordination/sched_choose.c
@@ -133,6 +133,9 @@
 	if (*def->data_rack && !strcmp(def->data_rack, w->row.rack))
 		points += 10000000;
 	points -= w->failures_in_row * 1000000;
+	/* The fewer tasks are lost if it crashes the worker. */
+	if (step->places_suspect)
+		points -= (int64_t)w->runs.length * 1000000;
 	if (def->best_effort)
 		return points + free_best_effort_milli(w);
 	if (def->tail_goal_ms)
--- a/src/coordination/sched_place.c
+++ b/src/coordination/sched_place.c
@@ -273,18 +273,36 @@
 	return s->pass_work >= PASS_WORK_MAX;
 }
 
+/* Suspects may close half of the workers to other tasks at a time, unless a
+ * long-running one is overdue. */
+static bool may_isolate(struct sched *s, struct sched_worker **list, int32_t n)
+{
+	int32_t closed = 0;
+
+	s->pass_work += n;
+	for (int32_t i = 0; i < n; i++)
+		closed += list[i]->n_isolated > 0;
+	return !closed || 2 * (closed + 1) <= n;
+}
+
 /* Starts the step's tasks as far as they fit. Returns whether one is left for
  * which there is no room. */
-static bool start_fitting(struct sched *s, struct sched_step *step,
+static bool start_fitting(struct sched *s, const struct sched_rank *r,
 			  struct sched_worker **list, int32_t n, int64_t now_ms)
 {
+	struct sched_step *step = r->step;
+
 	for (int32_t k = 0; k < step->def->tasks && !pass_is_over(s); k++) {
 		struct sched_task *t = &step->tasks[k];
 		struct sched_worker *w;
 
 		if (!sched_task_is_ready(s, t, now_ms))
 			continue;
+		if (t->crashes && !r->overdue && !may_isolate(s, list, n))
+			continue;
+		step->places_suspect = t->crashes > 0;
 		w = sched_choose_worker(s, list, n, step);
+		step->places_suspect = false;
 		if (!w)
 			return true;
 		s->pass_work += START_WORK;
@@ -310,7 +328,7 @@
 static void place_tasks(struct sched *s, const struct sched_rank *r,
 			struct sched_worker **list, int32_t n, int64_t now_ms)
 {
-	if (!start_fitting(s, r->step, list, n, now_ms))
+	if (!start_fitting(s, r, list, n, now_ms))
 		return;
 	if (r->overdue)
 		reserve_for_step(s, r, list, n, now_ms);
@@ -420,7 +438,7 @@
 	 * attempts to lose there. */
 	if (r->overdue && !gang && has_ready_task(s, r->step, now_ms)) {
 		n = find_candidates(s, r, true, list, now_ms);
-		start_fitting(s, r->step, list, n, now_ms);
+		start_fitting(s, r, list, n, now_ms);
 	}
 	r->step->uses_reserved = false;
 }
