Suspect only tasks that had just started, after one crash

Change: a task that had run for a second is no suspect after one crash, but after two.

/crash/old-runs-are-no-suspects failed before.

--- a/src/coordination/sched_crash.c
+++ b/src/coordination/sched_crash.c
@@ -1,8 +1,8 @@
 /*
  * Tasks that crash their workers. Each crash counts against all tasks that ran
- * at the worker. A task with a crash is started apart: no other task starts at
- * its worker until it has run there for a while. If the worker crashes before,
- * the task is given up and its job fails.
+ * at the worker. A suspect is started apart: no other task starts at its worker
+ * until it has run there for a while. If the worker crashes before, the task is
+ * given up and its job fails.
  */
 #include <stdio.h>
 #include <string.h>
@@ -61,6 +61,15 @@
 	return true;
 }
 
+bool sched_is_suspect(const struct sched_task *t)
+{
+	/* The members of a gang start together or not at all. */
+	if (t->step->def->gang)
+		return false;
+	/* A task that had run for a while is hardly to blame for one crash. */
+	return t->crashes > 1 || (t->crashes && t->crash_lasted_ms < APART_MS);
+}
+
 void sched_isolate_run(struct sched_run *run, bool on)
 {
 	run->worker->n_isolated += on - run->isolated;
--- a/src/coordination/sched_int.h
+++ b/src/coordination/sched_int.h
@@ -200,6 +200,9 @@
 /* Adds a crash under this run of the task. Returns false if it was counted
  * before. */
 bool sched_crash_count(struct sched_task *t, int32_t run);
+/* Returns whether the task has to run apart: workers have crashed under it
+ * repeatedly, or one as soon as it started there. */
+bool sched_is_suspect(const struct sched_task *t);
 /* Starts or ends the isolation of a run. */
 void sched_isolate_run(struct sched_run *run, bool on);
 /* A report lists the run: ends the isolation if it has lasted long enough. */
--- a/src/coordination/sched_place.c
+++ b/src/coordination/sched_place.c
@@ -113,7 +113,7 @@
 	struct sched_run *run = sched_run_new(s, t, w, number, now_ms);
 	struct sched_ref ref;
 
-	if (t->crashes && !t->step->def->gang)
+	if (sched_is_suspect(t))
 		sched_isolate_run(run, true);
 	if (t->step->def->best_effort)
 		sched_record_exploration(s, run, now_ms);
@@ -298,9 +298,10 @@
 
 		if (!sched_task_is_ready(s, t, now_ms))
 			continue;
-		if (t->crashes && !r->overdue && !may_isolate(s, list, n))
+		if (sched_is_suspect(t) && !r->overdue &&
+		    !may_isolate(s, list, n))
 			continue;
-		step->places_suspect = t->crashes > 0;
+		step->places_suspect = sched_is_suspect(t);
 		w = sched_choose_worker(s, list, n, step);
 		step->places_suspect = false;
 		if (!w)
--- a/tests/unit_crash_apart.c
+++ b/tests/unit_crash_apart.c
@@ -259,8 +259,38 @@
 	fixture_close(&p);
 }
 
+/* Soak seed 2001: the 29 tasks of a worker that crashed ran apart one after the
+ * other, while all others waited. Only those that had just started need to. */
+static void test_old_runs_are_no_suspects(void)
+{
+	struct crash_vm vms[CRASH_VMS];
+	struct sched_fixture p;
+	struct sched_job *job;
+
+	crash_open_vms(&p, vms);
+	job = fixture_add_job(&p, fixture_long_running("a", 4000, 2));
+	sched_place(&p.s, 100);
+	crash_answer_starts(&p, 0, 110);
+	crash_report_all(&p, crash_last_start(&p)->worker, 5000);
+	crash_lose_worker(
+		&p, crash_vm_of(vms, CRASH_VMS, crash_last_start(&p)->worker),
+		5100);
+	crash_replace_worker(
+		&p, crash_vm_of(vms, CRASH_VMS, crash_last_start(&p)->worker),
+		14000);
+	g_assert_cmpint(job->rounds->steps[0].tasks[0].crashes, ==, 1);
+	sched_place(&p.s, 14100);
+	g_assert_cmpuint(p.starts->len, ==, 4);
+	for (int i = 0; i < CRASH_VMS; i++)
+		g_assert_cmpint(fixture_worker(&p, vms[i].id)->n_isolated, ==,
+				0);
+	fixture_close(&p);
+}
+
 void unit_add_crash_apart(void)
 {
+	g_test_add_func("/crash/old-runs-are-no-suspects",
+			test_old_runs_are_no_suspects);
 	g_test_add_func("/crash/handover-silent", test_handover_silent);
 	g_test_add_func("/crash/handover-expired", test_handover_expired);
 	g_test_add_func("/crash/suspect-avoids-long-running",
