Wait for starts that are under way before a job is given up

Change: the verdict waits while the task may have a run, and is withdrawn if its crash is uncounted. /crash/late-start-of-suspect failed before.

--- a/src/coordination/sched.h
+++ b/src/coordination/sched.h
@@ -400,7 +400,7 @@
 	/* Workers that fell silent with runs (struct lost_worker); whether they
 	 * crashed is known once their VM has a new worker. */
 	GQueue lost_workers;
-	GQueue given_up; /* ids of jobs that the next tick ends as failed */
+	GQueue given_up; /* tasks (struct verdict) whose jobs are to fail */
 	int64_t crashed_ms[SCHED_CRASHES_RECENT]; /* last crashes, newest first
 						   */
 	struct sched_counts counts;
--- a/src/coordination/sched_crash.c
+++ b/src/coordination/sched_crash.c
@@ -143,13 +143,23 @@
 	       (run->isolated && t->crashes > (sole ? 1 : 2));
 }
 
-static void give_up(struct sched *s, struct sched_task *t)
+/* A task that is given up: its job ends with the next tick. */
+struct verdict {
+	struct sched_ref ref;
+	int32_t crashes; /* if fewer are counted by then, it is withdrawn */
+};
+
+static void give_up(struct sched *s, struct sched_task *t,
+		    const struct sched_ref *ref)
 {
-	s->counts.given_up++;
-	/* Its job ends with the next tick; it must not start before. */
+	struct verdict *v = g_new0(struct verdict, 1);
+
+	v->ref = *ref;
+	v->ref.index = t->index;
+	v->crashes = t->crashes;
+	/* It must not start meanwhile. */
 	t->not_before_ms = INT64_MAX;
-	g_queue_push_tail(&s->given_up,
-			  g_strdup(t->step->round->job->spec->id));
+	g_queue_push_tail(&s->given_up, v);
 }
 
 static void count_against(struct sched *s, const struct lost_run *run,
@@ -174,7 +184,7 @@
 		 convicted ? "; given up" : "");
 	s->ops->log_decision(s->priv, "crash counted", &run->ref, w, text);
 	if (convicted)
-		give_up(s, t);
+		give_up(s, t, &run->ref);
 }
 
 static void count_crash(struct sched *s, const struct lost_run *runs, int32_t n,
@@ -311,18 +321,38 @@
 	}
 }
 
+/* Returns false if the verdict has to wait: a start of the task may have taken
+ * effect after the crash, which its worker's next report shows. */
+static bool carry_out(struct sched *s, const struct verdict *v, int64_t now_ms,
+		      int64_t wall_ms)
+{
+	struct sched_task *t = sched_find_task(s, &v->ref);
+
+	if (!t || sched_job_has_ended(t->step->round->job))
+		return true;
+	if (t->crashes < v->crashes) {
+		t->not_before_ms = now_ms;
+		return true;
+	}
+	if (t->runs)
+		return false;
+	s->counts.given_up++;
+	sched_job_end(s, t->step->round->job, SCHED_JOB_FAILED, now_ms,
+		      wall_ms);
+	return true;
+}
+
 void sched_crash_tick(struct sched *s, int64_t now_ms, int64_t wall_ms)
 {
 	struct lost_worker *lost;
-	char *id;
 
-	while ((id = g_queue_pop_head(&s->given_up))) {
-		struct sched_job *job = g_hash_table_lookup(s->jobs, id);
+	for (guint n = s->given_up.length; n > 0; n--) {
+		struct verdict *v = g_queue_pop_head(&s->given_up);
 
-		if (job && !sched_job_has_ended(job))
-			sched_job_end(s, job, SCHED_JOB_FAILED, now_ms,
-				      wall_ms);
-		g_free(id);
+		if (carry_out(s, v, now_ms, wall_ms))
+			g_free(v);
+		else
+			g_queue_push_tail(&s->given_up, v);
 	}
 	while ((lost = g_queue_peek_head(&s->lost_workers)) &&
 	       now_ms - lost->lost_ms > REMEMBER_LOST_MS)
