Let suspects that wait for long run apart together

Change: once suspects close half of the workers, one that has waited for 2 s joins up to seven others. If their worker crashes, none is given up, and each of them runs apart alone. Three seconds apart are only for tasks that crashed workers later than one second after their start.

Evidence: /crash/suspects-run-together failed before.

--- a/src/coordination/sched.h
+++ b/src/coordination/sched.h
@@ -175,6 +175,7 @@
 	int32_t gang_run; /* run number that all members of a gang share */
 	int64_t ready_ms;
 	bool places_suspect; /* for a task that may crash its worker */
+	bool joins_suspects; /* it runs apart together with others */
 	bool uses_reserved; /* may use room reserved for others in this pass */
 	int64_t starved_turn_ms; /* last turn as a starved step; 0: none */
 	int64_t evicted_ms; /* last eviction for the step; 0: none */
--- a/src/coordination/sched_crash.c
+++ b/src/coordination/sched_crash.c
@@ -10,14 +10,17 @@
 
 #include "coordination/sched_int.h"
 
-/* How long a task runs apart after one crash, and after more: the next one
- * decides. In ms. */
+/* How long a suspect runs apart, in ms, and one that crashed workers only after
+ * longer than that. */
 #define APART_MS 1000
-#define APART_REPEATED_MS 3000
+#define APART_SLOW_MS 3000
 /* A run that lasts twice as long as the longest that crashed a worker clears
  * its task, within these bounds, in ms. */
 #define CLEARED_MIN_MS 10000
 #define CLEARED_MAX_MS 30000
+/* Most suspects that run apart together, where there are many: if their worker
+ * crashes, each of them runs apart alone next time. */
+#define GROUP_MAX 8
 /* Crashes after which a task is given up even if it never ran apart. */
 #define CRASHES_MAX 4
 /* More crashes than SCHED_CRASHES_RECENT within this time, in ms, have another
@@ -70,6 +73,19 @@
 	return t->crashes > 1 || (t->crashes && t->crash_lasted_ms < APART_MS);
 }
 
+bool sched_has_group(const struct sched_worker *w)
+{
+	if (!w->n_isolated || w->n_isolated >= GROUP_MAX)
+		return false;
+	for (const GList *i = w->runs.head; i; i = i->next) {
+		const struct sched_run *run = i->data;
+
+		if (run->isolated && run->task->crashes > 1)
+			return false;
+	}
+	return true;
+}
+
 void sched_isolate_run(struct sched_run *run, bool on)
 {
 	run->worker->n_isolated += on - run->isolated;
@@ -104,7 +120,8 @@
 			      int64_t now_ms)
 {
 	struct sched_task *t = run->task;
-	int64_t apart_ms = t->crashes > 1 ? APART_REPEATED_MS : APART_MS;
+	int64_t apart_ms =
+		t->crash_lasted_ms < APART_MS ? APART_MS : APART_SLOW_MS;
 	int64_t lasted_ms = now_ms - run->started_ms;
 	int64_t cleared_ms;
 
@@ -134,8 +151,7 @@
 	return oldest_ms && now_ms - oldest_ms < SERIES_MS;
 }
 
-/* `sole`: no other task at the worker had crashed one before and was past its
- * time apart. */
+/* `sole`: the worker had no other task that had crashed one before. */
 static bool is_convicted(const struct sched_task *t, const struct lost_run *run,
 			 bool sole)
 {
@@ -191,17 +207,17 @@
 			const struct sched_worker *w, int64_t now_ms)
 {
 	bool in_series = is_in_series(s, now_ms);
-	bool sole = true;
+	int32_t suspects = 0;
 
 	s->counts.crashes++;
 	for (int32_t i = 0; i < n; i++) {
 		const struct sched_task *t = sched_find_task(s, &runs[i].ref);
 
-		sole &= runs[i].isolated || !t || !t->crashes;
+		suspects += runs[i].isolated || (t && t->crashes);
 	}
 	for (int32_t i = 0; i < n; i++) {
 		if (!in_series || !runs[i].reported || runs[i].isolated)
-			count_against(s, &runs[i], w, sole);
+			count_against(s, &runs[i], w, suspects == 1);
 	}
 }
 
--- a/src/coordination/sched_int.h
+++ b/src/coordination/sched_int.h
@@ -202,6 +202,9 @@
 /* Returns whether the task has to run apart: workers have crashed under it
  * repeatedly, or one as soon as it started there. */
 bool sched_is_suspect(const struct sched_task *t);
+/* Returns whether a suspect with one crash may run apart together with those at
+ * the worker. */
+bool sched_has_group(const struct sched_worker *w);
 /* Starts or ends the isolation of a run. */
 void sched_isolate_run(struct sched_run *run, bool on);
 /* A report lists the run: ends the isolation if it has lasted long enough. */
--- a/src/coordination/sched_place.c
+++ b/src/coordination/sched_place.c
@@ -16,6 +16,9 @@
 /* A best-effort job that waits for this long, in ms, while nothing of it runs,
  * starts one task where serving tasks slow it down or pause it. */
 #define STARVED_MS 5000
+/* A suspect that waits for this long, in ms, runs apart together with others.
+ */
+#define JOIN_AFTER_MS 2000
 /* The same for one start. */
 #define START_WORK 1000
 
@@ -285,6 +288,31 @@
 	return !closed || 2 * (closed + 1) <= n;
 }
 
+/* Chooses a worker for a suspect. Returns NULL if it has to wait for its turn
+ * to run apart. */
+static struct sched_worker *choose_for_suspect(struct sched *s,
+					       const struct sched_rank *r,
+					       const struct sched_task *t,
+					       struct sched_worker **list,
+					       int32_t n, int64_t now_ms)
+{
+	struct sched_step *step = r->step;
+	bool must_join = !may_isolate(s, list, n);
+	bool may_join = t->crashes == 1 && t->idle_since_ms &&
+			now_ms - t->idle_since_ms >= JOIN_AFTER_MS;
+	struct sched_worker *w = NULL;
+
+	step->places_suspect = true;
+	step->joins_suspects = true;
+	if (must_join && may_join)
+		w = sched_choose_worker(s, list, n, step);
+	step->joins_suspects = false;
+	if (!w && (!must_join || r->overdue))
+		w = sched_choose_worker(s, list, n, step);
+	step->places_suspect = false;
+	return w;
+}
+
 /* Starts the step's tasks as far as they fit. Returns whether one is left for
  * which there is no room. */
 static bool start_fitting(struct sched *s, const struct sched_rank *r,
@@ -294,16 +322,15 @@
 
 	for (int32_t k = 0; k < step->def->tasks && !pass_is_over(s); k++) {
 		struct sched_task *t = &step->tasks[k];
+		bool suspect = sched_is_suspect(t);
 		struct sched_worker *w;
 
 		if (!sched_task_is_ready(s, t, now_ms))
 			continue;
-		if (sched_is_suspect(t) && !r->overdue &&
-		    !may_isolate(s, list, n))
+		w = suspect ? choose_for_suspect(s, r, t, list, n, now_ms)
+			    : sched_choose_worker(s, list, n, step);
+		if (!w && suspect && !r->overdue)
 			continue;
-		step->places_suspect = sched_is_suspect(t);
-		w = sched_choose_worker(s, list, n, step);
-		step->places_suspect = false;
 		if (!w)
 			return true;
 		s->pass_work += START_WORK;
--- a/tests/unit_crash_apart.c
+++ b/tests/unit_crash_apart.c
@@ -10,9 +10,10 @@
 #define SUSPECTS 24
 #define SUSPECTS_REPEATED 8
 
-/* One crash makes suspects of many small tasks. Others start in time. */
-static void check_many_suspects(const char *queue, int crashes, int suspects,
-				bool lasts)
+/* One crash makes suspects of many small tasks. Others start in time. Returns
+ * when the last suspect has started. */
+static int64_t check_many_suspects(const char *queue, int crashes, int suspects,
+				   bool lasts)
 {
 	struct crash_vm vms[2];
 	struct sched_fixture p;
@@ -58,6 +59,15 @@
 	g_assert_cmpint(started_ms, >=, 0);
 	g_assert_cmpint(started_ms, <, lasts ? 9000 : 3000);
 	fixture_close(&p);
+	return last_ms;
+}
+
+/* Soak seeds 2001, 2006 and 2008: suspects ran apart one by one, and the last
+ * of them waited for 20 s and more. LOST allows a long-running one 9 s. */
+static void test_suspects_run_together(void)
+{
+	g_assert_cmpint(check_many_suspects("short", 1, SUSPECTS, false), <,
+			9000);
 }
 
 static void test_many_suspects(void)
@@ -288,6 +298,8 @@
 
 void unit_add_crash_apart(void)
 {
+	g_test_add_func("/crash/suspects-run-together",
+			test_suspects_run_together);
 	g_test_add_func("/crash/old-runs-are-no-suspects",
 			test_old_runs_are_no_suspects);
 	g_test_add_func("/crash/handover-silent", test_handover_silent);
