--- a/src/coordination/sched_place.c
+++ b/src/coordination/sched_place.c
@@ -13,14 +13,13 @@
 /* A pass ends early once it has done this much work, so that it doesn't hold up
  * the owner's ticks. The unit is one worker or run that was looked at. */
 #define PASS_WORK_MAX 2000000
+/* The same for one start. */
+#define START_WORK 1000
 /* A best-effort job that waits for this long, in ms, while nothing of it runs,
  * starts one task where serving tasks slow it down or pause it. */
 #define STARVED_MS 5000
-/* A suspect that waits for this long, in ms, runs apart together with others.
- */
+/* A suspect that waits for this long, in ms, runs apart beside others. */
 #define JOIN_AFTER_MS 2000
-/* The same for one start. */
-#define START_WORK 1000
 
 bool sched_task_is_ready(const struct sched *s, const struct sched_task *t,
 			 int64_t now_ms)
