Look at workers once in a placement pass, not once for each step

Cause: a pass built the list of candidates anew for each waiting step and searched it for each, though what doesn't fit is known from the step before. With 540 workers and some 300 waiting steps placement took 125 ms of a core for each second of a simulated load (a scratch driver of the real modules; 1.0 ms with 50 workers), a quarter of the owner's half core, and starts waited for the passes.

Change: one list for a pool and label in a pass; sizes that fit nowhere rule out larger ones; nothing is evicted where nothing can be; the prior of an image's weight is kept as a sum; after costly searches for best-effort tasks passes leave them out for as long as that cost justifies.

Ruled out: polls (10 ms), ticks (9 ms).

--- a/src/coordination/interfere.c
+++ b/src/coordination/interfere.c
@@ -85,18 +85,20 @@
  * and WEIGHT_PRIOR. */
 static double prior_weight(const struct interfere *m, int32_t image)
 {
-	double sum = WEIGHT_PRIOR;
-	int n = 1;
-
-	for (int32_t i = 1; image && i <= m->n; i++) {
-		const struct interfere_model *other = m->models[i];
+	return (WEIGHT_PRIOR + m->weight_sum[image]) /
+	       (1 + m->n_weights[image]);
+}
 
-		if (!other || !other->has_weight[image])
-			continue;
-		sum += fmax(other->weight[image], 0);
-		n++;
-	}
-	return sum / n;
+static void set_weight(struct interfere *m, struct interfere_model *model,
+		       int32_t image, double weight)
+{
+	if (model->has_weight[image])
+		m->weight_sum[image] -= fmax(model->weight[image], 0);
+	else
+		m->n_weights[image]++;
+	model->has_weight[image] = true;
+	model->weight[image] = weight;
+	m->weight_sum[image] += fmax(weight, 0);
 }
 
 /* Returns the model of an image, created with priors if it is new. */
@@ -113,20 +115,20 @@
 	return model;
 }
 
-static void init_weight(const struct interfere *m,
-			struct interfere_model *model, int32_t image)
+static void init_weight(struct interfere *m, struct interfere_model *model,
+			int32_t image)
 {
 	if (model->has_weight[image])
 		return;
-	model->weight[image] = prior_weight(m, image);
+	set_weight(m, model, image, prior_weight(m, image));
 	model->variance[image][image] = WEIGHT_VARIANCE;
-	model->has_weight[image] = true;
 }
 
 /* One step of recursive least squares for y = x * weight + noise. */
-static void update_weights(struct interfere_model *m, int32_t n,
+static void update_weights(struct interfere *all, struct interfere_model *m,
 			   const double *x, double y, double noise_variance)
 {
+	int32_t n = all->n;
 	double px[INTERFERE_IMAGES_MAX + 1] = { 0 };
 	double scale = noise_variance;
 	double error = y;
@@ -143,7 +145,7 @@
 	for (int32_t i = 1; i <= n; i++) {
 		if (px[i] == 0)
 			continue;
-		m->weight[i] += px[i] * error / scale;
+		set_weight(all, m, i, m->weight[i] + px[i] * error / scale);
 		for (int32_t k = 1; k <= n; k++)
 			m->variance[i][k] -= px[i] * px[k] / scale;
 		m->variance[i][i] = fmax(m->variance[i][i], VARIANCE_MIN);
@@ -174,7 +176,7 @@
 		/* Negative, since load reduces slack: weights are positive. */
 		x[other] -= change->loads[i].share;
 	}
-	update_weights(model, m->n, x, change->slack,
+	update_weights(m, model, x, change->slack,
 		       2 * MEASUREMENT_NOISE * MEASUREMENT_NOISE +
 			       drift * drift);
 }
@@ -333,10 +335,9 @@
 
 		if (!other || model->has_weight[other])
 			continue;
-		model->weight[other] = from_hundredths(row, 1);
+		set_weight(m, model, other, from_hundredths(row, 1));
 		model->variance[other][other] =
 			fmax(from_hundredths(row, 2), VARIANCE_MIN);
-		model->has_weight[other] = true;
 	}
 }
 
--- a/src/coordination/interfere.h
+++ b/src/coordination/interfere.h
@@ -23,6 +23,9 @@
 	GHashTable *ids; /* image name to number, from 1 */
 	int32_t n; /* images in `ids` */
 	struct interfere_model *models[INTERFERE_IMAGES_MAX + 1];
+	/* Sum and number of the weights that models have for an image. */
+	double weight_sum[INTERFERE_IMAGES_MAX + 1];
+	int32_t n_weights[INTERFERE_IMAGES_MAX + 1];
 	int64_t n_updates; /* observations so far: tells whether to store */
 };
 
--- a/src/coordination/sched.h
+++ b/src/coordination/sched.h
@@ -377,6 +377,8 @@
 	GHashTable *workers; /* id to struct sched_worker */
 	GPtrArray *worker_list;
 	uint32_t roster_dirty; /* bit set of roster rows to store */
+	int64_t n_evictable; /* runs with CPU of their own that may be evicted
+			      */
 	GQueue ready_steps; /* steps with tasks to start */
 	GQueue dirty_jobs; /* jobs whose progress is to be stored */
 	int64_t epoch;
@@ -387,6 +389,7 @@
 	int64_t roster_incomplete_until_ms;
 	guint next_move_worker; /* where sched_move_paused() continues */
 	int64_t placement_ms; /* start of the last placement pass */
+	int64_t best_effort_due_ms; /* passes before skip best-effort tasks */
 	int64_t waits_logged_ms; /* see sched_check_waits() */
 	int64_t sweep; /* numbers the sweeps of placement, see sched_place() */
 	bool reservations_old; /* they are of an earlier sweep */
--- /dev/null
+++ b/src/coordination/sched_candidates.c
@@ -0,0 +1,402 @@
+/* The workers that a step may use in a placement pass, and the sizes of tasks
+ * that fit at none of them. */
+#include "coordination/sched_candidates.h"
+
+#include <string.h>
+#include <talloc.h>
+
+/* Most workers in one call to the policy service, which charges for each. */
+#define ADVICE_WORKERS_MAX 30
+/* A call to the policy service without answer is repeated after this, in ms. */
+#define ADVICE_RETRY_MS 2500
+/* Sizes remembered for each set of candidates. More are rarely needed, since
+ * one stands for all larger ones. */
+#define MISFITS_MAX 32
+
+#define ANY_IMAGE -1
+
+/* The size of a task that fits at none of the candidates. */
+struct misfit {
+	bool best_effort;
+	bool uses_reserved;
+	/* Of a best-effort task that fits somewhere but would be too slow
+	 * there; ANY_IMAGE: it fits nowhere. */
+	int32_t image;
+	struct place_resources size;
+};
+
+/* Workers that may run tasks of a pool and label, room aside. */
+struct candidate_set {
+	const char *pool;
+	const char *label;
+	bool quarantined; /* quarantined workers are included */
+	struct sched_worker **list;
+	int32_t n;
+	struct misfit misfits[MISFITS_MAX];
+	int32_t n_misfits;
+	struct candidate_set *next;
+};
+
+static bool has_label(const struct sched_worker *w, const char *label)
+{
+	for (int32_t i = 0; i < w->row.n_labels; i++) {
+		if (!strcmp(w->row.labels[i], label))
+			return true;
+	}
+	return false;
+}
+
+bool sched_has_ticket(const struct sched_step *step,
+		      const struct sched_worker *w, int64_t now_ms)
+{
+	const struct sched_ticket *ticket =
+		step->tickets ? g_hash_table_lookup(step->tickets, w->row.id)
+			      : NULL;
+
+	return ticket && now_ms < ticket->valid_until_ms &&
+	       ticket->born_ms == w->row.born_ms;
+}
+
+/* Returns whether a start could exceed the worker's capacity: it has runs that
+ * this owner doesn't track, of unknown size, and does not itself refuse tasks
+ * that don't fit. */
+static bool may_overcommit(const struct sched *s, const struct sched_worker *w)
+{
+	const struct catalog_pool *p;
+
+	if (!w->foreign_runs)
+		return false;
+	p = catalog_find_pool(s->catalog, w->row.pool);
+	return p && !p->enforces_capacity;
+}
+
+enum sched_obstacle sched_find_obstacle(const struct sched *s,
+					const struct sched_step *step,
+					const struct catalog_queue *q,
+					const struct sched_worker *w,
+					int64_t now_ms)
+{
+	const struct jobspec_step *def = step->def;
+
+	if (!w->listed)
+		return SCHED_OBSTACLE_UNLISTED;
+	if (strcmp(w->row.pool, q->pool))
+		return SCHED_OBSTACLE_OTHER_POOL;
+	if (!w->reconciled)
+		return SCHED_OBSTACLE_UNRECONCILED;
+	if (w->unreachable)
+		return SCHED_OBSTACLE_SILENT;
+	if (w->row.draining)
+		return SCHED_OBSTACLE_DRAINING;
+	if (w->evacuating)
+		return SCHED_OBSTACLE_EVACUATING;
+	if (!w->roster_stored)
+		return SCHED_OBSTACLE_NOT_STORED;
+	if (w->row_outdated)
+		return SCHED_OBSTACLE_ROW_OUTDATED;
+	if (may_overcommit(s, w))
+		return SCHED_OBSTACLE_FOREIGN_RUNS;
+	if (now_ms < w->refused_until_ms)
+		return SCHED_OBSTACLE_REFUSED;
+	if (s->domains_out &&
+	    g_hash_table_contains(s->domains_out, w->row.domain))
+		return SCHED_OBSTACLE_DOMAIN_OUT;
+	if (*def->label && !has_label(w, def->label))
+		return SCHED_OBSTACLE_LABEL;
+	/* The last one: it means that nothing else is in the way. */
+	if (now_ms < w->quarantine_until_ms)
+		return SCHED_OBSTACLE_QUARANTINED;
+	return SCHED_OBSTACLE_NONE;
+}
+
+bool sched_is_eligible(const struct sched *s, const struct sched_step *step,
+		       const struct catalog_queue *q,
+		       const struct sched_worker *w, int64_t now_ms)
+{
+	return sched_find_obstacle(s, step, q, w, now_ms) ==
+	       SCHED_OBSTACLE_NONE;
+}
+
+/* Collects workers without a valid ticket that fit the step, or else any, from
+ * where the last call ended: room is reserved only where the step may run. */
+static int32_t find_unasked(struct sched_step *step, struct sched_worker **list,
+			    int32_t n, bool any, const char **ids,
+			    int64_t now_ms)
+{
+	int32_t n_ids = 0;
+
+	for (int32_t i = 0; i < n && n_ids < ADVICE_WORKERS_MAX; i++) {
+		const struct sched_worker *w =
+			any ? list[step->advice_next++ % n] : list[i];
+
+		if ((any || sched_fits(step, w)) &&
+		    !sched_has_ticket(step, w, now_ms))
+			ids[n_ids++] = w->row.id;
+	}
+	return n_ids;
+}
+
+static bool request_tickets(struct sched *s, struct sched_step *step,
+			    struct sched_worker **list, int32_t n,
+			    int64_t now_ms)
+{
+	const char *ids[ADVICE_WORKERS_MAX];
+	int32_t n_ids;
+
+	if (step->advice_sent_ms &&
+	    now_ms < step->advice_sent_ms + ADVICE_RETRY_MS)
+		return false;
+	n_ids = find_unasked(step, list, n, false, ids, now_ms);
+	if (!n_ids && step->def->is_long_running)
+		n_ids = find_unasked(step, list, n, true, ids, now_ms);
+	if (!n_ids)
+		return false;
+	step->advice_sent_ms = now_ms;
+	s->ops->advise(s->priv, step, ids, n_ids);
+	return true;
+}
+
+/* Returns the rack where the step already runs, else the one with most room. */
+static const char *choose_rack(struct sched *s, const struct sched_step *step,
+			       struct sched_worker **list, int32_t n)
+{
+	GHashTable *rooms =
+		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+	const char *best = NULL;
+	int64_t best_room = -1;
+
+	for (int32_t i = 0; i < n; i++) {
+		const struct place_resources *total = &list[i]->row.total;
+		int64_t *room = g_hash_table_lookup(rooms, list[i]->row.rack);
+
+		s->pass_work += 1 + (int64_t)list[i]->runs.length;
+		if (sched_count_tasks_at(step, list[i])) {
+			best = list[i]->row.rack;
+			break;
+		}
+		if (!room) {
+			room = g_new0(int64_t, 1);
+			g_hash_table_insert(rooms, list[i]->row.rack, room);
+		}
+		*room += MAX(0, total->cpu_milli - list[i]->used.cpu_milli);
+		if (*room <= best_room)
+			continue;
+		best = list[i]->row.rack;
+		best_room = *room;
+	}
+	g_hash_table_destroy(rooms);
+	return best;
+}
+
+/* Keeps only the workers in `rack`. Returns their number. */
+static int32_t filter_rack(struct sched_worker **list, int32_t n,
+			   const char *rack)
+{
+	int32_t kept = 0;
+
+	for (int32_t i = 0; i < n; i++) {
+		if (!strcmp(list[i]->row.rack, rack))
+			list[kept++] = list[i];
+	}
+	return kept;
+}
+
+/*
+ * Tasks run longer outside the rack of their data. They start there only if
+ * they can still be in time, or if they have waited for the rack for as long as
+ * the extra run time. Returns whether the step should wait for the rack.
+ */
+static bool prefers_data_rack(const struct sched *s, const struct sched_rank *r,
+			      int64_t now_ms)
+{
+	int64_t extra = r->step->def->expected_ms *
+			(s->lim.off_rack_factor_milli - 1000) / 1000;
+
+	return !r->overdue && now_ms - r->step->ready_ms < extra &&
+	       now_ms + extra > r->latest_ms;
+}
+
+static struct candidate_set *build_set(struct sched_candidates *c,
+				       const struct sched_step *step,
+				       bool quarantined)
+{
+	struct sched *s = c->sched;
+	const struct catalog_queue *q = step->round->job->queue;
+	struct candidate_set *set = talloc_zero(c->ctx, struct candidate_set);
+
+	set->pool = q->pool;
+	set->label = step->def->label;
+	set->quarantined = quarantined;
+	set->list =
+		talloc_array(set, struct sched_worker *, s->worker_list->len);
+	s->pass_work += s->worker_list->len;
+	for (guint i = 0; i < s->worker_list->len; i++) {
+		struct sched_worker *w = g_ptr_array_index(s->worker_list, i);
+		enum sched_obstacle o =
+			sched_find_obstacle(s, step, q, w, c->now_ms);
+
+		if (o == SCHED_OBSTACLE_NONE ||
+		    (quarantined && o == SCHED_OBSTACLE_QUARANTINED))
+			set->list[set->n++] = w;
+	}
+	set->next = c->sets;
+	c->sets = set;
+	return set;
+}
+
+/* Returns the set for the step. What keeps a worker from a task, room aside,
+ * depends on the pool and the label only, and doesn't change during a pass. */
+static struct candidate_set *get_set(struct sched_candidates *c,
+				     const struct sched_step *step,
+				     bool quarantined)
+{
+	const struct catalog_queue *q = step->round->job->queue;
+
+	for (struct candidate_set *set = c->sets; set; set = set->next) {
+		c->sched->pass_work++;
+		if (set->quarantined == quarantined &&
+		    !strcmp(set->pool, q->pool) &&
+		    !strcmp(set->label, step->def->label))
+			return set;
+	}
+	return build_set(c, step, quarantined);
+}
+
+void sched_candidates_init(struct sched_candidates *c, struct sched *s,
+			   int64_t now_ms)
+{
+	*c = (struct sched_candidates){ .sched = s,
+					.now_ms = now_ms,
+					.ctx = talloc_new(NULL) };
+	c->filtered = talloc_array(c->ctx, struct sched_worker *,
+				   s->worker_list->len);
+}
+
+void sched_candidates_finish(struct sched_candidates *c)
+{
+	talloc_free(c->ctx);
+}
+
+/* Copies the set, to be filtered. */
+static void copy_list(struct sched_candidates *c,
+		      struct sched_candidate_list *out)
+{
+	memcpy(c->filtered, out->workers,
+	       (size_t)out->n * sizeof(*out->workers));
+	c->sched->pass_work += out->n;
+	out->workers = c->filtered;
+}
+
+static void filter_racks(struct sched_candidates *c, const struct sched_rank *r,
+			 struct sched_candidate_list *out)
+{
+	const struct jobspec_step *def = r->step->def;
+
+	if (*def->data_rack && prefers_data_rack(c->sched, r, c->now_ms))
+		out->n = filter_rack(out->workers, out->n, def->data_rack);
+	if (def->one_rack && out->n) {
+		const char *rack =
+			choose_rack(c->sched, r->step, out->workers, out->n);
+
+		if (rack)
+			out->n = filter_rack(out->workers, out->n, rack);
+	}
+}
+
+static void filter_tickets(struct sched_candidates *c,
+			   const struct sched_rank *r,
+			   struct sched_candidate_list *out)
+{
+	int32_t kept = 0;
+
+	request_tickets(c->sched, r->step, out->workers, out->n, c->now_ms);
+	for (int32_t i = 0; i < out->n; i++) {
+		if (sched_has_ticket(r->step, out->workers[i], c->now_ms))
+			out->workers[kept++] = out->workers[i];
+	}
+	out->n = kept;
+}
+
+struct sched_candidate_list sched_candidates_find(struct sched_candidates *c,
+						  const struct sched_rank *r,
+						  bool quarantined)
+{
+	const struct catalog_queue *q = r->step->round->job->queue;
+	const struct jobspec_step *def = r->step->def;
+	struct sched_candidate_list out = { 0 };
+
+	if (!q)
+		return out;
+	out.set = get_set(c, r->step, quarantined);
+	out.workers = out.set->list;
+	out.n = out.set->n;
+	if (!*def->data_rack && !def->one_rack && !q->uses_policy)
+		return out;
+	copy_list(c, &out);
+	out.is_filtered = true;
+	filter_racks(c, r, &out);
+	if (q->uses_policy)
+		filter_tickets(c, r, &out);
+	return out;
+}
+
+static struct misfit describe(const struct sched_step *step)
+{
+	const struct jobspec_step *def = step->def;
+
+	return (struct misfit){
+		.best_effort = def->best_effort,
+		.uses_reserved = step->uses_reserved,
+		.image = def->best_effort ? step->image : ANY_IMAGE,
+		.size = { def->cpu_milli, def->mem_mib, def->accelerators },
+	};
+}
+
+/* Returns whether a task like `b` fits nowhere if one like `a` doesn't. */
+static bool implies(const struct misfit *a, const struct misfit *b)
+{
+	return a->best_effort == b->best_effort &&
+	       (a->image == ANY_IMAGE || a->image == b->image) &&
+	       (a->uses_reserved || !b->uses_reserved) &&
+	       a->size.cpu_milli <= b->size.cpu_milli &&
+	       a->size.mem_mib <= b->size.mem_mib &&
+	       a->size.accelerators <= b->size.accelerators;
+}
+
+bool sched_candidates_fits_none(struct sched_candidates *c,
+				const struct sched_candidate_list *list,
+				const struct sched_step *step)
+{
+	const struct misfit m = describe(step);
+
+	for (int32_t i = 0; i < list->set->n_misfits; i++) {
+		c->sched->pass_work++;
+		if (implies(&list->set->misfits[i], &m))
+			return true;
+	}
+	return false;
+}
+
+void sched_candidates_note_misfit(struct sched_candidates *c,
+				  const struct sched_candidate_list *list,
+				  const struct sched_step *step, bool too_slow)
+{
+	struct misfit m = describe(step);
+	struct candidate_set *set = list->set;
+	int32_t kept = 0;
+
+	/* Other limits than room may have kept this one out. */
+	if (list->is_filtered || step->def->spread_max ||
+	    sched_is_small(step->def))
+		return;
+	if (!too_slow)
+		m.image = ANY_IMAGE;
+	for (int32_t i = 0; i < set->n_misfits; i++) {
+		c->sched->pass_work++;
+		if (!implies(&m, &set->misfits[i]))
+			set->misfits[kept++] = set->misfits[i];
+	}
+	if (kept < MISFITS_MAX)
+		set->misfits[kept++] = m;
+	set->n_misfits = kept;
+}
--- a/src/coordination/sched_choose.c
+++ b/src/coordination/sched_choose.c
@@ -235,10 +235,9 @@
  * serving tasks. Computing a speed costs more than all other checks, so it is
  * done only for the candidates with the best estimates.
  */
-static struct sched_worker *choose_best_effort(struct sched *s,
-					       struct sched_worker **list,
-					       int32_t n,
-					       const struct sched_step *step)
+static struct sched_worker *
+choose_best_effort(struct sched *s, struct sched_worker **list, int32_t n,
+		   const struct sched_step *step, bool *fits)
 {
 	struct candidate candidates[SPEED_CANDIDATES_MAX];
 	struct sched_worker *best = NULL;
@@ -252,6 +251,7 @@
 				candidates, found, list[i],
 				estimate_score(s, list[i], step));
 	}
+	*fits = found > 0;
 	for (int32_t i = 0; i < found; i++) {
 		struct sched_worker *w = candidates[i].worker;
 		double speed = sched_colocated_speed(s, w, step);
@@ -318,8 +318,17 @@
 
 struct sched_worker *sched_choose_worker(struct sched *s,
 					 struct sched_worker **list, int32_t n,
-					 const struct sched_step *step)
+					 const struct sched_step *step,
+					 bool *fits)
 {
-	return step->def->best_effort ? choose_best_effort(s, list, n, step)
-				      : choose_by_score(s, list, n, step);
+	bool ignored;
+	struct sched_worker *w;
+
+	if (!fits)
+		fits = &ignored;
+	if (step->def->best_effort)
+		return choose_best_effort(s, list, n, step, fits);
+	w = choose_by_score(s, list, n, step);
+	*fits = w != NULL;
+	return w;
 }
--- a/src/coordination/sched_evict.c
+++ b/src/coordination/sched_evict.c
@@ -6,15 +6,19 @@
  * stop takes: the next report shows the freed room. */
 #define EVICT_PAUSE_MS 300
 
-/* Returns whether stopping the run for a task of this priority loses at most
- * the work since its last checkpoint. */
+bool sched_is_evictable(const struct jobspec_step *def)
+{
+	return def->checkpoints && !def->gang && !def->is_long_running;
+}
+
+/* Returns whether the run may be stopped for a task of this priority. */
 static bool is_evictable(const struct sched_run *run, int32_t priority)
 {
 	const struct catalog_queue *q = run->task->step->round->job->queue;
 	const struct jobspec_step *def = run->task->step->def;
 
-	return q && q->priority > priority && def->checkpoints && !def->gang &&
-	       !def->is_long_running && run->state == SCHED_RUN_ACTIVE;
+	return q && q->priority > priority && sched_is_evictable(def) &&
+	       run->state == SCHED_RUN_ACTIVE;
 }
 
 static bool has_evictable_cpu(const struct sched_run *run, int32_t priority)
@@ -103,7 +107,8 @@
 	struct place_resources lacks = { 0 };
 	struct sched_worker *best = NULL;
 
-	if (def->best_effort || !may_evict(s, r->step, now_ms))
+	if (def->best_effort || !s->n_evictable ||
+	    !may_evict(s, r->step, now_ms))
 		return;
 	for (int32_t i = 0; i < n; i++) {
 		struct place_resources here = shortage_at(def, list[i]);
--- a/src/coordination/sched_int.h
+++ b/src/coordination/sched_int.h
@@ -156,12 +156,17 @@
  * use already, in thousandths of a core. */
 int64_t sched_best_effort_capacity(const struct sched_worker *w);
 /* Returns the best worker of `list` for one more task of the step, or NULL if
- * it fits on none. Adds the number of workers and runs that it looked at to
- * s->pass_work. */
+ * it fits on none or would be too slow there. `fits`, if not NULL, is set to
+ * whether it fits on one. Adds the number of workers and runs that it looked at
+ * to s->pass_work. */
 struct sched_worker *sched_choose_worker(struct sched *s,
 					 struct sched_worker **list, int32_t n,
-					 const struct sched_step *step);
+					 const struct sched_step *step,
+					 bool *fits);
 
+/* Returns whether evicting tasks of the step loses at most their work since the
+ * last checkpoint. */
+bool sched_is_evictable(const struct jobspec_step *def);
 /* Makes room for one task by evictions, at the worker with most free CPU. */
 void sched_evict_for_step(struct sched *s, const struct sched_rank *r,
 			  struct sched_worker **list, int32_t n,
--- a/src/coordination/sched_move.c
+++ b/src/coordination/sched_move.c
@@ -39,7 +39,7 @@
 				      now_ms))
 			list[n++] = w;
 	}
-	return sched_choose_worker(s, list, n, step) != NULL;
+	return sched_choose_worker(s, list, n, step, NULL) != NULL;
 }
 
 /* Returns the number of searches made. */
--- a/src/coordination/sched_run.c
+++ b/src/coordination/sched_run.c
@@ -87,6 +87,12 @@
 	adjust_usage(run, 1);
 }
 
+/* Returns whether evicting tasks of the step frees CPU. */
+static bool has_evictable_cpu(const struct jobspec_step *def)
+{
+	return !def->best_effort && sched_is_evictable(def);
+}
+
 struct sched_run *sched_run_new(struct sched *s, struct sched_task *t,
 				struct sched_worker *w, int32_t number,
 				int64_t now_ms)
@@ -107,6 +113,7 @@
 	t->runs = run;
 	t->ever_started = true;
 	t->step->round->job->n_runs++;
+	s->n_evictable += has_evictable_cpu(t->step->def);
 	run->worker_link.data = run;
 	g_queue_push_tail_link(&w->runs, &run->worker_link);
 	if (t->last_run < number)
@@ -120,7 +127,7 @@
 	struct sched_run **at = &run->task->runs;
 
 	run->task->step->round->job->n_runs--;
-	(void)s;
+	s->n_evictable -= has_evictable_cpu(run->task->step->def);
 	sched_isolate_run(run, false);
 	adjust_usage(run, -1);
 	while (*at != run)
--- a/tests/unit_tests.c
+++ b/tests/unit_tests.c
@@ -24,6 +24,7 @@
 	unit_add_fuzz();
 	unit_add_policy();
 	unit_add_pace();
+	unit_add_pass();
 	unit_add_place();
 	unit_add_sched();
 	unit_add_handover();
