Use answers to polls that come after the poll's timeout

Cause: links of 2 Mbit/s held answers back for longer than the 700 ms that a poll waits. Each poll was cancelled, the next one asked anew and its answer was late again: a worker that answered every poll was silent for 12 s, its lease was let lapse, and its tasks were given up.

Change: a poll without answer after its timeout counts as before (the worker gets no task, a new poll is sent), but its answer is still used for 2.5 s, and at most two polls of a worker are late at a time.

Ruled out: a lost commit of the end (it never reached the owner); a second owner (one epoch throughout); ends in doubt after the power loss at 34 s.

--- a/src/fleet/wkr_links.c
+++ b/src/fleet/wkr_links.c
@@ -29,6 +29,12 @@
 /* Added to the timeout of each call, in ms: twice the longest one-way delay
  * between regions, and a stall of the worker. */
 #define CALL_SLACK_MS 700
+/* An answer to a poll is used up to this much later, in ms: where a link is
+ * slow, none would ever be in time. */
+#define LATE_ANSWER_MS 2500
+/* Polls of one worker whose answers are late, at most: each adds to the load of
+ * a slow link. */
+#define LATE_POLLS_MAX 2
 /* Commands in flight to one worker. Each takes a connection. */
 #define COMMANDS_IN_FLIGHT_MAX 3
 
@@ -47,7 +53,8 @@
 	struct tmr *poll_timer;
 	GQueue commands; /* not sent yet */
 	int32_t commands_in_flight;
-	int32_t polls_in_flight;
+	int32_t polls_in_flight; /* without the late ones */
+	int32_t late_polls;
 	int64_t poll_fence; /* highest fence token of the polls in flight */
 	int64_t last_poll_ms; /* when the last poll ended */
 	int32_t poll_failures; /* polls in a row without answer */
@@ -79,6 +86,7 @@
 	enum command_kind kind;
 	int64_t sent_ms;
 	int64_t fence;
+	struct tmr *late_timer; /* of a poll that is not late yet */
 };
 
 static void poll_if_due(struct wkr_link *wl);
@@ -123,8 +131,10 @@
 	GHashTableIter it;
 	gpointer value;
 
-	for (struct wkr_call *c = links->calls; c; c = c->next)
+	for (struct wkr_call *c = links->calls; c; c = c->next) {
+		TALLOC_FREE(c->late_timer);
 		c->links = NULL;
+	}
 	g_hash_table_iter_init(&it, links->table);
 	while (g_hash_table_iter_next(&it, NULL, &value)) {
 		struct wkr_link *wl = value;
@@ -207,42 +217,75 @@
 	return ms < POLL_RETRY_MAX_MS ? ms : POLL_RETRY_MAX_MS;
 }
 
+static void poll_ended(struct wkr_link *wl)
+{
+	wl->polls_in_flight--;
+	if (!wl->polls_in_flight)
+		wl->poll_fence = 0;
+	wl->last_poll_ms = now_ms(wl->links);
+}
+
+static void poll_failed(struct wkr_link *wl)
+{
+	struct sched_worker *w = worker_of(wl);
+
+	poll_ended(wl);
+	wl->poll_failures++;
+	wl->links->counts.polls_failed++;
+	if (!w)
+		return;
+	sched_worker_unanswered(wl->links->sched, w, now_ms(wl->links));
+	poll_after(wl, retry_delay_ms(wl));
+}
+
+/* The worker counts as silent from now on, but its answer may still come. */
+static void on_poll_late(void *priv)
+{
+	struct wkr_call *c = priv;
+
+	c->late_timer = NULL;
+	c->link->late_polls++;
+	poll_failed(c->link);
+}
+
+static void handle_report(struct wkr_link *wl, const struct wkr_call *c,
+			  const struct sched_report *answer)
+{
+	struct sched_worker *w = worker_of(wl);
+	struct sched_report report = *answer;
+
+	wl->poll_failures = 0;
+	if (!w)
+		return;
+	report.sent_ms = c->sent_ms;
+	report.fence = c->fence;
+	sched_poll_answered(wl->links->sched, w, &report, now_ms(wl->links),
+			    clk_wall_ms(wl->links->clk));
+	wl->links->ops->changed(wl->links->priv);
+	poll_after(wl, POLL_GAP_MS);
+}
+
 static void on_poll_answer(const struct sched_report *answer, void *priv)
 {
 	struct wkr_call *c = priv;
 	struct wkr_link *wl = finish_call(c);
-	struct sched_worker *w = wl ? worker_of(wl) : NULL;
-	int64_t now;
+	bool is_late = wl && !c->late_timer;
 
 	if (!wl) {
 		free(c);
 		return;
 	}
-	now = now_ms(wl->links);
-	wl->polls_in_flight--;
-	if (!wl->polls_in_flight)
-		wl->poll_fence = 0;
-	wl->last_poll_ms = now;
-	if (!w) {
-		free(c);
-		return;
-	}
-	if (answer) {
-		struct sched_report report = *answer;
-
-		report.sent_ms = c->sent_ms;
-		report.fence = c->fence;
-		wl->poll_failures = 0;
-		sched_poll_answered(wl->links->sched, w, &report, now,
-				    clk_wall_ms(wl->links->clk));
-		wl->links->ops->changed(wl->links->priv);
-		poll_after(wl, POLL_GAP_MS);
-	} else {
-		wl->poll_failures++;
-		wl->links->counts.polls_failed++;
-		sched_worker_unanswered(wl->links->sched, w, now);
+	TALLOC_FREE(c->late_timer);
+	if (is_late)
+		wl->late_polls--;
+	else if (answer)
+		poll_ended(wl);
+	else
+		poll_failed(wl);
+	if (answer)
+		handle_report(wl, c, answer);
+	else if (is_late)
 		poll_after(wl, retry_delay_ms(wl));
-	}
 	free(c);
 }
 
@@ -275,6 +318,9 @@
 		w->runs.length ? sched_lease_end(links->sched, w, c->sent_ms)
 			       : 0;
 	to.timeout_ms += wait_ms;
+	c->late_timer =
+		tmr_after(links->timers, to.timeout_ms, on_poll_late, c);
+	to.timeout_ms += LATE_ANSWER_MS;
 	links->wkr.ops->poll(links->wkr.self, &to, w->durable_seq, wait_ms,
 			     on_poll_answer, c);
 }
@@ -293,6 +339,8 @@
 			send_poll(wl, w, true);
 		return;
 	}
+	if (wl->late_polls >= LATE_POLLS_MAX)
+		return;
 	if (!wl->poll_requested && !sched_worker_busy(w))
 		return;
 	if (has_unstored_ends && w->reconciled &&
--- /dev/null
+++ b/tests/unit_links.c
@@ -0,0 +1,194 @@
+/* The owner's links to workers over a slow link. Workers are played by the
+ * test. */
+#include <glib.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "fleet/wkr_links.h"
+#include "tests/sched_fixture.h"
+#include "tests/unit.h"
+
+#define TIMEOUT_MS 6000
+
+/* A scheduler whose commands go through links to workers that take `delay_ms`
+ * to answer. */
+struct links_fixture {
+	struct sched_fixture p;
+	struct tevent_context *ev;
+	struct tmr_set *timers;
+	struct wkr_links *links;
+	int64_t delay_ms;
+	int polls;
+	int polls_open;
+	int polls_open_max;
+	GQueue starts; /* struct call, unanswered */
+	int64_t start_bytes; /* of these */
+	int n_starts;
+};
+
+/* A call in flight. */
+struct call {
+	struct links_fixture *fx;
+	wkr_poll_cb polled;
+	wkr_start_cb started;
+	void *priv;
+	bool times_out;
+	int64_t bytes;
+};
+
+static void answer_poll(void *priv)
+{
+	struct call *c = priv;
+	struct sched_report report = {
+		.clock_ms = 100000 + clk_mono_ms(&clk_system), .born_ms = 1
+	};
+
+	c->fx->polls_open--;
+	c->polled(c->times_out ? NULL : &report, c->priv);
+	g_free(c);
+}
+
+static void take_poll(void *self, const struct wkr_target *to, int64_t seq,
+		      int64_t wait_ms, wkr_poll_cb done, void *priv)
+{
+	struct links_fixture *fx = self;
+	struct call *c = g_new0(struct call, 1);
+	int64_t after_ms = fx->delay_ms + wait_ms;
+
+	(void)seq;
+	c->fx = fx;
+	c->polled = done;
+	c->priv = priv;
+	c->times_out = after_ms > to->timeout_ms;
+	fx->polls++;
+	fx->polls_open++;
+	fx->polls_open_max = MAX(fx->polls_open_max, fx->polls_open);
+	tmr_after(fx->timers, MIN(after_ms, to->timeout_ms), answer_poll, c);
+}
+
+static void take_start(void *self, const struct wkr_target *to,
+		       const struct wkr_start_cmd *cmd, wkr_start_cb done,
+		       void *priv)
+{
+	struct links_fixture *fx = self;
+	struct call *c = g_new0(struct call, 1);
+
+	(void)to;
+	c->fx = fx;
+	c->started = done;
+	c->priv = priv;
+	c->bytes = (int64_t)strlen(cmd->payload);
+	fx->start_bytes += c->bytes;
+	fx->n_starts++;
+	g_queue_push_tail(&fx->starts, c);
+}
+
+static void answer_start(struct links_fixture *fx)
+{
+	struct call *c = g_queue_pop_head(&fx->starts);
+
+	fx->start_bytes -= c->bytes;
+	c->started(SCHED_START_OK, c->priv);
+	g_free(c);
+}
+
+static void on_changed(void *priv)
+{
+	(void)priv;
+}
+
+static void links_fixture_open(struct links_fixture *fx, int64_t delay_ms)
+{
+	static const struct wkr_ops wkr_ops = { .poll = take_poll,
+						.start = take_start };
+	static const struct wkr_links_ops links_ops = { .changed = on_changed };
+	struct wkr wkr = { &wkr_ops, fx };
+
+	memset(fx, 0, sizeof(*fx));
+	fixture_open(&fx->p, 1, NULL);
+	fx->delay_ms = delay_ms;
+	fx->ev = tevent_context_init(NULL);
+	fx->timers = tmr_set_start(fx->ev, fx->ev);
+	fx->links = wkr_links_start(fx->ev, &fx->p.s, &wkr, fx->timers,
+				    &clk_system, &links_ops, fx);
+	wkr_links_enable(fx->links);
+}
+
+static void links_fixture_close(struct links_fixture *fx)
+{
+	while (fx->starts.length)
+		answer_start(fx);
+	talloc_free(fx->links);
+	while (fx->polls_open)
+		tevent_loop_once(fx->ev);
+	talloc_free(fx->ev);
+	fixture_close(&fx->p);
+}
+
+static void run_for(struct links_fixture *fx, int64_t ms)
+{
+	int64_t until_ms = clk_mono_ms(&clk_system) + ms;
+
+	tmr_after(fx->timers, ms, on_changed, NULL);
+	while (clk_mono_ms(&clk_system) < until_ms)
+		tevent_loop_once(fx->ev);
+}
+
+/*
+ * Guards against a worker behind a slow link whose tasks are given up and start
+ * again elsewhere: each of its answers came, but none before the poll's
+ * timeout.
+ */
+static void test_late_answer_is_used(void)
+{
+	struct links_fixture fx;
+	struct sched_worker *w;
+	int64_t deadline_ms;
+
+	links_fixture_open(&fx, 1500);
+	fixture_add_worker(&fx.p, "w", "r");
+	w = fixture_worker(&fx.p, "w");
+	wkr_links_poll(fx.links, w);
+	deadline_ms = clk_mono_ms(&clk_system) + TIMEOUT_MS;
+	while (!w->reconciled && clk_mono_ms(&clk_system) < deadline_ms)
+		tevent_loop_once(fx.ev);
+	g_assert_true(w->reconciled);
+	g_assert_cmpint(fx.polls_open_max, <=, 3);
+	links_fixture_close(&fx);
+}
+
+/* A worker that doesn't answer counts as silent before its poll is given up,
+ * and polls of it don't pile up. */
+static void test_silent_worker(void)
+{
+	struct links_fixture fx;
+
+	links_fixture_open(&fx, 60000);
+	fixture_add_worker(&fx.p, "w", "r");
+	wkr_links_poll(fx.links, fixture_worker(&fx.p, "w"));
+	run_for(&fx, 1000);
+	g_assert_true(fixture_worker(&fx.p, "w")->unreachable);
+	run_for(&fx, 3000);
+	g_assert_cmpint(fx.polls, >=, 3);
+	g_assert_cmpint(fx.polls_open_max, <=, 3);
+	links_fixture_close(&fx);
+}
+
+/* The links are freed while polls are late. */
+static void test_freed_while_late(void)
+{
+	struct links_fixture fx;
+
+	links_fixture_open(&fx, 1500);
+	fixture_add_worker(&fx.p, "w", "r");
+	wkr_links_poll(fx.links, fixture_worker(&fx.p, "w"));
+	run_for(&fx, 1000);
+	links_fixture_close(&fx);
+}
+
+void unit_add_links(void)
+{
+	g_test_add_func("/links/late-answer-is-used", test_late_answer_is_used);
+	g_test_add_func("/links/silent-worker", test_silent_worker);
+	g_test_add_func("/links/freed-while-late", test_freed_while_late);
+}
