Send no more start commands than link and processor take

Change: start commands queued or in flight are bounded by what link and processor take in 100 ms (limits.link_mbps, limits.cpu_share); the pass ends when that is used up and goes on with the same step as answers come, new urgent steps first.

--- a/src/coordination/sched.c
+++ b/src/coordination/sched.c
@@ -33,6 +33,7 @@
 	};
 	s->start_before_version = INT64_MAX;
 	s->renew_until_ms = INT64_MAX;
+	s->start_room = (struct sched_start_room){ INT64_MAX, INT64_MAX };
 	s->rank_policy = &sched_rank_by_value;
 	s->sweep = 1;
 	s->mean_work =
--- a/src/coordination/sched.h
+++ b/src/coordination/sched.h
@@ -321,6 +321,12 @@
 	int64_t impact_ms; /* interference that lasts longer does harm */
 };
 
+/* Start commands that may be sent at once. */
+struct sched_start_room {
+	int64_t bytes;
+	int64_t commands;
+};
+
 /* Totals since sched_init(). */
 struct sched_counts {
 	int64_t starts, resumes, refused_room, refused_other, start_unknown;
@@ -400,6 +406,9 @@
 	/* While ownership is in doubt, jobs of this or a later version are not
 	 * started: a successor holds back only jobs older than its claim. */
 	int64_t start_before_version;
+	/* For the next pass; it ends early when there is no more. */
+	struct sched_start_room start_room;
+	bool starts_held; /* the last pass ended early for that */
 	struct interfere interfere;
 	/* Workers that fell silent with runs (struct lost_worker); whether they
 	 * crashed is known once their VM has a new worker. */
@@ -558,6 +567,9 @@
  */
 void sched_place(struct sched *s, int64_t now_ms);
 
+/* Returns about how many bytes it takes to send a start command of the job. */
+int64_t sched_start_bytes(const struct sched_job *job);
+
 /* Returns whether the job is done, failed or cancelled. */
 bool sched_job_has_ended(const struct sched_job *job);
 
--- a/src/coordination/sched_place.c
+++ b/src/coordination/sched_place.c
@@ -10,6 +10,9 @@
 #define PASS_WORK_MAX 2000000
 /* The same for one start. */
 #define START_WORK 1000
+/* Bytes of a start command, and of the call that carries it, beside the
+ * payload. */
+#define START_OVERHEAD_BYTES 500
 /* A best-effort job that waits for this long, in ms, while nothing of it runs,
  * starts one task where serving tasks slow it down or pause it. */
 #define STARVED_MS 5000
@@ -28,6 +31,11 @@
 	return !t->done && !t->runs && now_ms >= t->not_before_ms;
 }
 
+int64_t sched_start_bytes(const struct sched_job *job)
+{
+	return START_OVERHEAD_BYTES + (int64_t)strlen(job->spec->payload);
+}
+
 static void start_task(struct sched *s, struct sched_task *t,
 		       struct sched_worker *w, int32_t number, int64_t now_ms)
 {
@@ -44,12 +52,19 @@
 	sched_run_ref(run, &ref);
 	s->ops->log_decision(s->priv, "start", &ref, w,
 			     t->checkpoint ? "resumes" : "afresh");
+	s->start_room.bytes -= sched_start_bytes(t->step->round->job);
+	s->start_room.commands--;
 	s->ops->start(s->priv, run, &ref);
 }
 
+static bool has_start_room(const struct sched *s)
+{
+	return s->start_room.bytes > 0 && s->start_room.commands > 0;
+}
+
 static bool pass_is_over(const struct sched *s)
 {
-	return s->pass_work >= PASS_WORK_MAX;
+	return s->pass_work >= PASS_WORK_MAX || !has_start_room(s);
 }
 
 /* Suspects may close half of the workers to other tasks at a time, unless a
@@ -359,10 +374,15 @@
 	if (!pass_is_over(s))
 		s->best_effort_due_ms =
 			now_ms + best_effort_work / BEST_EFFORT_WORK_PER_MS;
-	place_starved(&c, ranks, n);
+	s->starts_held = !has_start_room(s);
+	/* The step that ran out of room goes on in its turn. */
+	if (s->starts_held && reached)
+		ranks[reached - 1].step->sweep = 0;
+	if (!s->starts_held)
+		place_starved(&c, ranks, n);
 	/* A sweep reaches each step once: tasks that workers refuse again and
 	 * again can't use up the passes of other steps. */
-	if (reached == n) {
+	if (reached == n && !s->starts_held) {
 		s->sweep++;
 		s->reservations_old = true;
 	}
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -67,6 +67,7 @@
 		.claim_delay_ms = CLAIM_DELAY_MS,
 		.cpu_milli = (int64_t)(cpu_share * 1000),
 	};
+	s->capacity.cpu_milli = s->owner.cpu_milli;
 	s->sched.lease_ms = LEASE_MS;
 	if (s->sched.lease_ms > s->sched.lease_max_ms)
 		s->sched.lease_ms = s->sched.lease_max_ms;
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -13,6 +13,7 @@
 #include "coordination/sched.h"
 #include "fleet/vms.h"
 #include "fleet/wkr.h"
+#include "fleet/wkr_links.h"
 #include "state/owner.h"
 #include "state/rows.h"
 #include "transport/tmr.h"
@@ -28,6 +29,7 @@
 	int32_t shards;
 	struct sched_limits sched;
 	struct owner_limits owner;
+	struct wkr_capacity capacity;
 	int64_t ended_retention_ms; /* how long ended jobs stay known */
 	int64_t row_bytes_max; /* maximum length of a row's value */
 	/* A new owner sends no upkeep command for this long, since the
--- a/src/fleet/shard_ctl.c
+++ b/src/fleet/shard_ctl.c
@@ -97,6 +97,7 @@
 	if (!sc->active || sc->releasing)
 		return;
 	update_ownership(sc);
+	sc->sched.start_room = wkr_links_start_room(sc->links);
 	sched_place(&sc->sched, began);
 	sc->placement_took_ms = mono_ms(sc) - began;
 	if (sc->sched.dirty_jobs.length)
@@ -144,7 +145,8 @@
 {
 	struct shard_ctl *sc = priv;
 
-	wkr_links_start_task(sc->links, run->worker->row.id, ref);
+	wkr_links_start_task(sc->links, run->worker->row.id, ref,
+			     sched_start_bytes(run->task->step->round->job));
 }
 
 static void do_stop(void *priv, struct sched_run *run,
@@ -340,8 +342,9 @@
 	init_from_previous(sc, prev_row);
 	update_ownership(sc);
 	sched_configure(&sc->sched, f->catalog, f->domains_out);
-	sc->links = wkr_links_start(sc->term_ctx, &sc->sched, &f->wkr,
-				    f->timers, f->clk, &links_ops, sc);
+	sc->links =
+		wkr_links_start(sc->term_ctx, &sc->sched, &f->wkr, f->timers,
+				f->clk, &f->set.capacity, &links_ops, sc);
 	sc->upkeep = sc->shard == SHARD_CTL_UPKEEP_SHARD
 			     ? upkeep_runner_start(sc->term_ctx, f, &sc->sched,
 						   sc->shard, sc->sched.epoch)
--- a/src/fleet/wkr_links.c
+++ b/src/fleet/wkr_links.c
@@ -35,6 +35,11 @@
 /* Polls of one worker whose answers are late, at most: each adds to the load of
  * a slow link. */
 #define LATE_POLLS_MAX 2
+/* Start commands may be in flight or queued for as long as the link, or the
+ * processor, takes for them, in ms: those behind them would time out. */
+#define START_WINDOW_MS 100
+/* Calls that a full core makes in one ms, roughly. */
+#define CALLS_PER_CORE_MS 10
 /* Commands in flight to one worker. Each takes a connection. */
 #define COMMANDS_IN_FLIGHT_MAX 3
 
@@ -44,6 +49,7 @@
 	enum command_kind kind;
 	struct sched_ref ref;
 	int32_t percent; /* of full speed; for CMD_PACE */
+	int64_t start_bytes; /* for CMD_START; else 0 */
 };
 
 /* The contact with one worker. */
@@ -71,6 +77,9 @@
 	GHashTable *table; /* worker id to struct wkr_link */
 	bool enabled;
 	bool quiesced;
+	struct sched_start_room window;
+	/* Start commands that are queued or in flight. */
+	struct sched_start_room starts;
 	struct wkr_links_counts counts;
 	struct wkr_call *calls; /* in flight */
 };
@@ -84,6 +93,7 @@
 	struct wkr_link *link;
 	struct sched_ref ref;
 	enum command_kind kind;
+	int64_t start_bytes; /* as in struct command */
 	int64_t sent_ms;
 	int64_t fence;
 	struct tmr *late_timer; /* of a poll that is not late yet */
@@ -113,6 +123,15 @@
 	return c;
 }
 
+/* Adds a start command to the window (`sign` 1) or removes it (-1). */
+static void count_start(struct wkr_links *links, int64_t bytes, int sign)
+{
+	if (!bytes)
+		return;
+	links->starts.bytes += sign * bytes;
+	links->starts.commands += sign;
+}
+
 /* Returns the link that made the call, or NULL if the links are gone. */
 static struct wkr_link *finish_call(struct wkr_call *c)
 {
@@ -123,6 +142,7 @@
 	*c->prev_next = c->next;
 	if (c->next)
 		c->next->prev_next = c->prev_next;
+	count_start(wl->links, c->start_bytes, -1);
 	return wl;
 }
 
@@ -146,9 +166,21 @@
 	return 0;
 }
 
+static struct sched_start_room window_of(const struct wkr_capacity *capacity)
+{
+	int64_t commands = capacity->cpu_milli * CALLS_PER_CORE_MS *
+			   START_WINDOW_MS / 1000;
+
+	return (struct sched_start_room){
+		.bytes = capacity->link_kbit_s * START_WINDOW_MS / 8,
+		.commands = MAX(commands, 1),
+	};
+}
+
 struct wkr_links *wkr_links_start(void *ctx, struct sched *sched,
 				  const struct wkr *wkr, struct tmr_set *timers,
 				  const struct clk *clk,
+				  const struct wkr_capacity *capacity,
 				  const struct wkr_links_ops *ops, void *priv)
 {
 	struct wkr_links *links = talloc_zero(ctx, struct wkr_links);
@@ -159,6 +191,7 @@
 	links->clk = clk;
 	links->ops = ops;
 	links->priv = priv;
+	links->window = window_of(capacity);
 	links->table = g_hash_table_new(g_str_hash, g_str_equal);
 	talloc_set_destructor(links, wkr_links_destructor);
 	return links;
@@ -408,7 +441,7 @@
 	if (wl) {
 		sched_start_answered(wl->links->sched, &c->ref, wl->id, res,
 				     now_ms(wl->links));
-		if (res != SCHED_START_OK)
+		if (res != SCHED_START_OK || wl->links->sched->starts_held)
 			wl->links->ops->changed(wl->links->priv);
 		command_ended(wl);
 	}
@@ -443,6 +476,7 @@
 	if (w->unreachable ||
 	    !sched_start_args(links->sched, &cmd->ref, wl->id, &start.payload,
 			      &start.checkpoint, &start.ticket)) {
+		count_start(links, cmd->start_bytes, -1);
 		sched_start_answered(links->sched, &cmd->ref, wl->id,
 				     SCHED_START_FENCED, now_ms(links));
 		return;
@@ -450,6 +484,7 @@
 	c = new_call(wl);
 	c->kind = CMD_START;
 	c->ref = cmd->ref;
+	c->start_bytes = cmd->start_bytes;
 	to.lease_end_clock_ms = sched_lease_end(links->sched, w, c->sent_ms);
 	wl->commands_in_flight++;
 	links->counts.commands++;
@@ -491,13 +526,15 @@
 
 		if (w && !links->quiesced)
 			send_command(wl, w, cmd);
+		else
+			count_start(links, cmd->start_bytes, -1);
 		free(cmd);
 	}
 }
 
 static void queue_command(struct wkr_links *links, const char *worker,
 			  const struct sched_ref *ref, enum command_kind kind,
-			  int32_t percent)
+			  int32_t percent, int64_t start_bytes)
 {
 	struct wkr_link *wl = get_link(links, worker);
 	struct command *cmd = calloc(1, sizeof(*cmd));
@@ -505,26 +542,36 @@
 	cmd->kind = kind;
 	cmd->ref = *ref;
 	cmd->percent = percent;
+	cmd->start_bytes = start_bytes;
+	count_start(links, start_bytes, 1);
 	g_queue_push_tail(&wl->commands, cmd);
 	send_queued(wl);
 }
 
+struct sched_start_room wkr_links_start_room(const struct wkr_links *links)
+{
+	return (struct sched_start_room){
+		.bytes = links->window.bytes - links->starts.bytes,
+		.commands = links->window.commands - links->starts.commands,
+	};
+}
+
 void wkr_links_start_task(struct wkr_links *links, const char *worker,
-			  const struct sched_ref *ref)
+			  const struct sched_ref *ref, int64_t bytes)
 {
-	queue_command(links, worker, ref, CMD_START, 0);
+	queue_command(links, worker, ref, CMD_START, 0, bytes);
 }
 
 void wkr_links_stop_task(struct wkr_links *links, const char *worker,
 			 const struct sched_ref *ref)
 {
-	queue_command(links, worker, ref, CMD_STOP, 0);
+	queue_command(links, worker, ref, CMD_STOP, 0, 0);
 }
 
 void wkr_links_pace_task(struct wkr_links *links, const char *worker,
 			 const struct sched_ref *ref, int32_t percent)
 {
-	queue_command(links, worker, ref, CMD_PACE, percent);
+	queue_command(links, worker, ref, CMD_PACE, percent, 0);
 }
 
 const struct wkr_links_counts *wkr_links_counts(const struct wkr_links *links)
--- a/src/fleet/wkr_links.h
+++ b/src/fleet/wkr_links.h
@@ -19,10 +19,17 @@
 	void (*changed)(void *priv);
 };
 
+/* What this VM may use to send commands. */
+struct wkr_capacity {
+	int64_t link_kbit_s;
+	int64_t cpu_milli; /* thousandths of a core */
+};
+
 /* Returns a talloc child of `ctx`, which must be freed before `sched`. */
 struct wkr_links *wkr_links_start(void *ctx, struct sched *sched,
 				  const struct wkr *wkr, struct tmr_set *timers,
 				  const struct clk *clk,
+				  const struct wkr_capacity *capacity,
 				  const struct wkr_links_ops *ops, void *priv);
 
 /*
@@ -33,8 +40,14 @@
 /* Stops commands and polls. Answers to those in flight are still handled. */
 void wkr_links_quiesce(struct wkr_links *links);
 
+/*
+ * Returns what start commands may be added now. More would wait for the link or
+ * the processor, and time out. Not above 0 if there are too many already.
+ */
+struct sched_start_room wkr_links_start_room(const struct wkr_links *links);
+/* `bytes`: what the command takes of that, see sched_start_bytes(). */
 void wkr_links_start_task(struct wkr_links *links, const char *worker,
-			  const struct sched_ref *ref);
+			  const struct sched_ref *ref, int64_t bytes);
 void wkr_links_stop_task(struct wkr_links *links, const char *worker,
 			 const struct sched_ref *ref);
 /* Limits the task to `percent` of its full speed. */
--- a/tests/unit_links.c
+++ b/tests/unit_links.c
@@ -1,5 +1,5 @@
-/* The owner's links to workers over a slow link. Workers are played by the
- * test. */
+/* The owner's links to workers over a slow link: late answers, and start
+ * commands that fill it. Workers are played by the test. */
 #include <glib.h>
 #include <string.h>
 #include <talloc.h>
@@ -9,6 +9,8 @@
 #include "tests/unit.h"
 
 #define TIMEOUT_MS 6000
+#define SLOW_LINK_KBIT_S 2000
+#define PAYLOAD_BYTES 2000
 
 /* A scheduler whose commands go through links to workers that take `delay_ms`
  * to answer. */
@@ -102,6 +104,9 @@
 	static const struct wkr_ops wkr_ops = { .poll = take_poll,
 						.start = take_start };
 	static const struct wkr_links_ops links_ops = { .changed = on_changed };
+	static const struct wkr_capacity capacity = { .link_kbit_s =
+							      SLOW_LINK_KBIT_S,
+						      .cpu_milli = 1000 };
 	struct wkr wkr = { &wkr_ops, fx };
 
 	memset(fx, 0, sizeof(*fx));
@@ -110,7 +115,7 @@
 	fx->ev = tevent_context_init(NULL);
 	fx->timers = tmr_set_start(fx->ev, fx->ev);
 	fx->links = wkr_links_start(fx->ev, &fx->p.s, &wkr, fx->timers,
-				    &clk_system, &links_ops, fx);
+				    &clk_system, &capacity, &links_ops, fx);
 	wkr_links_enable(fx->links);
 }
 
@@ -186,9 +191,91 @@
 	links_fixture_close(&fx);
 }
 
+static void send_starts(struct links_fixture *fx)
+{
+	for (guint i = 0; i < fx->p.starts->len; i++) {
+		const struct recorded_command *start = fixture_start(&fx->p, i);
+
+		wkr_links_start_task(fx->links, start->worker, &start->ref,
+				     500 + PAYLOAD_BYTES);
+	}
+	g_array_set_size(fx->p.starts, 0);
+}
+
+/*
+ * A burst of wide jobs over a link of 2 Mbit/s: start commands that would wait
+ * there until they time out stay with the scheduler, and follow as others are
+ * answered.
+ */
+static void test_starts_fit_the_link(void)
+{
+	struct links_fixture fx;
+	struct jobspec *spec = fixture_spec("a", "short", 1, 100);
+	char id[16];
+
+	links_fixture_open(&fx, 1);
+	for (int i = 0; i < 60; i++) {
+		g_snprintf(id, sizeof(id), "w%d", i);
+		fixture_add_worker(&fx.p, id, "r");
+		fixture_poll(&fx.p, id, NULL, 0, NULL, 0, 10);
+	}
+	talloc_free(spec->payload);
+	spec->payload = talloc_zero_array(spec, char, PAYLOAD_BYTES + 1);
+	memset(spec->payload, 'x', PAYLOAD_BYTES);
+	spec->steps[0].cpu_milli = 1000;
+	fixture_add_job(&fx.p, spec);
+	for (int64_t now = 100; fx.n_starts < 100 && now < 100000; now += 10) {
+		fx.p.s.start_room = wkr_links_start_room(fx.links);
+		sched_place(&fx.p.s, now);
+		send_starts(&fx);
+		/* 2 Mbit/s are 25,000 bytes in 100 ms. */
+		g_assert_cmpint(fx.start_bytes, <=, 25000 + PAYLOAD_BYTES);
+		if (fx.starts.length)
+			answer_start(&fx);
+	}
+	g_assert_cmpint(fx.n_starts, ==, 100);
+	links_fixture_close(&fx);
+}
+
+/* While the link is full, an urgent job goes before what waits already, and the
+ * job whose turn was cut short goes on before those behind it. */
+static void test_order_while_full(void)
+{
+	struct sched_fixture p;
+	char id[16];
+
+	fixture_open(&p, 1, NULL);
+	for (int i = 0; i < 20; i++) {
+		g_snprintf(id, sizeof(id), "w%d", i);
+		fixture_add_worker(&p, id, "r");
+		fixture_poll(&p, id, NULL, 0, NULL, 0, 10);
+	}
+	fixture_add_job(&p, fixture_spec("b", "long", 1, 3));
+	fixture_add_job(&p, fixture_spec("c", "long", 1, 3));
+	p.s.start_room.commands = 2;
+	sched_place(&p.s, 100);
+	g_assert_true(p.s.starts_held);
+	p.s.start_room.commands = 2;
+	fixture_add_job(&p, fixture_spec("a", "short", 1, 1));
+	sched_place(&p.s, 110);
+	p.s.start_room.commands = 10;
+	sched_place(&p.s, 120);
+	g_assert_false(p.s.starts_held);
+	sched_place(&p.s, 130);
+	g_assert_cmpuint(p.starts->len, ==, 7);
+	g_assert_cmpstr(fixture_start(&p, 0)->ref.job, ==, "b");
+	g_assert_cmpstr(fixture_start(&p, 1)->ref.job, ==, "b");
+	g_assert_cmpstr(fixture_start(&p, 2)->ref.job, ==, "a");
+	g_assert_cmpstr(fixture_start(&p, 3)->ref.job, ==, "b");
+	g_assert_cmpstr(fixture_start(&p, 4)->ref.job, ==, "c");
+	fixture_close(&p);
+}
+
 void unit_add_links(void)
 {
 	g_test_add_func("/links/late-answer-is-used", test_late_answer_is_used);
 	g_test_add_func("/links/silent-worker", test_silent_worker);
 	g_test_add_func("/links/freed-while-late", test_freed_while_late);
+	g_test_add_func("/links/starts-fit-the-link", test_starts_fit_the_link);
+	g_test_add_func("/links/order-while-full", test_order_while_full);
 }
