Refuse long-running jobs that would take the room of short ones

Cause: long-running jobs of the same priority were accepted without limit. Short jobs whose tasks need more waited until a session was cancelled: 104 of 561 room-stitch jobs failed.

Change: the owner measures what long-running tasks hold or wait for, what short ones need on the average, and at which rate sessions end; its row says per pool how much further long-running jobs may take. A VM refuses one that is larger, with a Retry-After by that rate, spread by job. A refusal is a row in the job's place: an earlier attempt still in another VM's hands can't store the job any more, the caller's return replaces it, the owner removes it after a minute. Unknown or older than 2 s, the job is accepted.

--- a/src/coordination/sched.c
+++ b/src/coordination/sched.c
@@ -38,6 +38,8 @@
 	s->sweep = 1;
 	s->mean_work =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	s->demands =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	interfere_init(&s->interfere);
 	s->queues = g_hash_table_new(g_str_hash, g_str_equal);
 	s->jobs = g_hash_table_new(g_str_hash, g_str_equal);
@@ -72,6 +74,7 @@
 	while (s->worker_list->len)
 		free_worker(s, g_ptr_array_index(s->worker_list, 0));
 	g_hash_table_destroy(s->mean_work);
+	g_hash_table_destroy(s->demands);
 	g_hash_table_destroy(s->queues);
 	g_hash_table_destroy(s->jobs);
 	g_hash_table_destroy(s->queued);
@@ -352,5 +355,6 @@
 	sched_crash_tick(s, now_ms, wall_ms);
 	sched_check_stalls(s, now_ms);
 	sched_check_waits(s, now_ms);
+	sched_measure_demand(s, now_ms);
 	sched_move_paused(s, now_ms);
 }
--- a/src/coordination/sched.h
+++ b/src/coordination/sched.h
@@ -327,6 +327,19 @@
 	int64_t commands;
 };
 
+/* Demand for the CPU of a pool's workers that are in use, in thousandths of a
+ * core. */
+struct sched_pool_demand {
+	int64_t total_milli;
+	int64_t lasting_milli; /* of long-running tasks, waiting ones too */
+	int64_t brief_milli; /* of other tasks with CPU of their own */
+	double brief_mean_milli;
+	/* Of long-running jobs that ended, since the last measurement, and in a
+	 * second on the average. */
+	int64_t freed_milli;
+	double freed_mean_milli_s;
+};
+
 /* Totals since sched_init(). */
 struct sched_counts {
 	int64_t starts, resumes, refused_room, refused_other, start_unknown;
@@ -406,6 +419,8 @@
 	/* While ownership is in doubt, jobs of this or a later version are not
 	 * started: a successor holds back only jobs older than its claim. */
 	int64_t start_before_version;
+	GHashTable *demands; /* pool to struct sched_pool_demand */
+	int64_t demand_measured_ms;
 	/* For the next pass; it ends early when there is no more. */
 	struct sched_start_room start_room;
 	bool starts_held; /* the last pass ended early for that */
@@ -567,6 +582,10 @@
  */
 void sched_place(struct sched *s, int64_t now_ms);
 
+/* Returns how much CPU further long-running jobs may take, in thousandths of a
+ * core; negative if they have too much. */
+int64_t sched_lasting_room(const struct sched_pool_demand *d);
+
 /* Returns about how many bytes it takes to send a start command of the job. */
 int64_t sched_start_bytes(const struct sched_job *job);
 
--- a/src/coordination/sched_int.h
+++ b/src/coordination/sched_int.h
@@ -133,6 +133,10 @@
  * the worker. */
 bool sched_has_ticket(const struct sched_step *step,
 		      const struct sched_worker *w, int64_t now_ms);
+/* The long-running tasks of the job's step free their room. */
+void sched_demand_ended(struct sched *s, const struct sched_step *step);
+/* Updates the pools' demands, from time to time. */
+void sched_measure_demand(struct sched *s, int64_t now_ms);
 /* Notes since when tasks wait, and logs why the longest waiting ones do. */
 void sched_check_waits(struct sched *s, int64_t now_ms);
 /* Stops tasks at a worker that is draining or being evacuated. */
--- a/src/coordination/sched_job.c
+++ b/src/coordination/sched_job.c
@@ -208,6 +208,7 @@
 			struct sched_run *run;
 
 			sched_update_ready(s, step);
+			sched_demand_ended(s, step);
 			for (int32_t k = 0; k < step->def->tasks; k++)
 				for (run = step->tasks[k].runs; run;
 				     run = run->next_of_task)
--- a/src/coordination/sched_wait.c
+++ b/src/coordination/sched_wait.c
@@ -79,6 +79,26 @@
 	}
 }
 
+/* Returns the workers' CPU that no task has reserved, and in `most` that of the
+ * worker with most of it; both in thousandths of a core. */
+static int64_t free_milli(const struct sched *s, int64_t *most)
+{
+	int64_t sum = 0;
+
+	*most = 0;
+	for (guint i = 0; i < s->worker_list->len; i++) {
+		const struct sched_worker *w =
+			g_ptr_array_index(s->worker_list, i);
+		int64_t milli = w->row.total.cpu_milli - w->used.cpu_milli;
+
+		if (!w->listed || w->unreachable || milli < 0)
+			continue;
+		sum += milli;
+		*most = MAX(*most, milli);
+	}
+	return sum;
+}
+
 static void log_wait(struct sched *s, const struct waiting *wait,
 		     int64_t now_ms)
 {
@@ -90,17 +110,21 @@
 	};
 	struct sched_ref ref;
 	char workers[240] = "";
-	char text[360];
+	char text[420];
+	int64_t most;
+	int64_t sum = free_milli(s, &most);
 
 	if (job->queue)
 		describe_workers(s, step, workers, sizeof(workers), now_ms);
 	snprintf(text, sizeof(text),
 		 "waited_ms=%lld cpu_milli=%lld mem_mib=%lld configured=%d "
-		 "trust=%d held=%d workers:%s",
+		 "trust=%d held=%d free_milli=%lld most_free_milli=%lld "
+		 "workers:%s",
 		 (long long)(now_ms - wait->since_ms),
 		 (long long)step->def->cpu_milli, (long long)step->def->mem_mib,
 		 job->queue != NULL, s->ownership,
-		 job->inherited && sched_may_miss_runs(s, now_ms), workers);
+		 job->inherited && sched_may_miss_runs(s, now_ms),
+		 (long long)sum, (long long)most, workers);
 	sched_run_ref(&run, &ref);
 	s->ops->log_decision(s->priv, "waits", &ref, NULL, text);
 }
--- /dev/null
+++ b/src/fleet/admission.c
@@ -0,0 +1,128 @@
+/* Admission of jobs by the room of their pool. */
+#include "fleet/admission.h"
+
+#include <string.h>
+#include <xxhash.h>
+
+#include "base/log.h"
+#include "fleet/shard_ctl.h"
+#include "protocol/num.h"
+
+/* Rooms are used up to this age, in ms. */
+#define ROOM_AGE_MAX_MS 2000
+/* Bounds of Retry-After, in ms, and the part of it by which callers are spread,
+ * so that they don't return all at once. */
+#define RETRY_AFTER_MIN_MS 2000
+#define RETRY_AFTER_MAX_MS 30000
+#define SPREAD_PERCENT 50
+/* A caller returns at least this long after a refusal, in ms: half of
+ * RETRY_AFTER_MIN_MS, since clocks are read with some error. */
+#define RETURN_MIN_MS 1000
+
+/* Returns the CPU that the job's long-running tasks reserve. */
+static int64_t lasting_milli(const struct jobspec *spec)
+{
+	int64_t sum = 0;
+
+	for (int32_t i = 0; i < spec->n_steps; i++) {
+		const struct jobspec_step *step = &spec->steps[i];
+
+		if (step->is_long_running && !step->best_effort)
+			sum += step->cpu_milli * step->tasks;
+	}
+	return sum;
+}
+
+/* Returns when a job that lacks `lacks_milli` should come back, at a rate at
+ * which room becomes free. */
+static int64_t retry_after_ms(const char *id, int64_t lacks_milli,
+			      int64_t freed_milli_s)
+{
+	int64_t ms = RETRY_AFTER_MAX_MS;
+	int64_t spread;
+
+	if (freed_milli_s > 0)
+		ms = CLAMP(lacks_milli * 1000 / freed_milli_s,
+			   RETRY_AFTER_MIN_MS, RETRY_AFTER_MAX_MS);
+	spread = ms * SPREAD_PERCENT / 100;
+	return ms +
+	       (int64_t)(XXH64(id, strlen(id), 0) % (uint64_t)(spread + 1));
+}
+
+/* Reads the pool's entry of the owner's row. Returns false if there is none. */
+static bool read_room(const struct owner_row *row, const char *pool,
+		      int64_t *room_milli, int64_t *freed_milli_s)
+{
+	json_t *rooms =
+		row && row->rooms ? json_loads(row->rooms, 0, NULL) : NULL;
+	const json_t *entry = json_object_get(rooms, pool);
+	bool found = num_integer(json_array_get(entry, 0), -NUM_MAX, NUM_MAX,
+				 room_milli) &&
+		     num_integer(json_array_get(entry, 1), 0, NUM_MAX,
+				 freed_milli_s);
+
+	json_decref(rooms);
+	return found;
+}
+
+void admission_decide(const struct owner_row *row, int64_t age_ms,
+		      const char *pool, const struct jobspec *spec,
+		      struct admission *out)
+{
+	int64_t wanted = lasting_milli(spec);
+	int64_t room;
+	int64_t freed;
+
+	*out = (struct admission){ 0 };
+	if (!wanted || age_ms < 0 || age_ms > ROOM_AGE_MAX_MS ||
+	    !read_room(row, pool, &room, &freed))
+		return;
+	out->refused = room < wanted;
+	out->retry_after_ms = retry_after_ms(spec->id, wanted - room, freed);
+	log_event(LOG_JOB,
+		  "job=%s queue=%s what=admission outcome=%s wanted_milli=%lld "
+		  "room_milli=%lld freed_milli_s=%lld retry_after_ms=%lld "
+		  "age_ms=%lld owner=%s epoch=%lld seq=%lld",
+		  spec->id, spec->queue, out->refused ? "refused" : "done",
+		  (long long)wanted, (long long)room, (long long)freed,
+		  out->refused ? (long long)out->retry_after_ms : 0LL,
+		  (long long)age_ms, row->vm, (long long)row->epoch,
+		  (long long)row->seq);
+}
+
+void admission_check(const struct fleet *f, const struct jobspec *spec,
+		     struct admission *out)
+{
+	const struct catalog_queue *q =
+		f->catalog ? catalog_find_queue(f->catalog, spec->queue) : NULL;
+	const struct shard_ctl *sc;
+	const struct owner_row *row;
+	int64_t changed_ms;
+
+	*out = (struct admission){ 0 };
+	if (!q)
+		return;
+	sc = f->shard_ctls[fleet_shard_of(f, spec->id)];
+	row = shard_ctl_owner_row(sc, &changed_ms);
+	admission_decide(row, shard_ctl_pending_age_ms(sc), q->pool, spec, out);
+}
+
+json_t *admission_pack_refusal(int64_t at_ms)
+{
+	return json_pack("{s:I}", "refused_ms", (json_int_t)at_ms);
+}
+
+bool admission_parse_refusal(const char *row, int64_t *at_ms)
+{
+	json_t *j = row ? json_loads(row, 0, NULL) : NULL;
+	bool refused = num_integer(json_object_get(j, "refused_ms"), -NUM_MAX,
+				   NUM_MAX, at_ms);
+
+	json_decref(j);
+	return refused;
+}
+
+bool admission_covers(int64_t refused_ms, int64_t received_ms)
+{
+	return received_ms < refused_ms + RETURN_MIN_MS;
+}
--- /dev/null
+++ b/src/fleet/admission.h
@@ -0,0 +1,41 @@
+/*
+ * Decides whether a submitted job is accepted or refused, by what the shard's
+ * owner says of its pool. Runs on every VM. A refusal is a row in the place of
+ * the job's, so that no earlier attempt to store the job can succeed later.
+ */
+#ifndef ADMISSION_H
+#define ADMISSION_H
+
+#include "fleet/fleet.h"
+
+struct admission {
+	bool refused;
+	int64_t retry_after_ms; /* valid if refused */
+};
+
+/*
+ * Refuses a job with long-running tasks for which the pool has no room, since
+ * they would keep others from running for as long as they last. Accepts it if
+ * the room is not known, or what is known is older than 2 s.
+ */
+void admission_check(const struct fleet *f, const struct jobspec *spec,
+		     struct admission *out);
+
+/* The same by an owner's row of this age; -1: unknown. `row` may be NULL. */
+void admission_decide(const struct owner_row *row, int64_t age_ms,
+		      const char *pool, const struct jobspec *spec,
+		      struct admission *out);
+
+/* Returns the row of a refusal made at this time of the store's clock; the
+ * caller owns the reference. */
+json_t *admission_pack_refusal(int64_t at_ms);
+/* Returns whether the row is a refusal, and in `at_ms` its time. */
+bool admission_parse_refusal(const char *row, int64_t *at_ms);
+/*
+ * Returns whether a submission received at `received_ms` is an attempt that the
+ * refusal answered, too, rather than a caller's return after it; both on the
+ * store's clock.
+ */
+bool admission_covers(int64_t refused_ms, int64_t received_ms);
+
+#endif
--- a/src/fleet/job_api.c
+++ b/src/fleet/job_api.c
@@ -8,72 +8,13 @@
 #include <string.h>
 #include <talloc.h>
 
-#include "base/hist.h"
 #include "base/log.h"
-#include "fleet/shard_ctl.h"
-
-/* Maximum number of jobs in a transaction, and of bytes of their values. The
- * store allows five times the number and twice the bytes. */
-#define BATCH_MAX 20
-#define BATCH_BYTES_MAX (512 * 1024)
-/* Concurrent transactions to one part. The store executes those of a part one
- * by one, so more of them would only be smaller. */
-#define BATCHES_IN_FLIGHT_MAX 1
-/* Delay before a failed store call is retried, in ms. */
-#define RETRY_MS 120
-/* A submission that is certainly not stored is retried for this long, in ms.
- * After that the caller is better served by another VM. */
-#define RETRY_PERIOD_MS 700
-/* Part of the deadline reserved for sending the answer back, in ms. */
-#define REPLY_MARGIN_MS 150
-/* Retry-After of refusals, in ms. Shorter outages of the store are over by
- * then. */
-#define RETRY_AFTER_MS 1000
+#include "fleet/admission.h"
+#include "fleet/job_api_int.h"
+
 /* Callers are told the number of pending jobs only if it is no older, in ms. */
 #define PENDING_AGE_MAX_MS 2000
 
-/* A submitted job that is not answered yet. */
-struct submission {
-	struct job_api *api;
-	char id[JOBSPEC_ID_MAX];
-	char queue[JOBSPEC_NAME_MAX];
-	int32_t shard;
-	int32_t part;
-	char *row_value;
-	int64_t received_ms;
-	int64_t deadline_ms;
-	bool maybe_stored; /* some attempt got no answer from the store */
-	job_api_cb done;
-	void *priv;
-};
-
-struct batch {
-	struct job_api *api;
-	int32_t shard;
-	int32_t part;
-	int32_t n;
-	struct submission *jobs[BATCH_MAX];
-};
-
-/* Submissions waiting to be sent to one job part of one shard. */
-struct submit_queue {
-	struct job_api *api;
-	int32_t shard;
-	int32_t part;
-	GQueue waiting;
-	int32_t batches_in_flight;
-	bool fresh_connection; /* set if the last batch got no answer */
-	struct tmr *retry_timer;
-};
-
-struct job_api {
-	struct fleet *f;
-	struct submit_queue queues[FLEET_SHARDS_MAX][SHARD_CTL_JOB_PARTS];
-	int32_t active;
-	struct job_api_counts counts;
-	struct hist accept_times;
-};
-
 /* A call of job_api_state or job_api_cancel. */
 struct job_request {
 	struct job_api *api;
@@ -116,208 +57,12 @@
 	return clk_mono_ms(api->f->clk);
 }
 
-static const char *const result_names[] = { "done", "refused", "unsure",
-					    "absent" };
-
-static void send_batches(struct job_api *api, int32_t shard, int32_t part);
-
-static void answer_submission(struct submission *sub, enum job_api_result res,
-			      const char *why)
-{
-	struct job_api *api = sub->api;
-	struct job_api_answer ans = { .result = res,
-				      .retry_after_ms = RETRY_AFTER_MS };
-	int64_t took = now_ms(api) - sub->received_ms;
-
-	log_event(LOG_JOB,
-		  "job=%s queue=%s what=accept outcome=%s why=\"%s\" "
-		  "took_ms=%lld config=%lld",
-		  sub->id, sub->queue, result_names[res], why, (long long)took,
-		  api->f->catalog ? (long long)api->f->catalog->version : -1LL);
-	api->counts.accepted += res == JOB_API_OK;
-	api->counts.refused += res == JOB_API_REFUSED;
-	api->counts.unknown += res == JOB_API_UNKNOWN;
-	hist_record(&api->accept_times, took * 1000);
-	api->active--;
-	sub->done(&ans, sub->priv);
-	free(sub->row_value);
-	free(sub);
-}
-
-/* Queues the submission again. Answers it instead if the store is unavailable,
- * the deadline is near, or it is not stored and another VM may do better. */
-static void retry_submission(struct submission *sub, const char *why)
-{
-	struct job_api *api = sub->api;
-	int64_t now = now_ms(api);
-	int64_t retry_until = sub->received_ms + RETRY_PERIOD_MS;
-
-	if (fleet_store_unavailable(api->f) ||
-	    now + REPLY_MARGIN_MS + RETRY_MS >= sub->deadline_ms)
-		answer_submission(sub,
-				  sub->maybe_stored ? JOB_API_UNKNOWN
-						    : JOB_API_REFUSED,
-				  why);
-	else if (!sub->maybe_stored && now >= retry_until)
-		answer_submission(sub, JOB_API_REFUSED, why);
-	else
-		g_queue_push_tail(&api->queues[sub->shard][sub->part].waiting,
-				  sub);
-}
-
-/* Looks the key up in the rows of a conflict. */
-static bool row_exists(const struct rows_answer *ans, const char *key)
-{
-	for (int32_t i = 0; i < ans->n; i++) {
-		if (!strcmp(ans->rows[i].key, key))
-			return ans->rows[i].version > 0 &&
-			       !ans->rows[i].deleted;
-	}
-	return false;
-}
-
-/* Answers the submission, or retries it if the store did not decide on it. */
-static void finish_submission(struct submission *sub,
-			      const struct rows_answer *ans)
-{
-	if (ans->result == ROWS_OK) {
-		answer_submission(sub, JOB_API_OK, "stored");
-		return;
-	}
-	if (ans->result == ROWS_CONFLICT) {
-		/* A repeated submission of a stored job succeeds. */
-		if (row_exists(ans, sub->id)) {
-			sub->api->counts.repeated++;
-			answer_submission(sub, JOB_API_OK, "already stored");
-			return;
-		}
-		retry_submission(sub,
-				 "another job of its batch was already stored");
-		return;
-	}
-	sub->maybe_stored |= ans->result == ROWS_UNKNOWN;
-	retry_submission(sub,
-			 ans->result == ROWS_UNKNOWN
-				 ? "no answer from the store"
-				 : "the store did not take the transaction");
-}
-
-static void on_submit_retry(void *priv)
-{
-	struct submit_queue *sq = priv;
-
-	sq->retry_timer = NULL;
-	send_batches(sq->api, sq->shard, sq->part);
-}
-
-static void on_batch_committed(const struct rows_answer *ans, void *priv)
-{
-	struct batch *b = priv;
-	struct job_api *api = b->api;
-	struct submit_queue *sq = &api->queues[b->shard][b->part];
-	bool failed = ans->result != ROWS_OK && ans->result != ROWS_CONFLICT;
-
-	sq->batches_in_flight--;
-	sq->fresh_connection = ans->result == ROWS_UNKNOWN;
-	for (int32_t i = 0; i < b->n; i++)
-		finish_submission(b->jobs[i], ans);
-	free(b);
-	if (!failed)
-		send_batches(api, sq->shard, sq->part);
-	else if (!sq->retry_timer)
-		sq->retry_timer = tmr_after(api->f->timers, RETRY_MS,
-					    on_submit_retry, sq);
-}
-
-static void send_batch(struct job_api *api, int32_t shard, int32_t part)
-{
-	struct submit_queue *sq = &api->queues[shard][part];
-	struct batch *b = calloc(1, sizeof(*b));
-	struct rows_change changes[BATCH_MAX] = { 0 };
-	char table[SHARD_CTL_NAME_MAX];
-	char name[SHARD_CTL_NAME_MAX];
-	size_t bytes = 0;
-	struct rows_tx tx = { .part = shard_ctl_job_part(shard, part, name),
-			      .changes = changes,
-			      .fresh_connection = sq->fresh_connection };
-
-	b->api = api;
-	b->shard = shard;
-	b->part = part;
-	shard_ctl_jobs_table(shard, table);
-	while (b->n < BATCH_MAX && bytes < BATCH_BYTES_MAX &&
-	       sq->waiting.length) {
-		struct submission *sub = g_queue_pop_head(&sq->waiting);
-
-		bytes += strlen(sub->row_value);
-
-		changes[b->n] = (struct rows_change){
-			.table = table,
-			.key = sub->id,
-			.value = sub->row_value,
-			.conditional = true,
-		};
-		b->jobs[b->n++] = sub;
-	}
-	tx.n = b->n;
-	sq->batches_in_flight++;
-	api->f->rows.ops->commit(api->f->rows.self, &tx, on_batch_committed, b);
-}
-
-static void send_batches(struct job_api *api, int32_t shard, int32_t part)
-{
-	struct submit_queue *sq = &api->queues[shard][part];
-
-	while (sq->waiting.length &&
-	       sq->batches_in_flight < BATCHES_IN_FLIGHT_MAX &&
-	       !sq->retry_timer)
-		send_batch(api, shard, part);
-}
-
-/* Used if the store was unavailable when the job came. Nothing was sent to
- * it, so the caller can safely retry at another VM. */
-static void refuse_unavailable(void *priv)
+const char *job_api_result_name(enum job_api_result res)
 {
-	answer_submission(priv, JOB_API_REFUSED, "store unavailable");
-}
+	static const char *const names[] = { "done", "refused", "unsure",
+					     "absent" };
 
-static void refuse_too_long(void *priv)
-{
-	answer_submission(priv, JOB_API_REFUSED,
-			  "the job exceeds the row size limit");
-}
-
-void job_api_submit(struct job_api *api, struct jobspec *spec,
-		    int64_t deadline_ms, job_api_cb done, void *priv)
-{
-	struct submission *sub = calloc(1, sizeof(*sub));
-	json_t *row;
-
-	spec->accepted_ms = now_ms(api) + api->f->store_offset_ms;
-	row = jobspec_pack(spec);
-	snprintf(sub->id, sizeof(sub->id), "%s", spec->id);
-	snprintf(sub->queue, sizeof(sub->queue), "%s", spec->queue);
-	sub->api = api;
-	sub->shard = fleet_shard_of(api->f, spec->id);
-	sub->part = shard_ctl_job_part_of(spec->id);
-	sub->row_value = json_dumps(row, JSON_COMPACT);
-	sub->received_ms = now_ms(api);
-	sub->deadline_ms = deadline_ms;
-	sub->done = done;
-	sub->priv = priv;
-	json_decref(row);
-	talloc_free(spec);
-	api->active++;
-	if ((int64_t)strlen(sub->row_value) > api->f->set.row_bytes_max) {
-		tmr_after(api->f->timers, 0, refuse_too_long, sub);
-		return;
-	}
-	if (fleet_store_unavailable(api->f)) {
-		tmr_after(api->f->timers, 0, refuse_unavailable, sub);
-		return;
-	}
-	g_queue_push_tail(&api->queues[sub->shard][sub->part].waiting, sub);
-	send_batches(api, sub->shard, sub->part);
+	return names[res];
 }
 
 static void answer_request(struct job_request *rq, enum job_api_result res,
@@ -325,14 +70,15 @@
 {
 	struct job_api *api = rq->api;
 	struct job_api_answer ans = { .result = res,
-				      .retry_after_ms = RETRY_AFTER_MS,
+				      .retry_after_ms = JOB_API_RETRY_AFTER_MS,
 				      .state = state };
 
 	log_event(LOG_JOB,
 		  "job=%s what=%s outcome=%s state=%s why=\"%s\" version=%lld "
 		  "took_ms=%lld",
-		  rq->id, rq->is_cancel ? "cancel" : "state", result_names[res],
-		  sched_job_state_name(state), why, (long long)rq->row_version,
+		  rq->id, rq->is_cancel ? "cancel" : "state",
+		  job_api_result_name(res), sched_job_state_name(state), why,
+		  (long long)rq->row_version,
 		  (long long)(now_ms(api) - rq->received_ms));
 	api->counts.cancelled += rq->is_cancel && res == JOB_API_OK;
 	api->counts.lookups += !rq->is_cancel;
@@ -356,12 +102,14 @@
 
 	rq->fresh_connection = ans->result == ROWS_UNKNOWN;
 	if (fleet_store_unavailable(api->f) ||
-	    now_ms(api) + REPLY_MARGIN_MS + RETRY_MS >= rq->deadline_ms)
+	    now_ms(api) + JOB_API_REPLY_MARGIN_MS + JOB_API_RETRY_MS >=
+		    rq->deadline_ms)
 		answer_request(
 			rq, rq->cancel_sent ? JOB_API_UNKNOWN : JOB_API_REFUSED,
 			SCHED_JOB_QUEUED, "store unavailable");
 	else
-		tmr_after(api->f->timers, RETRY_MS, on_request_retry, rq);
+		tmr_after(api->f->timers, JOB_API_RETRY_MS, on_request_retry,
+			  rq);
 }
 
 static void on_cancel_committed(const struct rows_answer *ans, void *priv)
@@ -400,6 +148,7 @@
 static void on_job_read(const struct rows_answer *ans, void *priv)
 {
 	struct job_request *rq = priv;
+	int64_t refused_ms;
 
 	if (ans->result != ROWS_OK) {
 		retry_request(rq, ans);
@@ -411,6 +160,11 @@
 			       "no such job");
 		return;
 	}
+	if (admission_parse_refusal(ans->rows[0].value, &refused_ms)) {
+		answer_request(rq, JOB_API_NOT_FOUND, SCHED_JOB_QUEUED,
+			       "refused");
+		return;
+	}
 	rq->row_version = ans->rows[ans->n - 1].version;
 	if (!rq->is_cancel) {
 		answer_request(rq, JOB_API_OK,
@@ -555,7 +309,8 @@
 		  "what=pending queue=%s outcome=%s shard=%d count=%lld "
 		  "counted_age_ms=%lld jobs_version=%lld owner=%s epoch=%lld "
 		  "seq=%lld row_age_ms=%lld",
-		  queue, result_names[usable ? JOB_API_OK : JOB_API_REFUSED],
+		  queue,
+		  job_api_result_name(usable ? JOB_API_OK : JOB_API_REFUSED),
 		  shard, (long long)n, (long long)age,
 		  row ? (long long)row->pending_version : 0LL,
 		  row ? row->vm : "-", row ? (long long)row->epoch : 0LL,
@@ -569,7 +324,8 @@
 struct job_api_answer job_api_pending(struct job_api *api, const char *queue)
 {
 	struct job_api_answer ans = { .result = JOB_API_OK,
-				      .retry_after_ms = RETRY_AFTER_MS };
+				      .retry_after_ms =
+					      JOB_API_RETRY_AFTER_MS };
 
 	for (int32_t i = 0; i < api->f->set.shards; i++)
 		add_shard_pending(api, i, queue, &ans);
--- a/src/fleet/shard_ctl.c
+++ b/src/fleet/shard_ctl.c
@@ -290,7 +290,7 @@
 	if (sc->sched.dirty_jobs.length || sc->sched.roster_dirty ||
 	    (sc->upkeep && upkeep_runner_is_dirty(sc->upkeep)))
 		owner_request_commit(sc->owner);
-	shard_ctl_remove_ended(sc, now);
+	shard_ctl_cleanup(sc, now);
 }
 
 /* Passes on what is known of the leases and runs of the previous owner. */
@@ -337,6 +337,8 @@
 	sc->learned_saved = 0;
 	sc->row_texts = g_ptr_array_new_with_free_func(free);
 	sc->removed_ids = g_ptr_array_new();
+	sc->refusals =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	sched_init(&sc->sched, &sched_ops, sc, &f->set.sched,
 		   owner_epoch(sc->owner), mono_ms(sc));
 	init_from_previous(sc, prev_row);
@@ -379,6 +381,7 @@
 	g_hash_table_destroy(sc->loaded_progress);
 	g_ptr_array_free(sc->row_texts, TRUE);
 	g_ptr_array_free(sc->removed_ids, TRUE);
+	g_hash_table_destroy(sc->refusals);
 }
 
 static const struct owner_ops owner_ops = {
--- a/src/fleet/shard_ctl_commit.c
+++ b/src/fleet/shard_ctl_commit.c
@@ -1,5 +1,5 @@
 /* Rows that the owner of a shard writes: progress, roster, learned
- * interference; and the removal of ended jobs. */
+ * interference. */
 #include <stdlib.h>
 #include <string.h>
 #include <talloc.h>
@@ -7,9 +7,6 @@
 #include "base/log.h"
 #include "fleet/shard_ctl_int.h"
 
-/* Interval in ms at which ended jobs are removed, from one part at a time. */
-#define CLEANUP_INTERVAL_MS 1000
-#define CLEANUP_ROWS_MAX 90
 /* Interval in ms at which learned interference is stored. A successor that
  * lacks the last interval learns it again in the same time. */
 #define LEARNED_INTERVAL_MS 2000
@@ -199,6 +196,26 @@
 	return copy;
 }
 
+/* Returns the room for long-running jobs by pool. */
+static json_t *pack_rooms(const struct sched *s)
+{
+	json_t *rooms = json_object();
+	GHashTableIter it;
+	gpointer pool;
+	gpointer value;
+
+	g_hash_table_iter_init(&it, s->demands);
+	while (g_hash_table_iter_next(&it, &pool, &value)) {
+		const struct sched_pool_demand *d = value;
+
+		json_object_set_new(
+			rooms, pool,
+			json_pack("[I,I]", (json_int_t)sched_lasting_room(d),
+				  (json_int_t)d->freed_mean_milli_s));
+	}
+	return rooms;
+}
+
 void shard_ctl_fill_row(struct owner_row *row, void *priv)
 {
 	struct shard_ctl *sc = priv;
@@ -224,6 +241,9 @@
 				    sc->f->set.row_bytes_max / PENDING_PART);
 	row->pending_ms = row->pending ? sc->jobs_store_ms : 0;
 	row->pending_version = sc->jobs_version;
+	talloc_free(row->rooms);
+	row->rooms = text_if_fits(sc, pack_rooms(&sc->sched),
+				  sc->f->set.row_bytes_max / PENDING_PART);
 }
 
 char *shard_ctl_handover(void *ctx, void *priv)
@@ -252,118 +272,3 @@
 		  (long long)sc->sched.epoch, text ? strlen(text) : 0);
 	return text;
 }
-
-/* A transaction that removes rows of ended jobs. The shard may be lost before
- * the answer comes. */
-struct cleanup_call {
-	struct fleet *f;
-	int32_t shard;
-	int64_t epoch;
-	GPtrArray *ids;
-};
-
-/* Called once the job rows are removed. No owner can load these jobs again, so
- * their progress rows can be removed too. */
-static void forget_jobs(struct shard_ctl *sc, const GPtrArray *ids)
-{
-	for (guint i = 0; i < ids->len; i++) {
-		const char *id = g_ptr_array_index(ids, i);
-
-		sched_job_remove(&sc->sched, id);
-		g_ptr_array_add(sc->removed_ids,
-				talloc_strdup(sc->term_ctx, id));
-	}
-}
-
-static void on_rows_removed(const struct rows_answer *ans, void *priv)
-{
-	struct cleanup_call *c = priv;
-	struct shard_ctl *sc = c->f->shard_ctls[c->shard];
-
-	if (ans->result != ROWS_OK)
-		log_event(
-			LOG_ROW_UNUSABLE,
-			"table=jobs key=- why=\"removal of ended jobs failed; "
-			"will be retried\"");
-	if (sc->is_owner && sc->sched.epoch == c->epoch) {
-		sc->cleanup_running = false;
-		if (ans->result == ROWS_OK)
-			forget_jobs(sc, c->ids);
-	}
-	g_ptr_array_free(c->ids, TRUE);
-	free(c);
-}
-
-static void remove_rows(struct shard_ctl *sc, const struct rows_tx *tx,
-			GPtrArray *ids)
-{
-	struct cleanup_call *c = calloc(1, sizeof(*c));
-
-	c->f = sc->f;
-	c->shard = sc->shard;
-	c->epoch = sc->sched.epoch;
-	c->ids = ids;
-	sc->cleanup_running = true;
-	sc->f->rows.ops->commit(sc->f->rows.self, tx, on_rows_removed, c);
-}
-
-/* Returns true if the job is in the part being cleaned up, ended long enough
- * ago and has no changes to store. */
-static bool may_remove(const struct shard_ctl *sc, const struct sched_job *job)
-{
-	return sched_job_has_ended(job) &&
-	       shard_ctl_job_part_of(job->spec->id) == sc->cleanup_part &&
-	       clk_wall_ms(sc->f->clk) - job->ended_wall_ms >
-		       sc->f->set.ended_retention_ms &&
-	       !job->dirty;
-}
-
-/* Removes the rows of jobs in one part that ended long ago. */
-void shard_ctl_remove_ended(struct shard_ctl *sc, int64_t now_ms)
-{
-	struct rows_change changes[CLEANUP_ROWS_MAX] = { 0 };
-	char table[SHARD_CTL_NAME_MAX];
-	char part[SHARD_CTL_NAME_MAX];
-	struct rows_tx tx = { .part = shard_ctl_job_part(
-				      sc->shard, sc->cleanup_part, part),
-			      .changes = changes };
-	GPtrArray *ids;
-	GHashTableIter it;
-	gpointer value;
-	void *tmp;
-
-	if (sc->cleanup_running ||
-	    now_ms - sc->last_cleanup_ms < CLEANUP_INTERVAL_MS)
-		return;
-	sc->last_cleanup_ms = now_ms;
-	tmp = talloc_new(NULL);
-	ids = g_ptr_array_new_with_free_func(g_free);
-	shard_ctl_jobs_table(sc->shard, table);
-	g_hash_table_iter_init(&it, sc->sched.jobs);
-	while (tx.n + 2 <= CLEANUP_ROWS_MAX &&
-	       g_hash_table_iter_next(&it, NULL, &value)) {
-		const struct sched_job *job = value;
-
-		if (!may_remove(sc, job))
-			continue;
-		changes[tx.n++] = (struct rows_change){
-			.table = table,
-			.key = talloc_strdup(tmp, job->spec->id),
-			.remove = true,
-		};
-		changes[tx.n++] = (struct rows_change){
-			.table = table,
-			.key = talloc_asprintf(tmp,
-					       "%s" SHARD_CTL_CANCEL_SUFFIX,
-					       job->spec->id),
-			.remove = true,
-		};
-		g_ptr_array_add(ids, g_strdup(job->spec->id));
-	}
-	if (tx.n)
-		remove_rows(sc, &tx, ids);
-	else
-		g_ptr_array_free(ids, TRUE);
-	sc->cleanup_part = (sc->cleanup_part + 1) % SHARD_CTL_JOB_PARTS;
-	talloc_free(tmp);
-}
--- a/src/fleet/shard_ctl_int.h
+++ b/src/fleet/shard_ctl_int.h
@@ -39,6 +39,7 @@
 	bool cleanup_running; /* a transaction that removes rows is open */
 	int32_t cleanup_part; /* the part of the next cleanup */
 	GPtrArray *row_texts; /* keys and values of the open commit */
+	GHashTable *refusals; /* job id to struct refusal */
 	GPtrArray *removed_ids; /* jobs whose progress rows are to be removed */
 	bool collected_all; /* the open commit holds all dirty rows */
 	/* When learned interference was last put into a commit, and the value
@@ -71,8 +72,11 @@
 void shard_ctl_committed(void *priv);
 void shard_ctl_fill_row(struct owner_row *row, void *priv);
 char *shard_ctl_handover(void *ctx, void *priv);
-/* Removes the rows of jobs that ended long ago, from one part in each
- * interval. */
-void shard_ctl_remove_ended(struct shard_ctl *sc, int64_t now_ms);
+/* Removes the rows of jobs that ended long ago, and of old refusals, from one
+ * part in each interval. */
+void shard_ctl_cleanup(struct shard_ctl *sc, int64_t now_ms);
+/* Returns whether the row of the jobs table is a refusal, which it notes to
+ * remove later. */
+bool shard_ctl_note_refusal(struct shard_ctl *sc, const struct rows_row *row);
 
 #endif
--- a/src/fleet/shard_ctl_load.c
+++ b/src/fleet/shard_ctl_load.c
@@ -89,6 +89,8 @@
 
 	if (row->deleted)
 		return;
+	if (!cancel && shard_ctl_note_refusal(sc, row))
+		return;
 	if (!cancel) {
 		add_job(sc, row, id);
 		shard_ctl_place_soon(sc);
--- a/src/state/owner.c
+++ b/src/state/owner.c
@@ -267,6 +267,7 @@
 	owner_row_clear(&o->previous);
 	o->previous = o->row;
 	o->row.handover = NULL;
+	o->row.rooms = NULL;
 	if (o->row.lease_ms < o->lim.lease_ms)
 		o->row.lease_ms = o->lim.lease_ms;
 	/* Keep the previous owner's counts until we have our own. */
--- a/src/state/owner_row.c
+++ b/src/state/owner_row.c
@@ -19,6 +19,7 @@
 void owner_row_clear(struct owner_row *row)
 {
 	talloc_free(row->pending);
+	talloc_free(row->rooms);
 	talloc_free(row->handover);
 	memset(row, 0, sizeof(*row));
 }
@@ -32,6 +33,19 @@
 	return copy;
 }
 
+static bool is_rooms(json_t *rooms)
+{
+	const char *pool;
+	json_t *entry;
+
+	json_object_foreach(rooms, pool, entry)
+	{
+		if (json_array_size(entry) != 2)
+			return false;
+	}
+	return json_is_object(rooms);
+}
+
 static bool is_counts(json_t *pending)
 {
 	const char *queue;
@@ -69,6 +83,8 @@
 		out->pending_ms = num_clamp(json_object_get(j, "pending_ms"), 0,
 					    NUM_MAX, OWNER_ROW_UNDATED);
 	}
+	if (is_rooms(json_object_get(j, "rooms")))
+		out->rooms = text_of(ctx, json_object_get(j, "rooms"));
 	out->pending_version =
 		json_integer_value(json_object_get(j, "pending_version"));
 	copy_text(out->successor, sizeof(out->successor), j, "successor");
@@ -110,6 +126,9 @@
 		json_object_set_new(j, "successor_life",
 				    json_string(row->successor_incarnation));
 	}
+	if (row->rooms)
+		json_object_set_new(j, "rooms",
+				    json_loads(row->rooms, 0, NULL));
 	if (row->handover)
 		json_object_set_new(j, "handed",
 				    json_loads(row->handover, 0, NULL));
--- a/src/state/owner_row.h
+++ b/src/state/owner_row.h
@@ -30,6 +30,10 @@
 	 * OWNER_ROW_UNDATED: the owner's release doesn't tell the time. */
 	int64_t pending_ms;
 	int64_t pending_version; /* of the store at that time */
+	/* JSON object of pool to [room, freed], of the same time: the CPU that
+	 * further long-running jobs may take, and how much becomes free in a
+	 * second, in thousandths of a core. NULL: unknown. */
+	char *rooms;
 	char *handover; /* JSON for the successor, set on release, or NULL */
 };
 
--- a/tests/unit_shard_ctl.c
+++ b/tests/unit_shard_ctl.c
@@ -5,171 +5,16 @@
 #include <string.h>
 #include <talloc.h>
 
-#include "fleet/job_api.h"
-#include "fleet/shard_ctl.h"
 #include "fleet/shard_ctl_int.h"
-#include "tests/fake_rows.h"
-#include "tests/sched_fixture.h"
+#include "tests/ctl_fixture.h"
 #include "tests/unit.h"
 
 /* How long reads of the roster fail, in ms: much longer than an iteration of
  * the event loop and an owner heartbeat. */
 #define LOAD_FAILS_MS 400
-#define HEARTBEAT_MS 50
-#define TIMEOUT_MS 10000
 /* Age up to which callers are told the number of pending jobs, in ms. */
 #define PENDING_MAX_MS 2000
 
-/* One fleet process. Its list of workers holds v1 and v2. */
-struct ctl_fixture {
-	struct fleet f;
-	struct fake_rows store;
-	struct tmr_set *timers;
-	GQueue polls; /* not answered yet */
-	bool list_unanswered; /* the list of workers never arrives */
-};
-
-static struct ctl_fixture *fx;
-
-static void list_worker(const char *id)
-{
-	struct sched_worker_row row = { .pool = "p",
-					.domain = "d",
-					.address = "1.2.3.4:5",
-					.born_ms = 1,
-					.total = { 8000, 8000, 0 } };
-
-	g_strlcpy(row.id, id, sizeof(row.id));
-	fleet_worker_listed(&fx->f, &row);
-}
-
-static void list_workers(void *priv)
-{
-	(void)priv;
-	list_worker("v1");
-	list_worker("v2");
-	fleet_workers_synced(&fx->f);
-}
-
-static void subscribe_list(void *self, bool on)
-{
-	(void)self;
-	if (on && !fx->list_unanswered)
-		tmr_after(fx->timers, 10, list_workers, NULL);
-}
-
-struct pending_poll {
-	wkr_poll_cb done;
-	void *priv;
-};
-
-/* Keeps the poll unanswered until the fixture is closed. */
-static void hold_poll(void *self, const struct wkr_target *to, int64_t seq,
-		      int64_t wait_ms, wkr_poll_cb done, void *priv)
-{
-	struct pending_poll *poll = g_new(struct pending_poll, 1);
-
-	(void)self;
-	(void)to;
-	(void)seq;
-	(void)wait_ms;
-	*poll = (struct pending_poll){ done, priv };
-	g_queue_push_tail(&fx->polls, poll);
-}
-
-static void fail_polls(void)
-{
-	struct pending_poll *poll;
-
-	while ((poll = g_queue_pop_head(&fx->polls))) {
-		poll->done(NULL, poll->priv);
-		g_free(poll);
-	}
-}
-
-static void ctl_fixture_open(void)
-{
-	static const struct fleet_directory_ops directory_ops = {
-		subscribe_list
-	};
-	static const struct wkr_ops wkr_ops = { .poll = hold_poll };
-	struct fleet_settings set = {
-		.vm = "a",
-		.incarnation = "1",
-		.shards = 1,
-		.row_bytes_max = 2000,
-		.owner = { .poll_ms = 20,
-			   .silence_ms = 2000,
-			   .heartbeat_ms = HEARTBEAT_MS,
-			   .commit_gap_ms = 5,
-			   .claim_delay_ms = 1,
-			   .cpu_milli = 500,
-			   .lease_ms = FIXTURE_LEASE_MS },
-		.sched = { .lease_ms = FIXTURE_LEASE_MS,
-			   .lease_max_ms = FIXTURE_LEASE_MS,
-			   .stop_ms = 900 },
-	};
-	struct fleet_interfaces interfaces = { .directory = { &directory_ops,
-							      NULL } };
-	struct tevent_context *ev = tevent_context_init(NULL);
-
-	fx = talloc_zero(ev, struct ctl_fixture);
-	fx->timers = tmr_set_start(ev, ev);
-	fake_rows_init(&fx->store, fx->timers);
-	interfaces.rows = fake_rows_iface(&fx->store);
-	interfaces.wkr = (struct wkr){ &wkr_ops, NULL };
-	fleet_init(&fx->f, &set, ev, fx->timers, &clk_system, &interfaces);
-}
-
-static void ctl_fixture_start(void)
-{
-	struct catalog *c = talloc_zero(fx->f.ev, struct catalog);
-
-	c->version = 1;
-	c->queues = talloc_zero_array(c, struct catalog_queue, 1);
-	c->n_queues = 1;
-	g_strlcpy(c->queues[0].name, "short", sizeof(c->queues[0].name));
-	fleet_start(&fx->f);
-	fleet_set_catalog(&fx->f, c);
-}
-
-static void run_loop_ms(int64_t ms)
-{
-	int64_t end = clk_mono_ms(&clk_system) + ms;
-
-	while (clk_mono_ms(&clk_system) < end)
-		tevent_loop_once(fx->f.ev);
-}
-
-static const struct sched *await_active(void)
-{
-	int64_t end = clk_mono_ms(&clk_system) + TIMEOUT_MS;
-
-	while (!shard_ctl_sched(fx->f.shard_ctls[0])) {
-		g_assert_cmpint(clk_mono_ms(&clk_system), <, end);
-		tevent_loop_once(fx->f.ev);
-	}
-	return shard_ctl_sched(fx->f.shard_ctls[0]);
-}
-
-/* Releases the shard, which frees all that belongs to its ownership, and then
- * the fixture. */
-static void ctl_fixture_close(void)
-{
-	struct fleet *f = &fx->f;
-
-	fx->store.refused_part_prefix = NULL;
-	fx->store.refused_table = NULL;
-	fleet_shut_down(f, 0);
-	while (!shard_ctl_is_released(f->shard_ctls[0]))
-		tevent_loop_once(f->ev);
-	fail_polls();
-	fake_rows_destroy(&fx->store);
-	g_hash_table_destroy(f->waves);
-	g_hash_table_destroy(f->domains_out);
-	talloc_free(f->ev);
-}
-
 static void put_roster(const char *key, const char *id)
 {
 	g_autofree char *row =
@@ -211,7 +56,7 @@
 	run_loop_ms(LOAD_FAILS_MS);
 	fx->store.refused_table = NULL;
 	g_assert_nonnull(g_hash_table_lookup(await_active()->workers, id));
-	run_loop_ms(2 * HEARTBEAT_MS);
+	run_loop_ms(2 * FIXTURE_HEARTBEAT_MS);
 	g_assert_nonnull(strstr(
 		fake_rows_get(&fx->store, SHARD_CTL_ROSTER_TABLE, "s0", key),
 		id));
@@ -315,7 +160,7 @@
 		unreadable, "[]");
 	ctl_fixture_start();
 	await_active();
-	run_loop_ms(3 * HEARTBEAT_MS);
+	run_loop_ms(3 * FIXTURE_HEARTBEAT_MS);
 	g_assert_null(fake_rows_get(&fx->store, SHARD_CTL_PROGRESS_TABLE, "s0",
 				    "orphan"));
 	g_assert_nonnull(fake_rows_get(&fx->store, SHARD_CTL_PROGRESS_TABLE,
@@ -353,7 +198,7 @@
 /* Waits until the row that put_owner_row wrote with `seq` is read. */
 static void await_row_read(int64_t seq)
 {
-	int64_t end = clk_mono_ms(&clk_system) + TIMEOUT_MS;
+	int64_t end = clk_mono_ms(&clk_system) + FIXTURE_TIMEOUT_MS;
 	const struct owner_row *row = NULL;
 	int64_t changed_ms;
 
@@ -371,7 +216,7 @@
 
 static void await_pending(int64_t want)
 {
-	int64_t end = clk_mono_ms(&clk_system) + TIMEOUT_MS;
+	int64_t end = clk_mono_ms(&clk_system) + FIXTURE_TIMEOUT_MS;
 	struct job_api_answer ans = ask_pending();
 
 	while (ans.result != JOB_API_OK || ans.pending != want) {
@@ -384,7 +229,7 @@
 /* Includes the row of the incarnation and the claim. */
 static void await_commits(int32_t wanted)
 {
-	int64_t end = clk_mono_ms(&clk_system) + TIMEOUT_MS;
+	int64_t end = clk_mono_ms(&clk_system) + FIXTURE_TIMEOUT_MS;
 
 	while (fx->store.commits < wanted) {
 		g_assert_cmpint(clk_mono_ms(&clk_system), <, end);
@@ -463,7 +308,7 @@
 	}
 	ctl_fixture_start();
 	await_active();
-	run_loop_ms(3 * HEARTBEAT_MS);
+	run_loop_ms(3 * FIXTURE_HEARTBEAT_MS);
 	row = fake_rows_get(&fx->store, "owners", "s0", "owner");
 	g_assert_cmpint((int64_t)strlen(row), <=, row_bytes_max);
 	g_assert_cmpint(ask_pending().result, ==, JOB_API_REFUSED);
@@ -539,7 +384,7 @@
 	while (!strstr(fake_rows_get(&fx->store, "owners", "s0", "owner"),
 		       "\"vm\":\"a\""))
 		tevent_loop_once(fx->f.ev);
-	run_loop_ms(3 * HEARTBEAT_MS);
+	run_loop_ms(3 * FIXTURE_HEARTBEAT_MS);
 	g_assert_cmpint(ask_pending().result, ==, JOB_API_REFUSED);
 	fx->store.refused_table = NULL;
 	await_pending(1);
