Hand over workers that were lost and not replaced yet

Cause (known red /crash/handover-expired): a worker's crash is known once its VM has a new worker; what the owner remembered of it until then went with the owner, so a deadly task needed one more crash.

Change: the handover has an entry for each such worker, with the runs that were lost with it; older releases take it for a worker without a lease.

--- a/src/coordination/sched_crash.c
+++ b/src/coordination/sched_crash.c
@@ -9,6 +9,7 @@
 #include <talloc.h>
 
 #include "coordination/sched_int.h"
+#include "protocol/num.h"
 
 /* How long a suspect runs apart, in ms, and one that crashed workers only after
  * longer than that. */
@@ -337,6 +338,111 @@
 	}
 }
 
+static json_t *pack_lost(const struct lost_worker *lost, int64_t now_ms)
+{
+	json_t *runs = json_array();
+
+	for (int32_t i = 0; i < lost->n_runs; i++) {
+		const struct lost_run *run = &lost->runs[i];
+
+		json_array_append_new(
+			runs,
+			json_pack("[s,I,i,i,i,b,b,I]", run->ref.job,
+				  (json_int_t)run->ref.round, run->ref.step,
+				  run->ref.index, run->ref.run, run->reported,
+				  run->isolated, (json_int_t)run->lasted_ms));
+	}
+	return json_pack(
+		"{s:s,s:s,s:I,s:I,s:I,s:o}", "vm", lost->vm, "address",
+		lost->address, "born_ms", (json_int_t)lost->born_ms,
+		"lost_ago_ms", (json_int_t)MAX(0, now_ms - lost->lost_ms),
+		"answered_ago_ms",
+		(json_int_t)MAX(0, now_ms - lost->answered_ms), "runs", runs);
+}
+
+void sched_crash_pack(const struct sched *s, json_t *list, int32_t runs_max,
+		      int64_t now_ms)
+{
+	/* The latest ones first: they are the likeliest to be replaced. */
+	for (const GList *i = s->lost_workers.tail; i; i = i->prev) {
+		const struct lost_worker *lost = i->data;
+
+		if (lost->n_runs > runs_max)
+			return;
+		runs_max -= lost->n_runs;
+		json_array_append_new(list, json_pack("[s,i,n,o]", lost->id, 0,
+						      pack_lost(lost, now_ms)));
+	}
+}
+
+static bool unpack_run(const json_t *row, struct lost_run *out)
+{
+	out->reported = json_is_true(json_array_get(row, 5));
+	out->isolated = json_is_true(json_array_get(row, 6));
+	return sched_unpack_ref(row, &out->ref) &&
+	       num_integer(json_array_get(row, 7), 0, NUM_MAX, &out->lasted_ms);
+}
+
+static void copy_text(char *out, size_t size, const json_t *v)
+{
+	g_strlcpy(out, json_is_string(v) ? json_string_value(v) : "", size);
+}
+
+/* Returns NULL if the entry is invalid. */
+static struct lost_worker *unpack_lost(const json_t *entry, int64_t now_ms)
+{
+	const json_t *j = json_array_get(entry, 3);
+	const json_t *runs = json_object_get(j, "runs");
+	struct lost_worker *lost = g_malloc0(
+		sizeof(*lost) + json_array_size(runs) * sizeof(lost->runs[0]));
+	int64_t lost_ago_ms;
+	int64_t answered_ago_ms;
+	const json_t *row;
+	size_t i;
+
+	copy_text(lost->id, sizeof(lost->id), json_array_get(entry, 0));
+	copy_text(lost->vm, sizeof(lost->vm), json_object_get(j, "vm"));
+	copy_text(lost->address, sizeof(lost->address),
+		  json_object_get(j, "address"));
+	if (!num_integer(json_object_get(j, "born_ms"), 1, NUM_MAX,
+			 &lost->born_ms) ||
+	    !num_integer(json_object_get(j, "lost_ago_ms"), 0, NUM_MAX,
+			 &lost_ago_ms) ||
+	    !num_integer(json_object_get(j, "answered_ago_ms"), 0, NUM_MAX,
+			 &answered_ago_ms)) {
+		g_free(lost);
+		return NULL;
+	}
+	lost->lost_ms = now_ms - lost_ago_ms;
+	lost->answered_ms = now_ms - answered_ago_ms;
+	json_array_foreach(runs, i, row)
+	{
+		if (unpack_run(row, &lost->runs[lost->n_runs]))
+			lost->n_runs++;
+	}
+	return lost;
+}
+
+bool sched_crash_restore(struct sched *s, const json_t *entry, int64_t now_ms)
+{
+	struct lost_worker *lost;
+	const struct sched_worker *w;
+
+	if (!json_is_object(json_array_get(entry, 3)))
+		return false;
+	lost = unpack_lost(entry, now_ms);
+	if (!lost)
+		return true;
+	w = find_replacement(s, lost);
+	if (!w) {
+		g_queue_push_head(&s->lost_workers, lost);
+		return true;
+	}
+	count_crash(s, lost->runs, lost->n_runs, w, now_ms);
+	g_free(lost);
+	return true;
+}
+
 /* Returns false if the verdict has to wait: a start of the task may have taken
  * effect after the crash, which its worker's next report shows. */
 static bool carry_out(struct sched *s, const struct verdict *v, int64_t now_ms,
--- a/src/coordination/sched_handover.c
+++ b/src/coordination/sched_handover.c
@@ -75,10 +75,11 @@
 				   include_runs ? pack_runs(w) : json_null()));
 		runs_max -= include_runs ? n : 0;
 	}
+	sched_crash_pack(s, list, runs_max, now_ms);
 	return list;
 }
 
-static bool unpack_ref(const json_t *j, struct sched_ref *ref)
+bool sched_unpack_ref(const json_t *j, struct sched_ref *ref)
 {
 	const char *job = json_string_value(json_array_get(j, 0));
 	int64_t n[3];
@@ -148,7 +149,7 @@
 	{
 		struct sched_ref ref;
 
-		if (unpack_ref(j, &ref))
+		if (sched_unpack_ref(j, &ref))
 			restore_run(s, w, &ref, now_ms, wall_ms);
 		else
 			w->inherited_runs_known = false;
@@ -162,7 +163,10 @@
 	size_t i;
 
 	json_array_foreach(handover, i, entry)
-		restore_worker(s, entry, now_ms, wall_ms);
+	{
+		if (!sched_crash_restore(s, entry, now_ms))
+			restore_worker(s, entry, now_ms, wall_ms);
+	}
 	return (int32_t)json_array_size(handover);
 }
 
--- a/src/coordination/sched_int.h
+++ b/src/coordination/sched_int.h
@@ -205,6 +205,15 @@
 /* Ends the jobs of tasks that are given up, and forgets old losses. */
 void sched_crash_tick(struct sched *s, int64_t now_ms, int64_t wall_ms);
 void sched_crash_finish(struct sched *s);
+/* Appends the workers that were lost and not replaced yet to the handover, with
+ * at most `runs_max` runs in all. */
+void sched_crash_pack(const struct sched *s, json_t *list, int32_t runs_max,
+		      int64_t now_ms);
+/* Returns whether the entry of a handover is a lost worker, which it restores
+ * if it is valid. */
+bool sched_crash_restore(struct sched *s, const json_t *entry, int64_t now_ms);
+/* Reads what identifies a run in a handover. Returns false if it is invalid. */
+bool sched_unpack_ref(const json_t *j, struct sched_ref *ref);
 /* Adds a crash under this run of the task. Returns false if it was counted
  * before. */
 bool sched_crash_count(struct sched_task *t, int32_t run);
