--- a/src/coordination/sched.c
+++ b/src/coordination/sched.c
@@ -34,7 +34,7 @@
 	s->start_before_version = INT64_MAX;
 	s->renew_until_ms = INT64_MAX;
 	s->start_room = (struct sched_start_room){ INT64_MAX, INT64_MAX };
-	s->rank_policy = &sched_rank_by_value;
+	s->rank_policy = &sched_rank_by_weight;
 	s->sweep = 1;
 	s->mean_work =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
--- a/src/coordination/sched_int.h
+++ b/src/coordination/sched_int.h
@@ -16,7 +16,7 @@
 	int64_t idle_since_ms;
 	bool overdue; /* a long-running task is idle for too long */
 	int64_t latest_ms; /* latest start to meet the response-time target */
-	double value; /* of its job, see job_value() in sched_rank.c */
+	double weight; /* of its job, see job_weight() in sched_rank.c */
 	double work_left; /* of its round, in thousandths of a core x ms */
 };
 
--- a/src/coordination/sched_rank.c
+++ b/src/coordination/sched_rank.c
@@ -7,16 +7,15 @@
 
 /* A result has some value up to this many times the response-time target. */
 #define LATE_TARGETS_MAX 3
-/* Value of a job as the users' score counts it: a fixed part plus a part
- * proportional to its work relative to the mean of its queue, up to a maximum.
- */
-#define VALUE_BASE 0.3
-#define VALUE_PER_MEAN_WORK 0.7
-#define VALUE_MAX 4.0
-/* Part of its value that a late and a very late job keep. 0.15 for late jobs is
- * from the users' score sheets. */
-#define VALUE_LATE_FACTOR 0.15
-#define VALUE_VERY_LATE_FACTOR 0.01
+/* Weight of a job: a part for each caller who waits for one, and a part for its
+ * work relative to the mean of its queue, up to a maximum. With the first part
+ * alone, wide jobs would wait for all short ones; with the second alone, short
+ * ones would have no advantage. */
+#define WEIGHT_PER_JOB 0.5
+#define RELATIVE_WORK_MAX 5.0
+/* Part of its weight that a late job keeps: it goes before a job that can still
+ * be in time if it needs a fifth of the work. */
+#define LATE_FACTOR 0.2
 /* Lower bound on the remaining work, in thousandths of a core x ms: that of one
  * short task. */
 #define WORK_LEFT_MIN 100000.0
@@ -51,14 +50,13 @@
 	g_hash_table_insert(s->mean_work, g_strdup(spec->queue), mean);
 }
 
-static double job_value(const struct sched *s, const struct sched_job *job)
+static double job_weight(const struct sched *s, const struct sched_job *job)
 {
 	const double *mean =
 		g_hash_table_lookup(s->mean_work, job->spec->queue);
 	double relative_work = mean && *mean > 0 ? job->work / *mean : 1;
-	double value = VALUE_BASE + VALUE_PER_MEAN_WORK * relative_work;
 
-	return value < VALUE_MAX ? value : VALUE_MAX;
+	return WEIGHT_PER_JOB + MIN(relative_work, RELATIVE_WORK_MAX);
 }
 
 static double work_left(const struct sched_round *round)
@@ -108,7 +106,7 @@
 		.priority = job->queue ? job->queue->priority : 0,
 		.started = job->state == SCHED_JOB_RUNNING,
 		.latest_ms = step->round->due_ms + target - step->remaining_ms,
-		.value = job_value(s, job),
+		.weight = job_weight(s, job),
 	};
 
 	if (step->def->is_long_running) {
@@ -131,23 +129,22 @@
 		      y->step->round->job->spec->id);
 }
 
-/* Returns the value per unit of remaining work. */
-static double value_density(const struct sched_rank *r)
+/* Returns the weight per unit of remaining work. */
+static double weight_density(const struct sched_rank *r)
 {
-	static const double factors[] = { 1, VALUE_LATE_FACTOR,
-					  VALUE_VERY_LATE_FACTOR };
+	double factor = r->tier == SCHED_TIER_IN_TIME ? 1 : LATE_FACTOR;
 
-	return r->value * factors[r->tier] / r->work_left;
+	return r->weight * factor / r->work_left;
 }
 
 /*
  * Overdue long-running tasks go first and very late jobs last, the rest goes by
  * priority. Within a priority, long-running tasks go first, since every moment
  * without them counts, in the order in which they became idle. Then the highest
- * value per remaining work: with too little room for all, this gets most jobs
+ * weight per remaining work: with too little room for all, this gets most jobs
  * done in time and finishes those that are nearly done.
  */
-static int compare_by_value(const void *a, const void *b)
+static int compare_by_weight(const void *a, const void *b)
 {
 	const struct sched_rank *x = a;
 	const struct sched_rank *y = b;
@@ -165,8 +162,8 @@
 	if (x->idle_since_ms != y->idle_since_ms)
 		return x->idle_since_ms < y->idle_since_ms ? -1 : 1;
 	if (!x->step->def->is_long_running &&
-	    value_density(x) != value_density(y))
-		return value_density(x) > value_density(y) ? -1 : 1;
+	    weight_density(x) != weight_density(y))
+		return weight_density(x) > weight_density(y) ? -1 : 1;
 	return compare_job_ids(x, y);
 }
 
@@ -191,8 +188,8 @@
 	return compare_job_ids(x, y);
 }
 
-const struct sched_rank_policy sched_rank_by_value = { "value",
-						       compare_by_value };
+const struct sched_rank_policy sched_rank_by_weight = { "weight",
+							compare_by_weight };
 const struct sched_rank_policy sched_rank_by_latest_start = {
 	"latest-start", compare_by_latest_start
 };
--- a/src/coordination/sched_types.h
+++ b/src/coordination/sched_types.h
@@ -374,8 +374,8 @@
 	int (*compare)(const void *a, const void *b);
 };
 
-/* The default: highest value per remaining work first. */
-extern const struct sched_rank_policy sched_rank_by_value;
+/* The default: highest weight per remaining work first. */
+extern const struct sched_rank_policy sched_rank_by_weight;
 /* The baseline: started jobs, then the earliest latest start time. */
 extern const struct sched_rank_policy sched_rank_by_latest_start;
 
--- a/tests/unit_policy.c
+++ b/tests/unit_policy.c
@@ -69,19 +69,19 @@
 	struct sched_fixture p;
 
 	/* Both in time; two tasks of 1000 ms left, or two of 2500. */
-	run_begun_and_newer(&p, &sched_rank_by_value, 2500, 1000);
+	run_begun_and_newer(&p, &sched_rank_by_weight, 2500, 1000);
 	g_assert_cmpstr(fixture_start(&p, 2)->ref.job, ==, "a");
 	fixture_close(&p);
 	/* Two tasks of 1000 ms left, or two of 500. */
-	run_begun_and_newer(&p, &sched_rank_by_value, 500, 1000);
+	run_begun_and_newer(&p, &sched_rank_by_weight, 500, 1000);
 	g_assert_cmpstr(fixture_start(&p, 2)->ref.job, ==, "b");
 	fixture_close(&p);
 	/* "a" is late since 1600, "b" has until 3100. */
-	run_begun_and_newer(&p, &sched_rank_by_value, 2500, 2000);
+	run_begun_and_newer(&p, &sched_rank_by_weight, 2500, 2000);
 	g_assert_cmpstr(fixture_start(&p, 2)->ref.job, ==, "b");
 	fixture_close(&p);
 	/* Both are late: "b" since 1100, and more of "a" is done. */
-	run_begun_and_newer(&p, &sched_rank_by_value, 1500, 2200);
+	run_begun_and_newer(&p, &sched_rank_by_weight, 1500, 2200);
 	g_assert_cmpstr(fixture_start(&p, 2)->ref.job, ==, "a");
 	fixture_close(&p);
 }
