Call workers by way of other VMs where one VM can't bear it

Change: relay_client implements struct wkr over links to other VMs in the workers' domains, relay_server makes the calls there; a job's payload goes once to each relay. Frames of one turn of the loop go out together. Only where 2 thousandths of a core for each worker are more than the VM has.

--- a/Makefile
+++ b/Makefile
@@ -52,7 +52,8 @@
 DAEMONS = $(B)/gd-fleet $(B)/gd-entry $(B)/gd-sched $(B)/gdctl $(B)/gd-load
 STANDINS = $(B)/gd-platform $(B)/gd-worker $(B)/gd-target $(B)/gd-faultproxy \
 	$(B)/gd-site
-TESTS = $(B)/unit-tests $(B)/path-tests $(B)/fleet-tests $(B)/gd-soak \
+TESTS = $(B)/unit-tests $(B)/path-tests $(B)/fleet-tests $(B)/relay-tests \
+	$(B)/gd-soak \
 	$(B)/gd-matrix $(B)/gd-demo $(B)/gd-bench $(B)/red-sample
 
 all: $(DAEMONS) $(STANDINS) $(TESTS)
@@ -80,7 +81,8 @@
 	$(B)/libgd.a
 	$(CC) $(SANFLAGS) -fsanitize=fuzzer -o $@ $^ $(LDLIBS)
 $(B)/path-tests: $(B)/tests/path_tests.o $(HARNESS)
-$(B)/fleet-tests: $(B)/tests/fleet_tests.o $(HARNESS)
+$(B)/fleet-tests: $(call obj,tests/fleet_tests.c tests/fleet_helpers.c) $(HARNESS)
+$(B)/relay-tests: $(call obj,tests/relay_tests.c tests/fleet_helpers.c) $(HARNESS)
 $(B)/gd-soak: $(call obj,$(wildcard tests/soak*.c)) $(HARNESS)
 $(B)/gd-matrix: $(call obj,tests/matrix.c tests/cell.c \
 	$(wildcard tests/cells_*.c)) $(HARNESS)
@@ -112,6 +114,7 @@
 	sh tests/known-red.sh $(B)/unit-tests
 	GD_BIN=$(B) sh tests/known-red.sh $(B)/path-tests
 	GD_BIN=$(B) sh tests/known-red.sh $(B)/fleet-tests
+	GD_BIN=$(B) sh tests/known-red.sh $(B)/relay-tests
 	GD_BIN=$(B) $(B)/gd-soak --ci
 	GD_BIN=$(B) $(B)/gd-matrix --ci
 
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -10,6 +10,8 @@
 #include "base/hist.h"
 #include "base/log.h"
 #include "fleet/job_api.h"
+#include "fleet/relay_client.h"
+#include "fleet/relay_server.h"
 #include "fleet/shard_ctl.h"
 
 /* Interval at which non-owners read the owner's row, in ms: 18 reads a second
@@ -68,6 +70,9 @@
 		.cpu_milli = (int64_t)(cpu_share * 1000),
 	};
 	s->capacity.cpu_milli = s->owner.cpu_milli;
+	s->relay.cpu_milli = s->owner.cpu_milli;
+	g_strlcpy(s->relay.vm, s->vm, sizeof(s->relay.vm));
+	g_strlcpy(s->relay.domain, s->domain, sizeof(s->relay.domain));
 	s->sched.lease_ms = LEASE_MS;
 	if (s->sched.lease_ms > s->sched.lease_max_ms)
 		s->sched.lease_ms = s->sched.lease_max_ms;
@@ -103,9 +108,29 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 }
 
+static void start_relay(struct fleet *f)
+{
+	const struct relay_vm_row *self = &f->set.relay;
+	struct wkr direct = f->wkr;
+	struct err e = { 0 };
+
+	f->relay_client = relay_client_start(f->ev, f->ev, f->timers, f->clk,
+					     &f->rows, &direct, self);
+	f->wkr = relay_client_iface(f->relay_client);
+	f->relay_server = relay_server_start(f->ev, f->ev, &direct, f->clk,
+					     self->ip, self->port, &e);
+	if (f->relay_server)
+		f->relay_entry =
+			relay_entry_start(f->ev, f->timers, &f->rows, self);
+	else
+		log_event(LOG_CANNOT_LISTEN, "%s", e.text);
+}
+
 void fleet_start(struct fleet *f)
 {
 	f->job_api = job_api_start(f);
+	if (f->set.relay.port)
+		start_relay(f);
 	for (int32_t i = 0; i < f->set.shards; i++)
 		f->shard_ctls[i] = shard_ctl_start(f, i);
 }
@@ -240,6 +265,8 @@
 
 	f->stopping = true;
 	f->stop_ms = clk_mono_ms(f->clk);
+	if (f->relay_entry)
+		relay_entry_withdraw(f->relay_entry);
 	for (int32_t i = 0; i < f->set.shards; i++)
 		shard_ctl_release(f->shard_ctls[i], successor_wait_ms);
 }
@@ -303,6 +330,22 @@
 	return add_metric(text, "gd_orders_total", links->commands);
 }
 
+static char *add_relay_metrics(char *text, const struct fleet *f)
+{
+	const struct relay_client_counts *c =
+		relay_client_counts(f->relay_client);
+
+	text = add_metric(text, "gd_relay_links",
+			  relay_client_links(f->relay_client));
+	text = add_metric(text, "gd_relay_links_lost_total", c->links_lost);
+	text = add_metric(text, "gd_relayed_calls_total", c->relayed);
+	text = add_metric(text, "gd_direct_calls_total", c->direct);
+	if (!f->relay_server)
+		return text;
+	return add_metric(text, "gd_relay_late_calls_total",
+			  relay_server_dropped(f->relay_server));
+}
+
 char *fleet_metrics(struct fleet *f, void *ctx)
 {
 	const struct job_api_counts *c = job_api_counts(f->job_api);
@@ -319,6 +362,8 @@
 	text = add_metric(text, "gd_pending_refused_total", c->count_refused);
 	text = add_metric(text, "gd_accept_us_p50", hist_quantile_us(h, 0.5));
 	text = add_metric(text, "gd_accept_us_p99", hist_quantile_us(h, 0.99));
+	if (f->relay_client)
+		text = add_relay_metrics(text, f);
 	for (int32_t i = 0; i < f->set.shards; i++)
 		text = add_shard_metrics(text, f->shard_ctls[i],
 					 clk_mono_ms(f->clk));
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -11,6 +11,7 @@
 
 #include "base/clk.h"
 #include "coordination/sched.h"
+#include "fleet/relay_table.h"
 #include "fleet/vms.h"
 #include "fleet/wkr.h"
 #include "fleet/wkr_links.h"
@@ -30,6 +31,7 @@
 	struct sched_limits sched;
 	struct owner_limits owner;
 	struct wkr_capacity capacity;
+	struct relay_vm_row relay; /* this VM as a relay; port 0: it is none */
 	int64_t ended_retention_ms; /* how long ended jobs stay known */
 	int64_t row_bytes_max; /* maximum length of a row's value */
 	/* A new owner sends no upkeep command for this long, since the
@@ -59,6 +61,8 @@
 
 struct shard_ctl;
 struct job_api;
+struct relay_client;
+struct relay_server;
 
 struct fleet {
 	struct fleet_settings set;
@@ -75,6 +79,10 @@
 	GHashTable *domains_out; /* names of domains out of service */
 	struct shard_ctl *shard_ctls[FLEET_SHARDS_MAX];
 	struct job_api *job_api;
+	/* NULL if this VM neither relays nor uses relays. */
+	struct relay_client *relay_client;
+	struct relay_server *relay_server;
+	struct relay_entry *relay_entry;
 	int64_t store_offset_ms; /* store's clock minus our monotonic clock */
 	bool store_clock_known;
 	bool stopping;
@@ -102,7 +110,8 @@
 		const struct clk *clk,
 		const struct fleet_interfaces *interfaces);
 
-/* Starts the job API, and one controller for each shard. */
+/* Starts the job API, the relay, and one controller for each shard. Without its
+ * port the VM works on, but relays nothing. */
 void fleet_start(struct fleet *f);
 
 /* Takes ownership of `catalog`, which may have any talloc parent. Frees it if
--- /dev/null
+++ b/src/fleet/relay_client.c
@@ -0,0 +1,545 @@
+/* Chooses relays, and sends them the owner's calls to workers. */
+#include "fleet/relay_client.h"
+
+#include <stdlib.h>
+#include <string.h>
+#include <talloc.h>
+#include <xxhash.h>
+
+#include "base/log.h"
+#include "fleet/relay_msg.h"
+#include "state/row_watch.h"
+#include "transport/lnk.h"
+
+#define WATCH_WAIT_MS 10000
+/* Processor time that the calls of one worker take in a burst, in thousandths
+ * of a core: relays are used if this VM has less for all its workers. */
+#define MILLI_PER_WORKER 2
+/* Part of its processor that a relay is meant to spend on calls. */
+#define RELAY_SHARE 4
+/* Relays wanted in a domain at least, so that one can be lost. */
+#define RELAYS_MIN 2
+/* A link that is not open after this time, in ms, is given up, and the VM not
+ * tried again for RETRY_MS. */
+#define CONNECT_MAX_MS 1000
+#define RETRY_MS 5000
+/* A relay has this much more than a call's timeout to answer it, in ms. */
+#define ANSWER_SLACK_MS 1500
+#define CHECK_INTERVAL_MS 250
+
+/* Another VM, and the link to it. */
+struct relay {
+	struct relay_client *client;
+	struct relay_vm_row row;
+	struct lnk *link; /* NULL: none */
+	bool open;
+	int64_t connecting_ms; /* when the link was begun */
+	int64_t retry_ms; /* not tried before */
+	struct relay_payloads payloads; /* valid with a link */
+	GHashTable *calls; /* id to struct pending */
+};
+
+/* A call that a relay has not answered. */
+struct pending {
+	uint64_t id;
+	enum relay_kind kind;
+	int64_t deadline_ms;
+	wkr_start_cb started; /* the one of the kind is set */
+	wkr_ack_cb answered;
+	wkr_poll_cb polled;
+	void *priv;
+};
+
+struct relay_client {
+	struct tevent_context *ev;
+	struct tmr_set *timers;
+	const struct clk *clk;
+	struct rows rows;
+	struct wkr direct;
+	struct relay_vm_row self;
+	bool enabled;
+	struct row_watch *watch;
+	struct tmr *check_timer;
+	GHashTable *relays; /* VM name to struct relay */
+	GPtrArray *open; /* those with an open link */
+	GHashTable *demand; /* domain to number of workers */
+	uint64_t last_id;
+	struct relay_client_counts counts;
+};
+
+static int64_t now_ms(const struct relay_client *c)
+{
+	return clk_mono_ms(c->clk);
+}
+
+/* Reports a call without answer. */
+static void fail_call(struct pending *call)
+{
+	if (call->kind == RELAY_START)
+		call->started(SCHED_START_UNKNOWN, call->priv);
+	else if (call->kind == RELAY_POLL)
+		call->polled(NULL, call->priv);
+	else
+		call->answered(false, call->priv);
+	free(call);
+}
+
+static void on_opened(struct lnk *link, void *priv)
+{
+	struct relay *r = priv;
+
+	(void)link;
+	r->open = true;
+	g_ptr_array_add(r->client->open, r);
+	log_event(LOG_RELAY, "vm=%s what=connected domain=%s", r->row.vm,
+		  r->row.domain);
+}
+
+static void on_frame(struct lnk *link, const uint8_t *data, size_t len,
+		     void *priv)
+{
+	struct relay *r = priv;
+	void *tmp = talloc_new(NULL);
+	struct relay_answer answer;
+	struct pending *call = NULL;
+
+	if (!relay_unpack_answer(tmp, data, len, &answer)) {
+		log_event(LOG_BAD_ANSWER,
+			  "vm=%s bytes=%zu why=\"invalid answer of a relay; "
+			  "closing its link\"",
+			  r->row.vm, len);
+		lnk_close(link);
+		talloc_free(tmp);
+		return;
+	}
+	call = g_hash_table_lookup(r->calls, &answer.id);
+	if (call) {
+		g_hash_table_steal(r->calls, &answer.id);
+		if (call->kind == RELAY_START)
+			call->started(answer.started, call->priv);
+		else if (call->kind == RELAY_POLL)
+			call->polled(answer.report, call->priv);
+		else
+			call->answered(answer.answered, call->priv);
+		free(call);
+	}
+	talloc_free(tmp);
+}
+
+/* The link is gone: none of its calls will be answered. */
+static void on_closed(struct lnk *link, void *priv)
+{
+	struct relay *r = priv;
+	GList *calls = g_hash_table_get_values(r->calls);
+
+	(void)link;
+	if (r->open) {
+		g_ptr_array_remove(r->client->open, r);
+		r->client->counts.links_lost++;
+		log_event(LOG_RELAY, "vm=%s what=lost calls=%u", r->row.vm,
+			  g_list_length(calls));
+	}
+	r->link = NULL;
+	r->open = false;
+	r->retry_ms = now_ms(r->client) + RETRY_MS;
+	relay_payloads_finish(&r->payloads);
+	g_hash_table_steal_all(r->calls);
+	for (GList *i = calls; i; i = i->next)
+		fail_call(i->data);
+	g_list_free(calls);
+}
+
+static const struct lnk_ops link_ops = { on_opened, on_frame, on_closed };
+
+static void connect_relay(struct relay *r)
+{
+	struct relay_client *c = r->client;
+
+	r->connecting_ms = now_ms(c);
+	r->link = lnk_connect(c, c->ev, c->self.ip, r->row.ip, r->row.port,
+			      &link_ops, r);
+	if (r->link)
+		relay_payloads_init(&r->payloads);
+	else
+		r->retry_ms = now_ms(c) + RETRY_MS;
+}
+
+/* Returns the connected relay for the worker: the same one as long as the
+ * domain's relays are the same. */
+static struct relay *choose_relay(const struct relay_client *c,
+				  const struct wkr_target *to)
+{
+	struct relay *best = NULL;
+	uint64_t best_hash = 0;
+
+	if (!c->enabled || !to->domain)
+		return NULL;
+	for (guint i = 0; i < c->open->len; i++) {
+		struct relay *r = g_ptr_array_index(c->open, i);
+		uint64_t hash;
+
+		/* A VM without a row is about to stop. */
+		if (!r->row.port || strcmp(r->row.domain, to->domain))
+			continue;
+		hash = XXH64(r->row.vm, strlen(r->row.vm),
+			     XXH64(to->id, strlen(to->id), 0));
+		if (best && hash <= best_hash)
+			continue;
+		best = r;
+		best_hash = hash;
+	}
+	return best;
+}
+
+static struct pending *new_pending(struct relay *r, struct relay_call *call)
+{
+	struct pending *p = calloc(1, sizeof(*p));
+
+	call->id = ++r->client->last_id;
+	call->sent_ms = now_ms(r->client);
+	p->id = call->id;
+	p->kind = call->kind;
+	p->deadline_ms = call->sent_ms + call->to.timeout_ms + ANSWER_SLACK_MS;
+	g_hash_table_insert(r->calls, &p->id, p);
+	r->client->counts.relayed++;
+	return p;
+}
+
+static void send_call(struct relay *r, const struct relay_call *call)
+{
+	size_t len;
+	uint8_t *data = relay_pack_call(r->client, call, &len);
+
+	/* If the link fails, on_closed() reports the call. */
+	lnk_send(r->link, data, len);
+	talloc_free(data);
+}
+
+static void client_start(void *self, const struct wkr_target *to,
+			 const struct wkr_start_cmd *cmd, wkr_start_cb done,
+			 void *priv)
+{
+	struct relay_client *c = self;
+	struct relay *r = choose_relay(c, to);
+	struct relay_call call = { .kind = RELAY_START,
+				   .to = *to,
+				   .ref = *cmd->ref,
+				   .checkpoint = cmd->checkpoint,
+				   .ticket = cmd->ticket };
+	struct pending *p;
+
+	if (!r) {
+		c->counts.direct++;
+		c->direct.ops->start(c->direct.self, to, cmd, done, priv);
+		return;
+	}
+	if (!relay_payloads_find(&r->payloads, cmd->ref->job)) {
+		call.payload = cmd->payload;
+		relay_payloads_add(&r->payloads, cmd->ref->job, "");
+	}
+	p = new_pending(r, &call);
+	p->started = done;
+	p->priv = priv;
+	send_call(r, &call);
+}
+
+static void client_stop(void *self, const struct wkr_target *to,
+			const struct sched_ref *ref, wkr_ack_cb done,
+			void *priv)
+{
+	struct relay_client *c = self;
+	struct relay *r = choose_relay(c, to);
+	struct relay_call call = { .kind = RELAY_STOP, .to = *to, .ref = *ref };
+	struct pending *p;
+
+	if (!r) {
+		c->counts.direct++;
+		c->direct.ops->stop(c->direct.self, to, ref, done, priv);
+		return;
+	}
+	p = new_pending(r, &call);
+	p->answered = done;
+	p->priv = priv;
+	send_call(r, &call);
+}
+
+static void client_pace(void *self, const struct wkr_target *to,
+			const struct sched_ref *ref, int32_t percent,
+			wkr_ack_cb done, void *priv)
+{
+	struct relay_client *c = self;
+	struct relay *r = choose_relay(c, to);
+	struct relay_call call = {
+		.kind = RELAY_PACE, .to = *to, .ref = *ref, .percent = percent
+	};
+	struct pending *p;
+
+	if (!r) {
+		c->counts.direct++;
+		c->direct.ops->pace(c->direct.self, to, ref, percent, done,
+				    priv);
+		return;
+	}
+	p = new_pending(r, &call);
+	p->answered = done;
+	p->priv = priv;
+	send_call(r, &call);
+}
+
+static void client_poll(void *self, const struct wkr_target *to,
+			int64_t durable_seq, int64_t wait_ms, wkr_poll_cb done,
+			void *priv)
+{
+	struct relay_client *c = self;
+	struct relay *r = choose_relay(c, to);
+	struct relay_call call = { .kind = RELAY_POLL,
+				   .to = *to,
+				   .durable_seq = durable_seq,
+				   .wait_ms = wait_ms };
+	struct pending *p;
+
+	if (!r) {
+		c->counts.direct++;
+		c->direct.ops->poll(c->direct.self, to, durable_seq, wait_ms,
+				    done, priv);
+		return;
+	}
+	p = new_pending(r, &call);
+	p->polled = done;
+	p->priv = priv;
+	send_call(r, &call);
+}
+
+static void client_advise(void *self, const struct sched_ref *step,
+			  const char *const *ids, int32_t n, wkr_advice_cb done,
+			  void *priv)
+{
+	struct relay_client *c = self;
+
+	c->direct.ops->advise(c->direct.self, step, ids, n, done, priv);
+}
+
+struct wkr relay_client_iface(struct relay_client *c)
+{
+	static const struct wkr_ops ops = { client_start, client_stop,
+					    client_pace, client_poll,
+					    client_advise };
+
+	return (struct wkr){ &ops, c };
+}
+
+static bool has_overdue_call(const struct relay *r, int64_t now)
+{
+	GHashTableIter it;
+	gpointer value;
+
+	g_hash_table_iter_init(&it, r->calls);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		if (now > ((const struct pending *)value)->deadline_ms)
+			return true;
+	}
+	return false;
+}
+
+static void check_links(void *priv)
+{
+	struct relay_client *c = priv;
+	int64_t now = now_ms(c);
+	GHashTableIter it;
+	gpointer value;
+
+	c->check_timer =
+		tmr_after(c->timers, CHECK_INTERVAL_MS, check_links, c);
+	g_hash_table_iter_init(&it, c->relays);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		struct relay *r = value;
+		bool slow = r->link && !r->open &&
+			    now - r->connecting_ms > CONNECT_MAX_MS;
+
+		if (r->link && (slow || has_overdue_call(r, now)))
+			lnk_close(r->link);
+	}
+}
+
+static void on_row(const struct rows_row *row, void *priv)
+{
+	struct relay_client *c = priv;
+	struct relay *r = g_hash_table_lookup(c->relays, row->key);
+	struct relay_vm_row parsed = { 0 };
+
+	/* The VM stops, and leaves its link to be closed by itself. */
+	if (row->deleted) {
+		if (r)
+			r->row.port = 0;
+		return;
+	}
+	if (!strcmp(row->key, c->self.vm))
+		return;
+	if (!relay_table_parse(row, &parsed)) {
+		log_event(LOG_ROW_UNUSABLE,
+			  "table=" RELAY_TABLE
+			  " key=%s why=\"not a relay's address\"",
+			  row->key);
+		return;
+	}
+	if (!r) {
+		r = talloc_zero(c, struct relay);
+		r->client = c;
+		r->calls = g_hash_table_new(g_int64_hash, g_int64_equal);
+		r->row = parsed;
+		g_hash_table_insert(c->relays, r->row.vm, r);
+		return;
+	}
+	r->row = parsed;
+	r->retry_ms = 0;
+}
+
+static void on_synced(int64_t version, int64_t store_ms, void *priv)
+{
+	(void)version;
+	(void)store_ms;
+	(void)priv;
+}
+
+static const struct row_watch_ops watch_ops = { on_row, on_synced };
+
+static void enable(struct relay_client *c)
+{
+	struct row_watch_options opt = { .table = RELAY_TABLE,
+					 .part = RELAY_PART,
+					 .wait_ms = WATCH_WAIT_MS };
+
+	c->enabled = true;
+	c->watch = row_watch_start(c, &c->rows, c->timers, &opt, &watch_ops, c);
+	check_links(c);
+}
+
+void relay_client_disable(struct relay_client *c)
+{
+	GHashTableIter it;
+	gpointer value;
+
+	if (!c->enabled)
+		return;
+	c->enabled = false;
+	TALLOC_FREE(c->watch);
+	TALLOC_FREE(c->check_timer);
+	g_hash_table_iter_init(&it, c->relays);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		struct relay *r = value;
+
+		if (r->link)
+			lnk_close(r->link);
+	}
+}
+
+static int compare_relays(const void *a, const void *b)
+{
+	const struct relay *x = *(struct relay *const *)a;
+	const struct relay *y = *(struct relay *const *)b;
+
+	if (x->row.cpu_milli != y->row.cpu_milli)
+		return x->row.cpu_milli > y->row.cpu_milli ? -1 : 1;
+	return strcmp(x->row.vm, y->row.vm);
+}
+
+/* Connects to enough relays of the domain for `workers`, the strongest first.
+ */
+static void want_relays(struct relay_client *c, const char *domain,
+			int64_t workers)
+{
+	GPtrArray *list = g_ptr_array_new();
+	int64_t lacks = workers * MILLI_PER_WORKER;
+	int64_t now = now_ms(c);
+	GHashTableIter it;
+	gpointer value;
+
+	g_hash_table_iter_init(&it, c->relays);
+	while (g_hash_table_iter_next(&it, NULL, &value)) {
+		struct relay *r = value;
+		bool usable = r->link || (r->row.port && now >= r->retry_ms);
+
+		if (usable && !strcmp(r->row.domain, domain))
+			g_ptr_array_add(list, r);
+	}
+	g_ptr_array_sort(list, compare_relays);
+	for (guint i = 0; i < list->len && (lacks > 0 || i < RELAYS_MIN); i++) {
+		struct relay *r = g_ptr_array_index(list, i);
+
+		lacks -= r->row.cpu_milli / RELAY_SHARE;
+		if (!r->link)
+			connect_relay(r);
+	}
+	g_ptr_array_free(list, TRUE);
+}
+
+void relay_client_update(struct relay_client *c, const struct sched *s)
+{
+	GHashTableIter it;
+	gpointer domain;
+	gpointer n;
+
+	if (!c->enabled &&
+	    s->worker_list->len * MILLI_PER_WORKER > (guint)c->self.cpu_milli)
+		enable(c);
+	if (!c->enabled)
+		return;
+	g_hash_table_remove_all(c->demand);
+	for (guint i = 0; i < s->worker_list->len; i++) {
+		const struct sched_worker *w =
+			g_ptr_array_index(s->worker_list, i);
+
+		n = g_hash_table_lookup(c->demand, w->row.domain);
+		g_hash_table_insert(c->demand, g_strdup(w->row.domain),
+				    GINT_TO_POINTER(GPOINTER_TO_INT(n) + 1));
+	}
+	g_hash_table_iter_init(&it, c->demand);
+	while (g_hash_table_iter_next(&it, &domain, &n))
+		want_relays(c, domain, GPOINTER_TO_INT(n));
+}
+
+static int client_destructor(struct relay_client *c)
+{
+	GHashTableIter it;
+	gpointer value;
+
+	g_hash_table_iter_init(&it, c->relays);
+	while (g_hash_table_iter_next(&it, NULL, &value))
+		g_hash_table_destroy(((struct relay *)value)->calls);
+	g_hash_table_destroy(c->relays);
+	g_hash_table_destroy(c->demand);
+	g_ptr_array_free(c->open, TRUE);
+	return 0;
+}
+
+struct relay_client *
+relay_client_start(void *ctx, struct tevent_context *ev, struct tmr_set *timers,
+		   const struct clk *clk, const struct rows *rows,
+		   const struct wkr *direct, const struct relay_vm_row *self)
+{
+	struct relay_client *c = talloc_zero(ctx, struct relay_client);
+
+	c->ev = ev;
+	c->timers = timers;
+	c->clk = clk;
+	c->rows = *rows;
+	c->direct = *direct;
+	c->self = *self;
+	c->relays = g_hash_table_new(g_str_hash, g_str_equal);
+	c->open = g_ptr_array_new();
+	c->demand =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	talloc_set_destructor(c, client_destructor);
+	return c;
+}
+
+const struct relay_client_counts *
+relay_client_counts(const struct relay_client *c)
+{
+	return &c->counts;
+}
+
+int32_t relay_client_links(const struct relay_client *c)
+{
+	return (int32_t)c->open->len;
+}
--- /dev/null
+++ b/src/fleet/relay_server.h
@@ -0,0 +1,27 @@
+/*
+ * Calls workers for the owners of shards, which send them over a link: the
+ * calls of several hundred workers take more processor time than one VM has. A
+ * relay decides nothing: it neither repeats a call nor keeps one that is late.
+ */
+#ifndef RELAY_SERVER_H
+#define RELAY_SERVER_H
+
+#include <tevent.h>
+
+#include "base/clk.h"
+#include "base/err.h"
+#include "fleet/wkr.h"
+
+struct relay_server;
+
+/* Listens at IP and port. Returns a talloc child of `ctx`, or NULL with `e`
+ * filled in. */
+struct relay_server *relay_server_start(void *ctx, struct tevent_context *ev,
+					const struct wkr *wkr,
+					const struct clk *clk, const char *ip,
+					uint16_t port, struct err *e);
+
+/* Returns the number of calls that were dropped since they were late. */
+int64_t relay_server_dropped(const struct relay_server *s);
+
+#endif
--- a/src/fleet/shard_ctl.c
+++ b/src/fleet/shard_ctl.c
@@ -7,6 +7,7 @@
 #include <xxhash.h>
 
 #include "base/log.h"
+#include "fleet/relay_client.h"
 #include "fleet/shard_ctl_int.h"
 
 /* Delay in ms between an event and the placement pass that it triggers, so that
@@ -279,6 +280,8 @@
 	}
 	if (!sc->active)
 		return;
+	if (sc->f->relay_client)
+		relay_client_update(sc->f->relay_client, &sc->sched);
 	update_ownership(sc);
 	sched_tick(&sc->sched, now, wall_ms(sc));
 	if (sc->upkeep)
@@ -374,6 +377,8 @@
 	TALLOC_FREE(sc->tick_timer);
 	sc->f->directory.ops->subscribe(sc->f->directory.self, false);
 	TALLOC_FREE(sc->term_ctx);
+	if (sc->f->relay_client)
+		relay_client_disable(sc->f->relay_client);
 	sc->links = NULL;
 	sc->jobs_watch = NULL;
 	sched_finish(&sc->sched);
--- a/src/fleet/wkr.h
+++ b/src/fleet/wkr.h
@@ -11,6 +11,7 @@
 struct wkr_target {
 	const char *id;
 	const char *address;
+	const char *domain; /* failure domain of the recipient; NULL: unknown */
 	int64_t fence; /* the worker rejects tokens below the highest seen */
 	int64_t lease_end_clock_ms; /* on the worker's clock; 0: don't renew */
 	bool fresh_connection; /* set if the last request got no answer */
--- a/src/fleet/wkr_links.c
+++ b/src/fleet/wkr_links.c
@@ -222,6 +222,7 @@
 	return (struct wkr_target){
 		.id = w->row.id,
 		.address = w->row.address,
+		.domain = w->row.domain,
 		.fence = w->fence,
 		.fresh_connection = wl->poll_failures > 0,
 		.timeout_ms = CALL_SLACK_MS,
--- a/src/transport/lnk.c
+++ b/src/transport/lnk.c
@@ -34,6 +34,7 @@
 	int fd;
 	bool connected;
 	bool closing; /* `closed` is scheduled */
+	bool flushing; /* a flush is scheduled */
 	struct buf in;
 	struct buf out;
 };
@@ -86,6 +87,7 @@
 	if (l->closing)
 		return;
 	l->closing = true;
+	l->flushing = false;
 	TALLOC_FREE(l->fde);
 	close(l->fd);
 	l->fd = -1;
@@ -293,6 +295,18 @@
 	return NULL;
 }
 
+/* Sends what was queued since the event loop began its turn, at once. */
+static void flush(struct tevent_context *ev, struct tevent_immediate *im,
+		  void *priv)
+{
+	struct lnk *l = priv;
+
+	(void)ev;
+	(void)im;
+	l->flushing = false;
+	send_buffered(l);
+}
+
 bool lnk_send(struct lnk *l, const void *data, size_t len)
 {
 	uint32_t header = htonl((uint32_t)len);
@@ -307,9 +321,11 @@
 	memcpy(l->out.data + l->out.end, &header, HEADER_BYTES);
 	memcpy(l->out.data + l->out.end + HEADER_BYTES, data, len);
 	l->out.end += HEADER_BYTES + len;
-	if (l->connected)
-		send_buffered(l);
-	return !l->closing;
+	if (l->connected && !l->flushing) {
+		l->flushing = true;
+		tevent_schedule_immediate(l->im, l->ev, flush, l);
+	}
+	return true;
 }
 
 void lnk_set_user(struct lnk *l, void *user)
--- a/src/transport/lnk.h
+++ b/src/transport/lnk.h
@@ -43,9 +43,9 @@
 			const char *source, const char *ip, uint16_t port,
 			const struct lnk_ops *ops, void *priv);
 
-/* Queues a frame, also before `opened`. Returns false if `len` exceeds
- * LNK_FRAME_MAX or the link is closing: this call closes it if the backlog is
- * too large or sending fails. */
+/* Queues a frame, also before `opened`; it is sent with others in the next turn
+ * of the loop. Returns false if `len` exceeds LNK_FRAME_MAX or the link is
+ * closing: this call closes it if the backlog is too large. */
 bool lnk_send(struct lnk *l, const void *data, size_t len);
 
 /* Closes the link; `closed` is called in the next iteration of the loop. */
--- a/tests/harness_fleet.c
+++ b/tests/harness_fleet.c
@@ -12,7 +12,7 @@
 static void write_settings(const struct hf *f, int vm)
 {
 	char path[128];
-	int port = f->vm_ports + vm * 3;
+	int port = f->vm_ports + vm * HF_VM_PORTS;
 	FILE *out;
 
 	snprintf(path, sizeof(path), "%s/vm%d.conf", f->dir, vm);
@@ -25,6 +25,12 @@
 		vm, vm, port, port + 1, port + 2,
 		f->opt.use_proxy ? f->store_ports + vm : f->platform_port,
 		f->platform_port, f->opt.bounds);
+	/* All workers of the simulator are in z1. So little processor time is
+	 * too little for the calls of five workers. */
+	if (f->opt.relays)
+		fprintf(out,
+			"\nzone=z1\nlimits.cpu_share=0.007\nport_range=%d,%d\n",
+			port + 3, port + 3);
 	fclose(out);
 }
 
@@ -98,7 +104,7 @@
 
 	snprintf(url, sizeof(url), "http://127.0.0.1:%d%s",
 		 f->opt.use_proxy ? f->frontend_ports + vm
-				  : f->vm_ports + vm * 3,
+				  : f->vm_ports + vm * HF_VM_PORTS,
 		 path);
 	return easy ? hx_http_on(easy, method, url, call_headers, body,
 				 HF_CALL_MS)
@@ -111,7 +117,7 @@
 	char url[160];
 
 	snprintf(url, sizeof(url), "http://127.0.0.1:%d%s",
-		 f->vm_ports + vm * 3, path);
+		 f->vm_ports + vm * HF_VM_PORTS, path);
 	return hx_http_on(easy, "GET", url, call_headers, NULL, timeout_ms);
 }
 
@@ -122,7 +128,7 @@
 	bool ready;
 
 	snprintf(url, sizeof(url), "http://127.0.0.1:%d/v1/readyz",
-		 f->vm_ports + vm * 3 + 1);
+		 f->vm_ports + vm * HF_VM_PORTS + 1);
 	resp = hx_http("GET", url, NULL, NULL, HF_CALL_MS);
 	ready = resp.status == 200;
 	hx_response_free(&resp);
@@ -183,7 +189,7 @@
 	for (int i = 0; i < f->opt.vms; i++) {
 		add_proxy_map(f, 's', i, f->store_ports + i, f->platform_port);
 		add_proxy_map(f, 'd', i, f->frontend_ports + i,
-			      f->vm_ports + i * 3);
+			      f->vm_ports + i * HF_VM_PORTS);
 	}
 }
 
@@ -216,7 +222,7 @@
 	g_strlcpy(f->dir, "/tmp/gd-fleet-XXXXXX", sizeof(f->dir));
 	g_assert_nonnull(mkdtemp(f->dir));
 	f->platform_port = hx_free_ports(1);
-	f->vm_ports = hx_free_ports(opt->vms * 3);
+	f->vm_ports = hx_free_ports(opt->vms * HF_VM_PORTS);
 	if (opt->use_proxy)
 		start_proxy(f);
 	start_platform(f);
--- a/tests/harness_fleet.h
+++ b/tests/harness_fleet.h
@@ -9,6 +9,8 @@
 #include "tests/harness.h"
 
 #define HF_VMS_MAX 9
+/* Ports of a VM: front, ready, control, relay. */
+#define HF_VM_PORTS 4
 /* Far more than any step takes on a busy machine. */
 #define HF_TIMEOUT_MS 60000
 #define HF_CALL_MS 5000
@@ -19,6 +21,7 @@
 	bool use_proxy; /* all connections pass the fault proxy */
 	int64_t lease_max_ms; /* at workers; 0: the simulator's default */
 	bool overcommits; /* workers don't guard their capacity */
+	bool relays; /* owners call workers by way of the other VMs */
 	const char *bounds; /* more lines for the VMs' settings */
 };
 
@@ -34,7 +37,7 @@
 	int store_ports; /* first; each VM reaches the store at its own */
 	int worker_ports; /* first; 0 without proxy */
 	int frontend_ports; /* first; for callers, with proxy */
-	int vm_ports; /* first; per VM: front, ready, control */
+	int vm_ports; /* first; HF_VM_PORTS of each VM */
 	int jobs; /* submitted so far */
 };
 
--- a/tests/soak.c
+++ b/tests/soak.c
@@ -102,14 +102,16 @@
 		.workers = g_rand_int_range(k->rand, 4, 10),
 		.use_proxy = true,
 		.lease_max_ms = SK_LEASE_MAX_MS,
-		.overcommits = k->seed >= SK_FIRST_CAPACITY_SEED && k->seed % 4,
+		.overcommits = sk_shrinks_workers(k->seed) && k->seed % 4,
+		.relays = k->seed >= SK_FIRST_RELAY_SEED,
 		.bounds = BOUNDS,
 	};
 
 	k->fleet.opt = opt;
 	sk_draw_schedule(k, WINDOW_MS);
-	printf("seed %u: %d VMs, %d workers%s\n", k->seed, opt.vms, opt.workers,
-	       opt.overcommits ? " without limits" : "");
+	printf("seed %u: %d VMs, %d workers%s%s\n", k->seed, opt.vms,
+	       opt.workers, opt.overcommits ? " without limits" : "",
+	       opt.relays ? " by way of relays" : "");
 	sk_print_schedule(k);
 	fflush(stdout);
 	hf_start(&k->fleet, &opt);
--- a/tests/soak.h
+++ b/tests/soak.h
@@ -46,6 +46,13 @@
 /* Seeds from this on also shrink workers, which don't guard their capacity in
  * three of four, and submit tasks that crash workers. */
 #define SK_FIRST_CAPACITY_SEED 2000
+/* From this seed on, owners call workers by way of relays, instead. */
+#define SK_FIRST_RELAY_SEED 3000
+
+static inline bool sk_shrinks_workers(uint32_t seed)
+{
+	return seed >= SK_FIRST_CAPACITY_SEED && seed < SK_FIRST_RELAY_SEED;
+}
 
 enum sk_job_kind {
 	SK_ONE_STEP,
--- a/tests/soak_clients.c
+++ b/tests/soak_clients.c
@@ -40,7 +40,7 @@
  * old one. */
 static void draw_deadly(struct client *c, struct sk_job *j)
 {
-	if (c->k->seed < SK_FIRST_CAPACITY_SEED ||
+	if (!sk_shrinks_workers(c->k->seed) ||
 	    g_rand_int_range(c->deadly_rand, 0, DEADLY_SHARE))
 		return;
 	j->kind = SK_DEADLY;
--- a/tests/soak_faults.c
+++ b/tests/soak_faults.c
@@ -365,7 +365,7 @@
 		draw_simple(k, window_ms);
 	if (has_series)
 		draw_series(k, window_ms);
-	if (k->seed >= SK_FIRST_CAPACITY_SEED)
+	if (sk_shrinks_workers(k->seed))
 		draw_shrinking(k, window_ms);
 	g_array_sort(k->faults, by_time);
 }
--- /dev/null
+++ b/tests/unit_relay.c
@@ -0,0 +1,509 @@
+/* Relays: the messages, calls over real links with workers played by the test,
+ * and what becomes of calls when a relay fails. */
+#include <glib.h>
+#include <string.h>
+#include <talloc.h>
+
+#include "fleet/relay_client.h"
+#include "fleet/relay_msg.h"
+#include "fleet/relay_server.h"
+#include "tests/fake_rows.h"
+#include "tests/sched_fixture.h"
+#include "tests/unit.h"
+
+#define TIMEOUT_MS 10000
+#define WORKERS 10
+#define PORT_FIRST 21700
+#define PORTS 200
+
+/* One owner, VM a, and one relay, VM b, in one process. */
+struct relay_fixture {
+	struct sched_fixture p;
+	struct tevent_context *ev;
+	struct tmr_set *timers;
+	struct fake_rows store;
+	struct rows rows;
+	struct relay_vm_row relay;
+	struct relay_server *server;
+	struct relay_entry *entry;
+	struct relay_client *client;
+	struct wkr iface;
+	struct clk clk; /* of the owner */
+	int64_t owner_behind_ms;
+	/* What reached the workers, and who asked for it. */
+	GQueue held; /* struct held_call, unanswered */
+	bool hold;
+	int by_relay;
+	int direct;
+	char payload[32];
+	int64_t durable_seq;
+};
+
+struct held_call {
+	wkr_start_cb started;
+	wkr_poll_cb polled;
+	void *priv;
+};
+
+struct result {
+	int answered;
+	enum sched_start_result started;
+	bool acked;
+	int32_t n_ends;
+	int32_t n_active;
+	struct sched_end end;
+	struct sched_active active;
+};
+
+static struct relay_fixture *fx;
+
+static struct held_call *hold(void *priv)
+{
+	struct held_call *call = g_new0(struct held_call, 1);
+
+	call->priv = priv;
+	g_queue_push_tail(&fx->held, call);
+	return call;
+}
+
+static void answer_held(void)
+{
+	struct held_call *call;
+	struct sched_end end = {
+		.seq = 7,
+		.ref = { .job = "j", .step = 1, .index = 2, .run = 3 },
+		.reason = SCHED_END_FAILED,
+		.checkpoint = "c"
+	};
+	struct sched_active active = { .ref = { .job = "k", .round = 5 },
+				       .percent = 40,
+				       .gauge = 1234 };
+	struct sched_report report = { .clock_ms = 1000,
+				       .born_ms = 1,
+				       .n_active = 1,
+				       .n_ends = 1,
+				       .active = &active,
+				       .ends = &end };
+
+	while ((call = g_queue_pop_head(&fx->held))) {
+		if (call->started)
+			call->started(SCHED_START_NO_ROOM, call->priv);
+		else
+			call->polled(&report, call->priv);
+		g_free(call);
+	}
+}
+
+static void answer_later(void *priv)
+{
+	(void)priv;
+	if (!fx->hold)
+		answer_held();
+}
+
+/* `self` is the counter of calls by this way. */
+static void take_start(void *self, const struct wkr_target *to,
+		       const struct wkr_start_cmd *cmd, wkr_start_cb done,
+		       void *priv)
+{
+	g_assert_cmpstr(to->address, ==, "1.2.3.4:5");
+	++*(int *)self;
+	g_strlcpy(fx->payload, cmd->payload, sizeof(fx->payload));
+	hold(priv)->started = done;
+	tmr_after(fx->timers, 1, answer_later, NULL);
+}
+
+static void take_poll(void *self, const struct wkr_target *to,
+		      int64_t durable_seq, int64_t wait_ms, wkr_poll_cb done,
+		      void *priv)
+{
+	(void)to;
+	(void)wait_ms;
+	++*(int *)self;
+	fx->durable_seq = durable_seq;
+	hold(priv)->polled = done;
+	tmr_after(fx->timers, 1, answer_later, NULL);
+}
+
+static const struct wkr_ops worker_ops = { .start = take_start,
+					   .poll = take_poll };
+
+static struct timespec owner_mono(void *priv)
+{
+	struct timespec t = clk_system.mono(clk_system.priv);
+
+	(void)priv;
+	t.tv_sec -= fx->owner_behind_ms / 1000;
+	return t;
+}
+
+static struct timespec owner_wall(void *priv)
+{
+	(void)priv;
+	return clk_system.wall(clk_system.priv);
+}
+
+static void run_for(int64_t ms)
+{
+	int64_t end = clk_mono_ms(&clk_system) + ms;
+
+	tmr_after(fx->timers, ms, answer_later, NULL);
+	while (clk_mono_ms(&clk_system) < end)
+		tevent_loop_once(fx->ev);
+}
+
+static void await_links(int32_t n)
+{
+	int64_t end = clk_mono_ms(&clk_system) + TIMEOUT_MS;
+
+	while (relay_client_links(fx->client) != n) {
+		g_assert_cmpint(clk_mono_ms(&clk_system), <, end);
+		relay_client_update(fx->client, &fx->p.s);
+		run_for(20);
+	}
+}
+
+/* The port may be in use by another test's process. */
+static void start_server(void)
+{
+	struct wkr wkr = { &worker_ops, &fx->by_relay };
+	struct err e = { 0 };
+
+	for (uint16_t i = 0; !fx->server; i++) {
+		g_assert_cmpint(i, <, PORTS);
+		if (!fx->relay.port || i)
+			fx->relay.port = (uint16_t)(PORT_FIRST + i);
+		fx->server =
+			relay_server_start(fx->ev, fx->ev, &wkr, &clk_system,
+					   fx->relay.ip, fx->relay.port, &e);
+	}
+}
+
+static void relay_fixture_open(void)
+{
+	struct relay_vm_row self = { .vm = "a",
+				     .ip = "127.0.0.1",
+				     .port = 1,
+				     .domain = "d",
+				     .cpu_milli = 1 };
+	struct wkr direct = { &worker_ops, NULL };
+	char id[16];
+
+	fx = g_new0(struct relay_fixture, 1);
+	fixture_open(&fx->p, 1, NULL);
+	for (int i = 0; i < WORKERS; i++) {
+		g_snprintf(id, sizeof(id), "w%d", i);
+		fixture_add_worker(&fx->p, id, "r");
+	}
+	fx->ev = tevent_context_init(NULL);
+	fx->timers = tmr_set_start(fx->ev, fx->ev);
+	fake_rows_init(&fx->store, fx->timers);
+	fx->rows = fake_rows_iface(&fx->store);
+	fx->clk = (struct clk){ owner_mono, owner_wall, NULL };
+	fx->relay = (struct relay_vm_row){
+		.vm = "b", .ip = "127.0.0.1", .domain = "d", .cpu_milli = 500
+	};
+	start_server();
+	fx->entry =
+		relay_entry_start(fx->ev, fx->timers, &fx->rows, &fx->relay);
+	direct.self = &fx->direct;
+	fx->client = relay_client_start(fx->ev, fx->ev, fx->timers, &fx->clk,
+					&fx->rows, &direct, &self);
+	fx->iface = relay_client_iface(fx->client);
+	await_links(1);
+}
+
+static void relay_fixture_close(void)
+{
+	relay_client_disable(fx->client);
+	run_for(20);
+	answer_held();
+	talloc_free(fx->ev);
+	fake_rows_destroy(&fx->store);
+	fixture_close(&fx->p);
+	g_free(fx);
+}
+
+static void on_started(enum sched_start_result res, void *priv)
+{
+	struct result *r = priv;
+
+	r->answered++;
+	r->started = res;
+}
+
+static void on_polled(const struct sched_report *report, void *priv)
+{
+	struct result *r = priv;
+
+	r->answered++;
+	if (!report)
+		return;
+	r->acked = true;
+	r->n_ends = report->n_ends;
+	r->n_active = report->n_active;
+	if (report->n_ends)
+		r->end = report->ends[0];
+	if (report->n_active)
+		r->active = report->active[0];
+}
+
+static struct wkr_target target(const char *domain)
+{
+	return (struct wkr_target){ .id = "w0",
+				    .address = "1.2.3.4:5",
+				    .domain = domain,
+				    .fence = 9,
+				    .timeout_ms = 700 };
+}
+
+static void send_start(const char *job, struct result *r)
+{
+	struct wkr_target to = target("d");
+	struct sched_ref ref = { .run = 1 };
+	struct wkr_start_cmd cmd = { .ref = &ref, .payload = "spec" };
+
+	g_strlcpy(ref.job, job, sizeof(ref.job));
+	memset(r, 0, sizeof(*r));
+	fx->iface.ops->start(fx->iface.self, &to, &cmd, on_started, r);
+	g_assert_cmpint(r->answered, ==, 0);
+}
+
+static void send_poll(const char *domain, struct result *r)
+{
+	struct wkr_target to = target(domain);
+
+	memset(r, 0, sizeof(*r));
+	fx->iface.ops->poll(fx->iface.self, &to, 6, 0, on_polled, r);
+	g_assert_cmpint(r->answered, ==, 0);
+}
+
+static void await(const struct result *r)
+{
+	int64_t end = clk_mono_ms(&clk_system) + TIMEOUT_MS;
+
+	while (!r->answered) {
+		g_assert_cmpint(clk_mono_ms(&clk_system), <, end);
+		run_for(5);
+	}
+	g_assert_cmpint(r->answered, ==, 1);
+}
+
+static void test_calls(void)
+{
+	struct result r;
+
+	relay_fixture_open();
+	for (int i = 0; i < 3; i++) {
+		fx->payload[0] = '\0';
+		send_start("j", &r);
+		await(&r);
+		g_assert_cmpint(r.started, ==, SCHED_START_NO_ROOM);
+		g_assert_cmpstr(fx->payload, ==, "spec");
+	}
+	send_poll("d", &r);
+	await(&r);
+	g_assert_cmpint(fx->durable_seq, ==, 6);
+	g_assert_cmpint(r.n_ends, ==, 1);
+	g_assert_cmpint(r.end.seq, ==, 7);
+	g_assert_cmpint(r.end.ref.run, ==, 3);
+	g_assert_cmpint(r.end.reason, ==, SCHED_END_FAILED);
+	g_assert_cmpstr(r.end.checkpoint, ==, "c");
+	g_assert_cmpint(r.active.ref.round, ==, 5);
+	g_assert_cmpint(r.active.gauge, ==, 1234);
+	g_assert_cmpint(fx->by_relay, ==, 4);
+	g_assert_cmpint(fx->direct, ==, 0);
+	/* No relay is in that worker's domain. */
+	send_poll("e", &r);
+	await(&r);
+	g_assert_cmpint(fx->direct, ==, 1);
+	relay_fixture_close();
+}
+
+/* The payload of a job that was dropped from both ends is sent again. */
+static void test_many_jobs(void)
+{
+	struct result r;
+	char id[16];
+
+	relay_fixture_open();
+	for (int round = 0; round < 2; round++) {
+		for (int i = 0; i < 300; i++) {
+			g_snprintf(id, sizeof(id), "j%d", i);
+			fx->payload[0] = '\0';
+			send_start(id, &r);
+			await(&r);
+			g_assert_cmpstr(fx->payload, ==, "spec");
+		}
+	}
+	relay_fixture_close();
+}
+
+/* A relay that ends leaves its calls without answer: a start may have taken
+ * effect. Others go directly, and by the relay once it is back. */
+static void test_relay_ends(void)
+{
+	struct result start;
+	struct result poll;
+	struct result r;
+
+	relay_fixture_open();
+	fx->hold = true;
+	send_start("j", &start);
+	send_poll("d", &poll);
+	run_for(50);
+	g_assert_cmpint(fx->by_relay, ==, 2);
+	TALLOC_FREE(fx->server);
+	await(&start);
+	await(&poll);
+	g_assert_cmpint(start.started, ==, SCHED_START_UNKNOWN);
+	g_assert_false(poll.acked);
+	fx->hold = false;
+	send_poll("d", &r);
+	await(&r);
+	g_assert_cmpint(fx->direct, ==, 1);
+	relay_fixture_close();
+}
+
+/* A relay that doesn't answer is given up, with all its calls. */
+static void test_silent_relay(void)
+{
+	struct result r;
+
+	relay_fixture_open();
+	fx->hold = true;
+	send_start("j", &r);
+	await(&r);
+	g_assert_cmpint(r.started, ==, SCHED_START_UNKNOWN);
+	g_assert_cmpint(relay_client_links(fx->client), ==, 0);
+	relay_fixture_close();
+}
+
+/* The link froze, or the relay did: calls that were under way meanwhile are not
+ * carried out, though their timeouts seem to be ahead. */
+static void test_late_call_is_dropped(void)
+{
+	struct result r;
+
+	relay_fixture_open();
+	send_start("j", &r);
+	await(&r);
+	g_assert_cmpint(r.started, ==, SCHED_START_NO_ROOM);
+	fx->owner_behind_ms = 3000;
+	send_start("j", &r);
+	await(&r);
+	g_assert_cmpint(r.started, ==, SCHED_START_TOO_LATE);
+	send_poll("d", &r);
+	await(&r);
+	g_assert_false(r.acked);
+	g_assert_cmpint(fx->by_relay, ==, 1);
+	g_assert_cmpint(relay_server_dropped(fx->server), ==, 2);
+	relay_fixture_close();
+}
+
+/* A VM that is about to stop gets no further calls. */
+static void test_withdrawn(void)
+{
+	struct result r;
+
+	relay_fixture_open();
+	relay_entry_withdraw(fx->entry);
+	run_for(300);
+	send_poll("d", &r);
+	await(&r);
+	g_assert_cmpint(fx->direct, ==, 1);
+	relay_fixture_close();
+}
+
+/* Rows that another writer made name no relay, and break nothing. */
+static void test_odd_rows(void)
+{
+	static const char *const rows[] = {
+		"",
+		"{}",
+		"[]",
+		"{\"ip\":1,\"port\":2,\"domain\":\"d\"}",
+		"{\"ip\":\"x\",\"port\":70000,\"domain\":\"d\",\"cpu_milli\":"
+		"1}",
+		"{\"ip\":\"no address\",\"port\":7,\"domain\":\"d\","
+		"\"cpu_milli\":9000}",
+	};
+	struct result r;
+	char key[8];
+
+	relay_fixture_open();
+	for (guint i = 0; i < G_N_ELEMENTS(rows); i++) {
+		g_snprintf(key, sizeof(key), "x%u", i);
+		fake_rows_put(&fx->store, RELAY_TABLE, RELAY_PART, key,
+			      rows[i]);
+	}
+	for (int i = 0; i < 10; i++) {
+		relay_client_update(fx->client, &fx->p.s);
+		run_for(30);
+	}
+	send_poll("d", &r);
+	await(&r);
+	g_assert_cmpint(fx->by_relay, ==, 1);
+	relay_fixture_close();
+}
+
+/* Cuts and changes each byte of valid messages: they are rejected or decoded,
+ * and nothing is read beyond them. */
+static void test_malformed_messages(void)
+{
+	struct sched_active active = { .ref = { .job = "k" }, .percent = 40 };
+	struct sched_report report = { .clock_ms = 1,
+				       .n_active = 1,
+				       .active = &active };
+	struct relay_answer answer = { .id = 1, .report = &report };
+	struct relay_call call = { .id = 1,
+				   .kind = RELAY_START,
+				   .to = target("d"),
+				   .ref = { .job = "j", .run = 1 },
+				   .payload = "spec" };
+	void *ctx = talloc_new(NULL);
+
+	for (int kind = 0; kind < 2; kind++) {
+		size_t len;
+		uint8_t *data = kind ? relay_pack_call(ctx, &call, &len)
+				     : relay_pack_answer(ctx, &answer, &len);
+
+		for (size_t n = 0; n < len; n++) {
+			uint8_t *cut = talloc_memdup(ctx, data, n);
+			struct relay_answer a;
+			struct relay_call c;
+
+			g_assert_false(
+				kind ? relay_unpack_call(ctx, cut, n, &c)
+				     : relay_unpack_answer(ctx, cut, n, &a));
+		}
+		for (size_t i = 0; i < len; i++) {
+			for (int v = 0; v < 256; v += 5) {
+				uint8_t *odd = talloc_memdup(ctx, data, len);
+				struct relay_answer a;
+				struct relay_call c;
+
+				odd[i] = (uint8_t)v;
+				if (kind)
+					relay_unpack_call(ctx, odd, len, &c);
+				else
+					relay_unpack_answer(ctx, odd, len, &a);
+				talloc_free(odd);
+			}
+		}
+	}
+	talloc_free(ctx);
+}
+
+void unit_add_relay(void)
+{
+	g_test_add_func("/relay/calls", test_calls);
+	g_test_add_func("/relay/many-jobs", test_many_jobs);
+	g_test_add_func("/relay/relay-ends", test_relay_ends);
+	g_test_add_func("/relay/silent-relay", test_silent_relay);
+	g_test_add_func("/relay/late-call-is-dropped",
+			test_late_call_is_dropped);
+	g_test_add_func("/relay/withdrawn", test_withdrawn);
+	g_test_add_func("/relay/odd-rows", test_odd_rows);
+	g_test_add_func("/relay/malformed-messages", test_malformed_messages);
+}
