Relays: fuzz their messages, forget VMs that are gone for good

Rows of VMs that could not be reached for ten minutes are removed by the owner, in the version that it read; relays are chosen twice a second in place of ten times. A worker that answers counts for its pool's room while its entry is missing from the list.

--- a/src/coordination/sched_demand.c
+++ b/src/coordination/sched_demand.c
@@ -42,10 +42,12 @@
 	}
 }
 
-/* Returns whether tasks may start at the worker, now or once it answers. */
+/* Returns whether tasks may start at the worker, now or once it answers. The
+ * entry of one that answers is missing from the list for a while at most. */
 static bool is_in_use(const struct sched *s, const struct sched_worker *w)
 {
-	return w->listed && !w->row.draining && !w->evacuating &&
+	return (w->listed || (w->reconciled && !w->unreachable)) &&
+	       !w->row.draining && !w->evacuating &&
 	       !(s->domains_out &&
 		 g_hash_table_contains(s->domains_out, w->row.domain));
 }
--- a/src/fleet/relay_client.c
+++ b/src/fleet/relay_client.c
@@ -26,6 +26,11 @@
 /* A relay has this much more than a call's timeout to answer it, in ms. */
 #define ANSWER_SLACK_MS 1500
 #define CHECK_INTERVAL_MS 250
+/* Interval at which relays are chosen, in ms. */
+#define UPDATE_INTERVAL_MS 500
+/* The row of a VM that could not be reached for this long, in ms, is removed: a
+ * VM that is replaced for good has no chance to do that itself. */
+#define FORGET_MS 600000
 
 /* Another VM, and the link to it. */
 struct relay {
@@ -35,6 +40,8 @@
 	bool open;
 	int64_t connecting_ms; /* when the link was begun */
 	int64_t retry_ms; /* not tried before */
+	int64_t failed_ms; /* unreachable since then; 0: it is not */
+	int64_t version; /* of its row */
 	struct relay_payloads payloads; /* valid with a link */
 	GHashTable *calls; /* id to struct pending */
 };
@@ -63,6 +70,7 @@
 	GHashTable *relays; /* VM name to struct relay */
 	GPtrArray *open; /* those with an open link */
 	GHashTable *demand; /* domain to number of workers */
+	int64_t update_due_ms;
 	uint64_t last_id;
 	struct relay_client_counts counts;
 };
@@ -90,6 +98,7 @@
 
 	(void)link;
 	r->open = true;
+	r->failed_ms = 0;
 	g_ptr_array_add(r->client->open, r);
 	log_event(LOG_RELAY, "vm=%s what=connected domain=%s", r->row.vm,
 		  r->row.domain);
@@ -142,6 +151,8 @@
 	r->link = NULL;
 	r->open = false;
 	r->retry_ms = now_ms(r->client) + RETRY_MS;
+	if (!r->failed_ms)
+		r->failed_ms = now_ms(r->client);
 	relay_payloads_finish(&r->payloads);
 	g_hash_table_steal_all(r->calls);
 	for (GList *i = calls; i; i = i->next)
@@ -341,6 +352,33 @@
 	return false;
 }
 
+static void on_forgotten(const struct rows_answer *ans, void *priv)
+{
+	(void)priv;
+	if (ans->result != ROWS_OK)
+		log_event(LOG_ROW_UNUSABLE,
+			  "table=" RELAY_TABLE
+			  " key=- why=\"row of an unreachable VM not removed; "
+			  "the next owner will retry\"");
+}
+
+static void forget_if_gone(struct relay *r, int64_t now)
+{
+	struct rows_change change = { .table = RELAY_TABLE,
+				      .key = r->row.vm,
+				      .remove = true,
+				      .conditional = true,
+				      .expected = r->version };
+	struct rows_tx tx = { .part = RELAY_PART, .n = 1, .changes = &change };
+
+	if (!r->row.port || r->open || !r->failed_ms ||
+	    now - r->failed_ms < FORGET_MS)
+		return;
+	r->row.port = 0;
+	r->client->rows.ops->commit(r->client->rows.self, &tx, on_forgotten,
+				    NULL);
+}
+
 static void check_links(void *priv)
 {
 	struct relay_client *c = priv;
@@ -358,6 +396,7 @@
 
 		if (r->link && (slow || has_overdue_call(r, now)))
 			lnk_close(r->link);
+		forget_if_gone(r, now);
 	}
 }
 
@@ -387,11 +426,14 @@
 		r->client = c;
 		r->calls = g_hash_table_new(g_int64_hash, g_int64_equal);
 		r->row = parsed;
+		r->version = row->version;
 		g_hash_table_insert(c->relays, r->row.vm, r);
 		return;
 	}
 	r->row = parsed;
+	r->version = row->version;
 	r->retry_ms = 0;
+	r->failed_ms = 0;
 }
 
 static void on_synced(int64_t version, int64_t store_ms, void *priv)
@@ -482,8 +524,9 @@
 	if (!c->enabled &&
 	    s->worker_list->len * MILLI_PER_WORKER > (guint)c->self.cpu_milli)
 		enable(c);
-	if (!c->enabled)
+	if (!c->enabled || now_ms(c) < c->update_due_ms)
 		return;
+	c->update_due_ms = now_ms(c) + UPDATE_INTERVAL_MS;
 	g_hash_table_remove_all(c->demand);
 	for (guint i = 0; i < s->worker_list->len; i++) {
 		const struct sched_worker *w =
--- a/tests/fuzz_calls.c
+++ b/tests/fuzz_calls.c
@@ -10,6 +10,7 @@
 #include <talloc.h>
 
 #include "fleet/job_api.h"
+#include "fleet/relay_msg.h"
 #include "pf_http.h"
 #include "pf_decode.h"
 #include "pf_rows.h"
@@ -462,6 +463,34 @@
 	talloc_free(p);
 }
 
+/* What was decoded is encoded and decoded to the same. */
+static void run_relay(const char *text, size_t len)
+{
+	void *ctx = talloc_new(NULL);
+	const uint8_t *data = (const uint8_t *)text;
+	struct relay_call call;
+	struct relay_call again;
+	struct relay_answer answer;
+	uint8_t *packed;
+	size_t n;
+
+	if (relay_unpack_call(ctx, data, len, &call)) {
+		packed = relay_pack_call(ctx, &call, &n);
+		g_assert_true(relay_unpack_call(ctx, packed, n, &again));
+		g_assert_cmpuint(again.id, ==, call.id);
+		g_assert_cmpint(again.kind, ==, call.kind);
+		g_assert_cmpstr(again.to.address, ==, call.to.address);
+		g_assert_cmpstr(again.ref.job, ==, call.ref.job);
+		g_assert_cmpint(again.ref.run, ==, call.ref.run);
+		g_assert_cmpstr(again.payload, ==, call.payload);
+	}
+	if (relay_unpack_answer(ctx, data, len, &answer)) {
+		packed = relay_pack_answer(ctx, &answer, &n);
+		g_assert_true(relay_unpack_answer(ctx, packed, n, &answer));
+	}
+	talloc_free(ctx);
+}
+
 const struct fuzz_target fuzz_call_targets[] = {
 	{ "door", run_frontend },
 	{ "job", run_job },
@@ -471,5 +500,6 @@
 	{ "start", run_start },
 	{ "task", run_task },
 	{ "machines", run_vm_list },
+	{ "relay", run_relay },
 	{ NULL, NULL },
 };
