--- a/src/fleet/relay_client.c
+++ b/src/fleet/relay_client.c
@@ -1,6 +1,7 @@
 /* Chooses relays, and sends them the owner's calls to workers. */
 #include "fleet/relay_client.h"
 
+#include <math.h>
 #include <stdlib.h>
 #include <string.h>
 #include <talloc.h>
@@ -175,29 +176,39 @@
 		r->retry_ms = now_ms(c) + RETRY_MS;
 }
 
+/* Returns a number by which the relay with the highest one is chosen for the
+ * worker, so that each relay gets workers in proportion to its processor. */
+static double preference(const struct relay *r, const char *worker)
+{
+	uint64_t hash = XXH64(r->row.vm, strlen(r->row.vm),
+			      XXH64(worker, strlen(worker), 0));
+	double uniform = ((double)hash + 1) / ((double)UINT64_MAX + 2);
+
+	return (double)r->row.cpu_milli / -log(uniform);
+}
+
 /* Returns the connected relay for the worker: the same one as long as the
  * domain's relays are the same. */
 static struct relay *choose_relay(const struct relay_client *c,
 				  const struct wkr_target *to)
 {
 	struct relay *best = NULL;
-	uint64_t best_hash = 0;
+	double best_preference = 0;
 
 	if (!c->enabled || !to->domain)
 		return NULL;
 	for (guint i = 0; i < c->open->len; i++) {
 		struct relay *r = g_ptr_array_index(c->open, i);
-		uint64_t hash;
+		double p;
 
 		/* A VM without a row is about to stop. */
 		if (!r->row.port || strcmp(r->row.domain, to->domain))
 			continue;
-		hash = XXH64(r->row.vm, strlen(r->row.vm),
-			     XXH64(to->id, strlen(to->id), 0));
-		if (best && hash <= best_hash)
+		p = preference(r, to->id);
+		if (best && p <= best_preference)
 			continue;
 		best = r;
-		best_hash = hash;
+		best_preference = p;
 	}
 	return best;
 }
--- a/tests/unit_relay.c
+++ b/tests/unit_relay.c
@@ -415,6 +415,45 @@
 	relay_fixture_close();
 }
 
+/* A weak VM gets fewer workers than a strong one. */
+static void test_workers_by_processor(void)
+{
+	struct relay_vm_row weak;
+	struct relay_server *server = NULL;
+	struct wkr wkr = { &worker_ops, NULL };
+	struct err e = { 0 };
+	struct result r;
+	int by_weak = 0;
+	char id[16];
+
+	relay_fixture_open();
+	weak = fx->relay;
+	g_strlcpy(weak.vm, "c", sizeof(weak.vm));
+	weak.cpu_milli = 100;
+	wkr.self = &by_weak;
+	for (int i = 0; !server && i < PORTS; i++) {
+		weak.port++;
+		server = relay_server_start(fx->ev, fx->ev, &wkr, &clk_system,
+					    weak.ip, weak.port, &e);
+	}
+	relay_entry_start(fx->ev, fx->timers, &fx->rows, &weak);
+	await_links(2);
+	for (int i = 0; i < 300; i++) {
+		struct wkr_target to = target("d");
+
+		g_snprintf(id, sizeof(id), "w%d", i);
+		to.id = id;
+		memset(&r, 0, sizeof(r));
+		fx->iface.ops->poll(fx->iface.self, &to, 6, 0, on_polled, &r);
+		await(&r);
+	}
+	g_assert_cmpint(fx->by_relay + by_weak, ==, 300);
+	/* 50 workers in proportion. */
+	g_assert_cmpint(by_weak, >, 25);
+	g_assert_cmpint(by_weak, <, 75);
+	relay_fixture_close();
+}
+
 /* Rows that another writer made name no relay, and break nothing. */
 static void test_odd_rows(void)
 {
@@ -504,6 +543,8 @@
 	g_test_add_func("/relay/late-call-is-dropped",
 			test_late_call_is_dropped);
 	g_test_add_func("/relay/withdrawn", test_withdrawn);
+	g_test_add_func("/relay/workers-by-processor",
+			test_workers_by_processor);
 	g_test_add_func("/relay/odd-rows", test_odd_rows);
 	g_test_add_func("/relay/malformed-messages", test_malformed_messages);
 }
