--- a/src/coordination/sched_place.c
+++ b/src/coordination/sched_place.c
@@ -20,6 +20,8 @@
  * serving tasks has to be computed. After so much work on them, passes leave
  * them out for 1 ms, so that they take a few percent of the processor. */
 #define BEST_EFFORT_WORK_PER_MS 2000
+/* Length of a sweep while start commands are held back, in ms. */
+#define HELD_SWEEP_MS 300
 /* A suspect that waits for this long, in ms, runs apart beside others. */
 #define JOIN_AFTER_MS 2000
 
@@ -344,6 +346,22 @@
 	return s->pass_work - s->counts.starts * START_WORK;
 }
 
+/*
+ * Begins the next sweep once all steps were reached. A sweep reaches each step
+ * once: tasks that workers refuse again and again can't use up the passes of
+ * other steps. While commands are held back, passes may never reach all, so
+ * that those whose turn came to nothing get another one after a while.
+ */
+static void end_sweep(struct sched *s, bool reached_all, int64_t now_ms)
+{
+	if (s->starts_held ? now_ms - s->sweep_began_ms < HELD_SWEEP_MS
+			   : !reached_all)
+		return;
+	s->sweep++;
+	s->sweep_began_ms = now_ms;
+	s->reservations_old = true;
+}
+
 void sched_place(struct sched *s, int64_t now_ms)
 {
 	struct sched_candidates c;
@@ -380,12 +398,7 @@
 		ranks[reached - 1].step->sweep = 0;
 	if (!s->starts_held)
 		place_starved(&c, ranks, n);
-	/* A sweep reaches each step once: tasks that workers refuse again and
-	 * again can't use up the passes of other steps. */
-	if (reached == n && !s->starts_held) {
-		s->sweep++;
-		s->reservations_old = true;
-	}
+	end_sweep(s, reached == n, now_ms);
 	sched_candidates_finish(&c);
 	talloc_free(ranks);
 }
--- a/src/coordination/sched_types.h
+++ b/src/coordination/sched_types.h
@@ -408,6 +408,7 @@
 	int64_t best_effort_due_ms; /* passes before skip best-effort tasks */
 	int64_t waits_logged_ms; /* see sched_check_waits() */
 	int64_t sweep; /* numbers the sweeps of placement, see sched_place() */
+	int64_t sweep_began_ms;
 	bool reservations_old; /* they are of an earlier sweep */
 	int64_t pass_work; /* done by the pass, see PASS_WORK_MAX */
 	enum sched_ownership ownership;
--- a/tests/unit_links.c
+++ b/tests/unit_links.c
@@ -271,6 +271,44 @@
 	fixture_close(&p);
 }
 
+/*
+ * Guards against a task that is never placed: nothing could start when its turn
+ * came, as after an outage, and from then on the link is always full of others'
+ * starts.
+ */
+static void test_full_link_keeps_turns(void)
+{
+	struct sched_fixture p;
+	char id[16];
+	bool started = false;
+
+	fixture_open(&p, 1, NULL);
+	fixture_add_worker(&p, "w", "r");
+	fixture_poll(&p, "w", NULL, 0, NULL, 0, 10);
+	fixture_worker(&p, "w")->row.total.cpu_milli = 1000000;
+	fixture_worker(&p, "w")->row.total.mem_mib = 1000000;
+	fixture_worker(&p, "w")->unreachable = true;
+	fixture_add_job(&p, fixture_spec("a", "short", 1, 1));
+	for (int i = 0; i < 50; i++) {
+		g_snprintf(id, sizeof(id), "b%d", i);
+		fixture_add_job(&p, fixture_spec(id, "long", 1, 4));
+	}
+	p.s.start_room.commands = 2;
+	for (GList *i = p.s.ready_steps.head; i; i = i->next)
+		((struct sched_step *)i->data)->sweep =
+			i == p.s.ready_steps.head ? p.s.sweep : 0;
+	fixture_worker(&p, "w")->unreachable = false;
+	for (int64_t now = 100; now < 1000; now += 20) {
+		p.s.start_room.commands = 2;
+		sched_place(&p.s, now);
+	}
+	for (guint i = 0; i < p.starts->len; i++)
+		started |= !strcmp(fixture_start(&p, i)->ref.job, "a");
+	g_assert_true(started);
+	g_assert_cmpuint(p.starts->len, ==, 90);
+	fixture_close(&p);
+}
+
 void unit_add_links(void)
 {
 	g_test_add_func("/links/late-answer-is-used", test_late_answer_is_used);
@@ -278,4 +316,6 @@
 	g_test_add_func("/links/freed-while-late", test_freed_while_late);
 	g_test_add_func("/links/starts-fit-the-link", test_starts_fit_the_link);
 	g_test_add_func("/links/order-while-full", test_order_while_full);
+	g_test_add_func("/links/full-link-keeps-turns",
+			test_full_link_keeps_turns);
 }
