--- a/src/coordination/sched.h
+++ b/src/coordination/sched.h
@@ -164,8 +164,8 @@
  * core; negative if they have too much. */
 int64_t sched_lasting_room(const struct sched_pool_demand *d);
 
-/* Returns about how many bytes it takes to send a start command of the job. */
-int64_t sched_start_bytes(const struct sched_job *job);
+/* Returns about how many bytes it takes to send a start command of the step. */
+int64_t sched_start_bytes(const struct sched *s, const struct sched_step *step);
 
 /* Returns whether the job is done, failed or cancelled. */
 bool sched_job_has_ended(const struct sched_job *job);
--- a/src/coordination/sched_place.c
+++ b/src/coordination/sched_place.c
@@ -13,6 +13,8 @@
 /* Bytes of a start command, and of the call that carries it, beside the
  * payload. */
 #define START_OVERHEAD_BYTES 500
+/* The same of a message to a relay. */
+#define RELAYED_OVERHEAD_BYTES 200
 /* A best-effort job that waits for this long, in ms, while nothing of it runs,
  * starts one task where serving tasks slow it down or pause it. */
 #define STARVED_MS 5000
@@ -33,9 +35,17 @@
 	return !t->done && !t->runs && now_ms >= t->not_before_ms;
 }
 
-int64_t sched_start_bytes(const struct sched_job *job)
+int64_t sched_start_bytes(const struct sched *s, const struct sched_step *step)
 {
-	return START_OVERHEAD_BYTES + (int64_t)strlen(job->spec->payload);
+	int64_t payload = (int64_t)strlen(step->round->job->spec->payload);
+	int64_t tasks = step->def->tasks;
+
+	if (!s->relays)
+		return START_OVERHEAD_BYTES + payload;
+	/* Each relay gets the payload once. */
+	if (tasks > s->relays)
+		payload = payload * s->relays / tasks;
+	return RELAYED_OVERHEAD_BYTES + payload;
 }
 
 static void start_task(struct sched *s, struct sched_task *t,
@@ -54,7 +64,7 @@
 	sched_run_ref(run, &ref);
 	s->ops->log_decision(s->priv, "start", &ref, w,
 			     t->checkpoint ? "resumes" : "afresh");
-	s->start_room.bytes -= sched_start_bytes(t->step->round->job);
+	s->start_room.bytes -= sched_start_bytes(s, t->step);
 	s->start_room.commands--;
 	s->ops->start(s->priv, run, &ref);
 }
--- a/src/coordination/sched_types.h
+++ b/src/coordination/sched_types.h
@@ -421,6 +421,7 @@
 	int64_t demand_measured_ms;
 	/* For the next pass; it ends early when there is no more. */
 	struct sched_start_room start_room;
+	int32_t relays; /* that send the commands; 0: they are sent directly */
 	bool starts_held; /* the last pass ended early for that */
 	struct interfere interfere;
 	/* Workers that fell silent with runs (struct lost_worker); whether they
--- a/src/fleet/shard_ctl.c
+++ b/src/fleet/shard_ctl.c
@@ -99,6 +99,8 @@
 		return;
 	update_ownership(sc);
 	sc->sched.start_room = wkr_links_start_room(sc->links);
+	if (sc->f->relay_client)
+		sc->sched.relays = relay_client_links(sc->f->relay_client);
 	sched_place(&sc->sched, began);
 	sc->placement_took_ms = mono_ms(sc) - began;
 	if (sc->sched.dirty_jobs.length)
@@ -147,7 +149,7 @@
 	struct shard_ctl *sc = priv;
 
 	wkr_links_start_task(sc->links, run->worker->row.id, ref,
-			     sched_start_bytes(run->task->step->round->job));
+			     sched_start_bytes(&sc->sched, run->task->step));
 }
 
 static void do_stop(void *priv, struct sched_run *run,
