Check one worker for unstored ends, not all at each answer

Each status report made the owner look at all workers for ends that are not stored yet: reports times workers, at 3,000 workers some 6,000 times 3,000 looks a second (worked out). Now only the worker that reported: the others' ends had their commit requested when they came.

--- a/src/fleet/shard_ctl.c
+++ b/src/fleet/shard_ctl.c
@@ -117,28 +117,17 @@
 			tmr_after(sc->f->timers, pause_ms, on_place_due, sc);
 }
 
-static void on_changed(void *priv)
+static void on_changed(const struct sched_worker *w, void *priv)
 {
 	struct shard_ctl *sc = priv;
-	GHashTableIter it;
-	gpointer value;
+	/* Ends that made no job dirty must be acknowledged too, which follows
+	 * the next commit. Those of other workers had theirs requested. */
+	bool has_unstored_ends = w && w->seen_seq > w->durable_seq;
 
 	shard_ctl_place_soon(sc);
-	if (sc->sched.dirty_jobs.length || sc->sched.roster_dirty) {
+	if (sc->sched.dirty_jobs.length || sc->sched.roster_dirty ||
+	    has_unstored_ends)
 		owner_request_commit(sc->owner);
-		return;
-	}
-	/* Ends that made no job dirty must be acknowledged too, which follows
-	 * the next commit. */
-	g_hash_table_iter_init(&it, sc->sched.workers);
-	while (g_hash_table_iter_next(&it, NULL, &value)) {
-		struct sched_worker *w = value;
-
-		if (w->seen_seq > w->durable_seq) {
-			owner_request_commit(sc->owner);
-			return;
-		}
-	}
 }
 
 static const struct wkr_links_ops links_ops = { .changed = on_changed };
--- a/src/fleet/wkr_links.c
+++ b/src/fleet/wkr_links.c
@@ -295,7 +295,7 @@
 	report.fence = c->fence;
 	sched_poll_answered(wl->links->sched, w, &report, now_ms(wl->links),
 			    clk_wall_ms(wl->links->clk));
-	wl->links->ops->changed(wl->links->priv);
+	wl->links->ops->changed(w, wl->links->priv);
 	poll_after(wl, POLL_GAP_MS);
 }
 
@@ -443,7 +443,7 @@
 		sched_start_answered(wl->links->sched, &c->ref, wl->id, res,
 				     now_ms(wl->links));
 		if (res != SCHED_START_OK || wl->links->sched->starts_held)
-			wl->links->ops->changed(wl->links->priv);
+			wl->links->ops->changed(NULL, wl->links->priv);
 		command_ended(wl);
 	}
 	free(c);
--- a/src/fleet/wkr_links.h
+++ b/src/fleet/wkr_links.h
@@ -15,8 +15,8 @@
 
 struct wkr_links_ops {
 	/* The scheduler has new state of a worker: tasks may have ended, and
-	 * room may be free. */
-	void (*changed)(void *priv);
+	 * room may be free. `w` is NULL if there was no report. */
+	void (*changed)(const struct sched_worker *w, void *priv);
 };
 
 /* What this VM may use to send commands. */
--- a/tests/unit_links.c
+++ b/tests/unit_links.c
@@ -26,6 +26,7 @@
 	GQueue starts; /* struct call, unanswered */
 	int64_t start_bytes; /* of these */
 	int n_starts;
+	char changed[SCHED_ID_MAX]; /* the worker whose report came last */
 };
 
 /* A call in flight. */
@@ -94,7 +95,15 @@
 	g_free(c);
 }
 
-static void on_changed(void *priv)
+static void on_changed(const struct sched_worker *w, void *priv)
+{
+	struct links_fixture *fx = priv;
+
+	if (w)
+		g_strlcpy(fx->changed, w->row.id, sizeof(fx->changed));
+}
+
+static void do_nothing(void *priv)
 {
 	(void)priv;
 }
@@ -134,7 +143,7 @@
 {
 	int64_t until_ms = clk_mono_ms(&clk_system) + ms;
 
-	tmr_after(fx->timers, ms, on_changed, NULL);
+	tmr_after(fx->timers, ms, do_nothing, NULL);
 	while (clk_mono_ms(&clk_system) < until_ms)
 		tevent_loop_once(fx->ev);
 }
@@ -158,6 +167,7 @@
 	while (!w->reconciled && clk_mono_ms(&clk_system) < deadline_ms)
 		tevent_loop_once(fx.ev);
 	g_assert_true(w->reconciled);
+	g_assert_cmpstr(fx.changed, ==, "w");
 	g_assert_cmpint(fx.polls_open_max, <=, 3);
 	links_fixture_close(&fx);
 }
