--- a/src/state/row_watch.c
+++ b/src/state/row_watch.c
@@ -11,6 +11,9 @@
 
 /* Pause after a failed call, in ms: a tenth of the shortest time bound. */
 #define RETRY_MS 250
+/* An answer with so many changes may not have all: the store limits pages to as
+ * many rows. The next call follows at once. */
+#define FULL_ANSWER_ROWS 500
 #define PART_MAX 64
 
 /* Context of a call in flight; outlives a watch that is freed meanwhile. */
@@ -193,7 +196,7 @@
 	}
 	w->version = ans->version;
 	w->ops->synced(w->version, ans->now_ms, w->priv);
-	schedule_call(w, w->opt.gap_ms);
+	schedule_call(w, ans->n >= FULL_ANSWER_ROWS ? 0 : w->opt.gap_ms);
 }
 
 static void send_call(void *priv)
--- a/tests/unit_state.c
+++ b/tests/unit_state.c
@@ -337,6 +337,44 @@
 	g_hash_table_destroy(s.rows);
 }
 
+#define FULL_ANSWER 500
+#define LONG_GAP_MS 3000
+
+/*
+ * Guards against a watch that falls behind: more changes come in the pause
+ * between two calls than one answer holds, as with the entries of 3,000
+ * workers.
+ */
+static void test_row_watch_full_answer(void)
+{
+	struct owner_fixture f;
+	struct watched_rows s = { g_hash_table_new_full(g_str_hash, g_str_equal,
+							g_free, g_free),
+				  0, 0 };
+	struct row_watch_options opt = {
+		.table = "t", .part = "j", .wait_ms = 1, .gap_ms = LONG_GAP_MS
+	};
+	struct rows rows;
+	char key[8];
+	int64_t began;
+
+	owner_fixture_open(&f);
+	rows = fake_rows_iface(&f.store);
+	row_watch_start(f.ev, &rows, f.timers, &opt, &row_watch_ops, &s);
+	wait_for_count(&f, &s.synced, 1);
+	for (int i = 0; i < FULL_ANSWER; i++) {
+		g_snprintf(key, sizeof(key), "k%d", i);
+		fake_rows_put(&f.store, "t", "j", key, "1");
+	}
+	wait_for_count(&f, &s.synced, 2);
+	g_assert_cmpuint(g_hash_table_size(s.rows), ==, FULL_ANSWER);
+	began = clk_mono_ms(&clk_system);
+	wait_for_count(&f, &s.synced, 3);
+	g_assert_cmpint(clk_mono_ms(&clk_system) - began, <, LONG_GAP_MS / 2);
+	owner_fixture_close(&f);
+	g_hash_table_destroy(s.rows);
+}
+
 /* The watched store, and the dates of the first two reports. */
 struct watched_clock {
 	struct fake_rows *store;
@@ -504,6 +542,8 @@
 			test_confirmed_since_first_try);
 	g_test_add_func("/state/strong-comes-first", test_strong_comes_first);
 	g_test_add_func("/state/follow", test_row_watch);
+	g_test_add_func("/state/row-watch-full-answer",
+			test_row_watch_full_answer);
 	g_test_add_func("/state/row-watch-dates", test_row_watch_dates);
 	g_test_add_func("/state/row-watch-lagging", test_row_watch_lagging);
 	g_test_add_func("/state/row-watch-after-failure",
