Ping relays, and leave a silent one before leases expire

Cause: a relay's silence showed only by a call that was overdue, and a poll may take 3.2 s and more, so that a frozen relay was left after 5 to 6 s: its workers' leases of 6 s would have expired and their tasks been given up, where before relays the freeze of another VM cost nothing.

Change: each check pings the open links; a relay that sends nothing for 2.5 s is given up, unless this VM itself stood still. /relay/frozen-relay failed before (60 s with a call of that length).

--- a/src/fleet/relay_client.c
+++ b/src/fleet/relay_client.c
@@ -27,6 +27,10 @@
 /* A relay has this much more than a call's timeout to answer it, in ms. */
 #define ANSWER_SLACK_MS 1500
 #define CHECK_INTERVAL_MS 250
+/* A relay that sends nothing for so long, in ms, though it is pinged at each
+ * check, is given up: well before the leases of its workers expire. */
+#define SILENCE_MAX_MS 2500
+#define PING_ID 0
 /* Interval at which relays are chosen, in ms. */
 #define UPDATE_INTERVAL_MS 500
 /* The row of a VM that could not be reached for this long, in ms, is removed: a
@@ -39,6 +43,7 @@
 	struct relay_vm_row row;
 	struct lnk *link; /* NULL: none */
 	bool open;
+	int64_t received_ms; /* when its last message came */
 	int64_t connecting_ms; /* when the link was begun */
 	int64_t retry_ms; /* not tried before */
 	int64_t failed_ms; /* unreachable since then; 0: it is not */
@@ -68,6 +73,7 @@
 	bool enabled;
 	struct row_watch *watch;
 	struct tmr *check_timer;
+	int64_t checked_ms;
 	GHashTable *relays; /* VM name to struct relay */
 	GPtrArray *open; /* those with an open link */
 	GHashTable *demand; /* domain to number of workers */
@@ -99,6 +105,7 @@
 
 	(void)link;
 	r->open = true;
+	r->received_ms = now_ms(r->client);
 	r->failed_ms = 0;
 	g_ptr_array_add(r->client->open, r);
 	log_event(LOG_RELAY, "vm=%s what=connected domain=%s", r->row.vm,
@@ -122,6 +129,7 @@
 		talloc_free(tmp);
 		return;
 	}
+	r->received_ms = now_ms(r->client);
 	call = g_hash_table_lookup(r->calls, &answer.id);
 	if (call) {
 		g_hash_table_steal(r->calls, &answer.id);
@@ -237,32 +245,45 @@
 	talloc_free(data);
 }
 
+/* Sends the call to a relay. Returns NULL if there is none for the worker. The
+ * caller sets the callback. */
+static struct pending *try_relay(struct relay_client *c,
+				 struct relay_call *call, const char *payload,
+				 void *priv)
+{
+	struct relay *r = choose_relay(c, &call->to);
+	struct pending *p;
+
+	if (!r) {
+		c->counts.direct++;
+		return NULL;
+	}
+	if (payload && !relay_payloads_find(&r->payloads, call->ref.job)) {
+		call->payload = payload;
+		relay_payloads_add(&r->payloads, call->ref.job, "");
+	}
+	p = new_pending(r, call);
+	p->priv = priv;
+	send_call(r, call);
+	return p;
+}
+
 static void client_start(void *self, const struct wkr_target *to,
 			 const struct wkr_start_cmd *cmd, wkr_start_cb done,
 			 void *priv)
 {
 	struct relay_client *c = self;
-	struct relay *r = choose_relay(c, to);
 	struct relay_call call = { .kind = RELAY_START,
 				   .to = *to,
 				   .ref = *cmd->ref,
 				   .checkpoint = cmd->checkpoint,
 				   .ticket = cmd->ticket };
-	struct pending *p;
+	struct pending *p = try_relay(c, &call, cmd->payload, priv);
 
-	if (!r) {
-		c->counts.direct++;
+	if (p)
+		p->started = done;
+	else
 		c->direct.ops->start(c->direct.self, to, cmd, done, priv);
-		return;
-	}
-	if (!relay_payloads_find(&r->payloads, cmd->ref->job)) {
-		call.payload = cmd->payload;
-		relay_payloads_add(&r->payloads, cmd->ref->job, "");
-	}
-	p = new_pending(r, &call);
-	p->started = done;
-	p->priv = priv;
-	send_call(r, &call);
 }
 
 static void client_stop(void *self, const struct wkr_target *to,
@@ -270,19 +291,13 @@
 			void *priv)
 {
 	struct relay_client *c = self;
-	struct relay *r = choose_relay(c, to);
 	struct relay_call call = { .kind = RELAY_STOP, .to = *to, .ref = *ref };
-	struct pending *p;
+	struct pending *p = try_relay(c, &call, NULL, priv);
 
-	if (!r) {
-		c->counts.direct++;
+	if (p)
+		p->answered = done;
+	else
 		c->direct.ops->stop(c->direct.self, to, ref, done, priv);
-		return;
-	}
-	p = new_pending(r, &call);
-	p->answered = done;
-	p->priv = priv;
-	send_call(r, &call);
 }
 
 static void client_pace(void *self, const struct wkr_target *to,
@@ -290,22 +305,16 @@
 			wkr_ack_cb done, void *priv)
 {
 	struct relay_client *c = self;
-	struct relay *r = choose_relay(c, to);
 	struct relay_call call = {
 		.kind = RELAY_PACE, .to = *to, .ref = *ref, .percent = percent
 	};
-	struct pending *p;
+	struct pending *p = try_relay(c, &call, NULL, priv);
 
-	if (!r) {
-		c->counts.direct++;
+	if (p)
+		p->answered = done;
+	else
 		c->direct.ops->pace(c->direct.self, to, ref, percent, done,
 				    priv);
-		return;
-	}
-	p = new_pending(r, &call);
-	p->answered = done;
-	p->priv = priv;
-	send_call(r, &call);
 }
 
 static void client_poll(void *self, const struct wkr_target *to,
@@ -313,23 +322,17 @@
 			void *priv)
 {
 	struct relay_client *c = self;
-	struct relay *r = choose_relay(c, to);
 	struct relay_call call = { .kind = RELAY_POLL,
 				   .to = *to,
 				   .durable_seq = durable_seq,
 				   .wait_ms = wait_ms };
-	struct pending *p;
+	struct pending *p = try_relay(c, &call, NULL, priv);
 
-	if (!r) {
-		c->counts.direct++;
+	if (p)
+		p->polled = done;
+	else
 		c->direct.ops->poll(c->direct.self, to, durable_seq, wait_ms,
 				    done, priv);
-		return;
-	}
-	p = new_pending(r, &call);
-	p->polled = done;
-	p->priv = priv;
-	send_call(r, &call);
 }
 
 static void client_advise(void *self, const struct sched_ref *step,
@@ -363,6 +366,22 @@
 	return false;
 }
 
+static bool is_silent(const struct relay *r, int64_t now)
+{
+	return (r->open && now - r->received_ms > SILENCE_MAX_MS) ||
+	       has_overdue_call(r, now);
+}
+
+static void send_ping(struct relay *r, int64_t now)
+{
+	struct relay_call ping = { .id = PING_ID,
+				   .kind = RELAY_PING,
+				   .sent_ms = now,
+				   .to = { .id = "", .address = "" } };
+
+	send_call(r, &ping);
+}
+
 static void on_forgotten(const struct rows_answer *ans, void *priv)
 {
 	(void)priv;
@@ -394,9 +413,12 @@
 {
 	struct relay_client *c = priv;
 	int64_t now = now_ms(c);
+	/* This VM stood still: what arrived meanwhile is not read yet. */
+	bool is_late = now - c->checked_ms > 2 * CHECK_INTERVAL_MS;
 	GHashTableIter it;
 	gpointer value;
 
+	c->checked_ms = now;
 	c->check_timer =
 		tmr_after(c->timers, CHECK_INTERVAL_MS, check_links, c);
 	g_hash_table_iter_init(&it, c->relays);
@@ -405,8 +427,12 @@
 		bool slow = r->link && !r->open &&
 			    now - r->connecting_ms > CONNECT_MAX_MS;
 
-		if (r->link && (slow || has_overdue_call(r, now)))
+		if (is_late)
+			r->received_ms = now;
+		if (r->link && (slow || is_silent(r, now)))
 			lnk_close(r->link);
+		else if (r->open)
+			send_ping(r, now);
 		forget_if_gone(r, now);
 	}
 }
--- a/src/fleet/relay_msg.c
+++ b/src/fleet/relay_msg.c
@@ -169,7 +169,7 @@
 	    MSGPACK_UNPACK_SUCCESS)
 		r = read_list(&msg.data, CALL_FIELDS);
 	out->id = (uint64_t)read_int(&r, 0, INT64_MAX);
-	out->kind = (enum relay_kind)read_int(&r, RELAY_START, RELAY_POLL);
+	out->kind = (enum relay_kind)read_int(&r, RELAY_START, RELAY_PING);
 	out->sent_ms = read_int(&r, INT64_MIN, INT64_MAX);
 	out->to.id = read_text(&r, ctx, false);
 	out->to.address = read_text(&r, ctx, false);
--- a/src/fleet/relay_msg.h
+++ b/src/fleet/relay_msg.h
@@ -8,7 +8,14 @@
 
 #include "fleet/wkr.h"
 
-enum relay_kind { RELAY_START, RELAY_STOP, RELAY_PACE, RELAY_POLL };
+/* RELAY_PING is answered at once, without a call. */
+enum relay_kind {
+	RELAY_START,
+	RELAY_STOP,
+	RELAY_PACE,
+	RELAY_POLL,
+	RELAY_PING,
+};
 
 /* A call of struct wkr_ops. Strings are valid as long as their message. */
 struct relay_call {
--- a/src/fleet/relay_server.c
+++ b/src/fleet/relay_server.c
@@ -166,6 +166,9 @@
 		wkr->ops->pace(wkr->self, &call->to, &call->ref, call->percent,
 			       on_ack, run);
 		return true;
+	case RELAY_PING:
+		on_ack(true, run);
+		return true;
 	case RELAY_POLL:
 		wkr->ops->poll(wkr->self, &call->to, call->durable_seq,
 			       call->wait_ms, on_polled, run);
--- a/tests/unit_relay.c
+++ b/tests/unit_relay.c
@@ -10,6 +10,7 @@
 #include "tests/fake_rows.h"
 #include "tests/sched_fixture.h"
 #include "tests/unit.h"
+#include "transport/lnk.h"
 
 #define TIMEOUT_MS 10000
 #define WORKERS 10
@@ -379,6 +380,59 @@
 	relay_fixture_close();
 }
 
+static void ignore_frame(struct lnk *link, const uint8_t *data, size_t len,
+			 void *priv)
+{
+	(void)link;
+	(void)data;
+	(void)len;
+	(void)priv;
+}
+
+static void ignore_close(struct lnk *link, void *priv)
+{
+	(void)link;
+	(void)priv;
+}
+
+/* A relay that is frozen, or whose link went silent, is left long before the
+ * leases of its workers expire, however long its calls may take. */
+static void test_frozen_relay(void)
+{
+	static const struct lnk_ops ops = { NULL, ignore_frame, ignore_close };
+	struct wkr_target to = target("e");
+	struct relay_vm_row frozen;
+	struct lnk_srv *srv = NULL;
+	struct err e = { 0 };
+	struct result r = { 0 };
+	int64_t began;
+
+	relay_fixture_open();
+	frozen = fx->relay;
+	g_strlcpy(frozen.vm, "c", sizeof(frozen.vm));
+	g_strlcpy(frozen.domain, "e", sizeof(frozen.domain));
+	for (int i = 0; !srv && i < PORTS; i++) {
+		frozen.port++;
+		srv = lnk_listen(fx->ev, fx->ev, frozen.ip, frozen.port, &ops,
+				 NULL, &e);
+	}
+	relay_entry_start(fx->ev, fx->timers, &fx->rows, &frozen);
+	fixture_add_worker(&fx->p, "x", "r");
+	g_strlcpy(fixture_worker(&fx->p, "x")->row.domain, "e",
+		  sizeof(frozen.domain));
+	await_links(2);
+	began = clk_mono_ms(&clk_system);
+	to.timeout_ms = 60000;
+	fx->iface.ops->poll(fx->iface.self, &to, 6, 0, on_polled, &r);
+	await(&r);
+	g_assert_false(r.acked);
+	g_assert_cmpint(clk_mono_ms(&clk_system) - began, <, 4000);
+	/* The sound relay was not given up. */
+	g_assert_cmpint(relay_client_links(fx->client), ==, 1);
+	g_assert_cmpint(relay_client_counts(fx->client)->links_lost, ==, 1);
+	relay_fixture_close();
+}
+
 /* The link froze, or the relay did: calls that were under way meanwhile are not
  * carried out, though their timeouts seem to be ahead. */
 static void test_late_call_is_dropped(void)
@@ -540,6 +594,7 @@
 	g_test_add_func("/relay/many-jobs", test_many_jobs);
 	g_test_add_func("/relay/relay-ends", test_relay_ends);
 	g_test_add_func("/relay/silent-relay", test_silent_relay);
+	g_test_add_func("/relay/frozen-relay", test_frozen_relay);
 	g_test_add_func("/relay/late-call-is-dropped",
 			test_late_call_is_dropped);
 	g_test_add_func("/relay/withdrawn", test_withdrawn);
