--- a/src/fleet/relay_client.c
+++ b/src/fleet/relay_client.c
@@ -1,5 +1,5 @@
 /* Chooses relays, and sends them the owner's calls to workers. */
-#include "fleet/relay_client.h"
+#include "fleet/relay_int.h"
 
 #include <math.h>
 #include <stdlib.h>
@@ -8,8 +8,6 @@
 #include <xxhash.h>
 
 #include "base/log.h"
-#include "fleet/relay_msg.h"
-#include "state/row_watch.h"
 #include "transport/lnk.h"
 
 #define WATCH_WAIT_MS 10000
@@ -52,36 +50,6 @@
 	GHashTable *calls; /* id to struct pending */
 };
 
-/* A call that a relay has not answered. */
-struct pending {
-	uint64_t id;
-	enum relay_kind kind;
-	int64_t deadline_ms;
-	wkr_start_cb started; /* the one of the kind is set */
-	wkr_ack_cb answered;
-	wkr_poll_cb polled;
-	void *priv;
-};
-
-struct relay_client {
-	struct tevent_context *ev;
-	struct tmr_set *timers;
-	const struct clk *clk;
-	struct rows rows;
-	struct wkr direct;
-	struct relay_vm_row self;
-	bool enabled;
-	struct row_watch *watch;
-	struct tmr *check_timer;
-	int64_t checked_ms;
-	GHashTable *relays; /* VM name to struct relay */
-	GPtrArray *open; /* those with an open link */
-	GHashTable *demand; /* domain to number of workers */
-	int64_t update_due_ms;
-	uint64_t last_id;
-	struct relay_client_counts counts;
-};
-
 static int64_t now_ms(const struct relay_client *c)
 {
 	return clk_mono_ms(c->clk);
@@ -245,11 +213,8 @@
 	talloc_free(data);
 }
 
-/* Sends the call to a relay. Returns NULL if there is none for the worker. The
- * caller sets the callback. */
-static struct pending *try_relay(struct relay_client *c,
-				 struct relay_call *call, const char *payload,
-				 void *priv)
+struct pending *relay_try(struct relay_client *c, struct relay_call *call,
+			  const char *payload, void *priv)
 {
 	struct relay *r = choose_relay(c, &call->to);
 	struct pending *p;
@@ -268,91 +233,6 @@
 	return p;
 }
 
-static void client_start(void *self, const struct wkr_target *to,
-			 const struct wkr_start_cmd *cmd, wkr_start_cb done,
-			 void *priv)
-{
-	struct relay_client *c = self;
-	struct relay_call call = { .kind = RELAY_START,
-				   .to = *to,
-				   .ref = *cmd->ref,
-				   .checkpoint = cmd->checkpoint,
-				   .ticket = cmd->ticket };
-	struct pending *p = try_relay(c, &call, cmd->payload, priv);
-
-	if (p)
-		p->started = done;
-	else
-		c->direct.ops->start(c->direct.self, to, cmd, done, priv);
-}
-
-static void client_stop(void *self, const struct wkr_target *to,
-			const struct sched_ref *ref, wkr_ack_cb done,
-			void *priv)
-{
-	struct relay_client *c = self;
-	struct relay_call call = { .kind = RELAY_STOP, .to = *to, .ref = *ref };
-	struct pending *p = try_relay(c, &call, NULL, priv);
-
-	if (p)
-		p->answered = done;
-	else
-		c->direct.ops->stop(c->direct.self, to, ref, done, priv);
-}
-
-static void client_pace(void *self, const struct wkr_target *to,
-			const struct sched_ref *ref, int32_t percent,
-			wkr_ack_cb done, void *priv)
-{
-	struct relay_client *c = self;
-	struct relay_call call = {
-		.kind = RELAY_PACE, .to = *to, .ref = *ref, .percent = percent
-	};
-	struct pending *p = try_relay(c, &call, NULL, priv);
-
-	if (p)
-		p->answered = done;
-	else
-		c->direct.ops->pace(c->direct.self, to, ref, percent, done,
-				    priv);
-}
-
-static void client_poll(void *self, const struct wkr_target *to,
-			int64_t durable_seq, int64_t wait_ms, wkr_poll_cb done,
-			void *priv)
-{
-	struct relay_client *c = self;
-	struct relay_call call = { .kind = RELAY_POLL,
-				   .to = *to,
-				   .durable_seq = durable_seq,
-				   .wait_ms = wait_ms };
-	struct pending *p = try_relay(c, &call, NULL, priv);
-
-	if (p)
-		p->polled = done;
-	else
-		c->direct.ops->poll(c->direct.self, to, durable_seq, wait_ms,
-				    done, priv);
-}
-
-static void client_advise(void *self, const struct sched_ref *step,
-			  const char *const *ids, int32_t n, wkr_advice_cb done,
-			  void *priv)
-{
-	struct relay_client *c = self;
-
-	c->direct.ops->advise(c->direct.self, step, ids, n, done, priv);
-}
-
-struct wkr relay_client_iface(struct relay_client *c)
-{
-	static const struct wkr_ops ops = { client_start, client_stop,
-					    client_pace, client_poll,
-					    client_advise };
-
-	return (struct wkr){ &ops, c };
-}
-
 static bool has_overdue_call(const struct relay *r, int64_t now)
 {
 	GHashTableIter it;
