--- a/src/fleet/admission.c
+++ b/src/fleet/admission.c
@@ -100,9 +100,9 @@
 	int64_t changed_ms;
 
 	*out = (struct admission){ 0 };
-	if (!q)
-		return;
 	sc = f->shard_ctls[fleet_shard_of(f, spec->id)];
+	if (!q || !sc)
+		return;
 	row = shard_ctl_owner_row(sc, &changed_ms);
 	admission_decide(row, shard_ctl_pending_age_ms(sc), q->pool, spec, out);
 }
