--- a/src/fleet/relay_msg.c
+++ b/src/fleet/relay_msg.c
@@ -69,6 +69,8 @@
 
 	if (o && o->type == MSGPACK_OBJECT_NIL && may_be_nil)
 		return NULL;
+	if (o && o->type == MSGPACK_OBJECT_STR && !o->via.str.size)
+		return "";
 	if (!o || o->type != MSGPACK_OBJECT_STR ||
 	    memchr(o->via.str.ptr, '\0', o->via.str.size)) {
 		r->bad = true;
@@ -86,7 +88,9 @@
 		r->bad = true;
 		return;
 	}
-	memcpy(out, o->via.str.ptr, o->via.str.size);
+	/* An empty text has no address. */
+	if (o->via.str.size)
+		memcpy(out, o->via.str.ptr, o->via.str.size);
 	out[o->via.str.size] = '\0';
 }
 
--- a/src/fleet/wkr_links.c
+++ b/src/fleet/wkr_links.c
@@ -168,13 +168,15 @@
 
 static struct sched_start_room window_of(const struct wkr_capacity *capacity)
 {
-	int64_t commands = capacity->cpu_milli * CALLS_PER_CORE_MS *
-			   START_WINDOW_MS / 1000;
-
-	return (struct sched_start_room){
-		.bytes = capacity->link_kbit_s * START_WINDOW_MS / 8,
-		.commands = MAX(commands, 1),
-	};
+	struct sched_start_room w = { INT64_MAX, INT64_MAX };
+
+	if (capacity->link_kbit_s)
+		w.bytes = capacity->link_kbit_s * START_WINDOW_MS / 8;
+	if (capacity->cpu_milli)
+		w.commands = MAX(capacity->cpu_milli * CALLS_PER_CORE_MS *
+					 START_WINDOW_MS / 1000,
+				 1);
+	return w;
 }
 
 struct wkr_links *wkr_links_start(void *ctx, struct sched *sched,
--- a/src/fleet/wkr_links.h
+++ b/src/fleet/wkr_links.h
@@ -19,7 +19,7 @@
 	void (*changed)(const struct sched_worker *w, void *priv);
 };
 
-/* What this VM may use to send commands. */
+/* What this VM may use to send commands; 0: unknown, and no limit. */
 struct wkr_capacity {
 	int64_t link_kbit_s;
 	int64_t cpu_milli; /* thousandths of a core */
