--- a/src/fleet/relay_msg.c
+++ b/src/fleet/relay_msg.c
@@ -5,6 +5,8 @@
 #include <string.h>
 #include <talloc.h>
 
+#include "protocol/msg.h"
+
 /* Payloads kept for a connection: more jobs than are started at a time. */
 #define PAYLOADS_MAX 256
 /* Numbers of fields. */
@@ -13,6 +15,8 @@
 #define REPORT_FIELDS 4
 #define ACTIVE_FIELDS 8
 #define END_FIELDS 8
+/* An answer, its report, the list of runs, and one of them. */
+#define DEPTH_MAX 4
 
 /* A list whose fields are read in order. `bad` is set by the first field that
  * is missing or of another type. */
@@ -169,8 +173,9 @@
 
 	memset(out, 0, sizeof(*out));
 	msgpack_unpacked_init(&msg);
-	if (msgpack_unpack_next(&msg, (const char *)data, len, NULL) ==
-	    MSGPACK_UNPACK_SUCCESS)
+	if (msg_is_well_formed(data, len, DEPTH_MAX) &&
+	    msgpack_unpack_next(&msg, (const char *)data, len, NULL) ==
+		    MSGPACK_UNPACK_SUCCESS)
 		r = read_list(&msg.data, CALL_FIELDS);
 	out->id = (uint64_t)read_int(&r, 0, INT64_MAX);
 	out->kind = (enum relay_kind)read_int(&r, RELAY_START, RELAY_PING);
@@ -306,8 +311,9 @@
 
 	memset(out, 0, sizeof(*out));
 	msgpack_unpacked_init(&msg);
-	if (msgpack_unpack_next(&msg, (const char *)data, len, NULL) ==
-	    MSGPACK_UNPACK_SUCCESS)
+	if (msg_is_well_formed(data, len, DEPTH_MAX) &&
+	    msgpack_unpack_next(&msg, (const char *)data, len, NULL) ==
+		    MSGPACK_UNPACK_SUCCESS)
 		r = read_list(&msg.data, ANSWER_FIELDS);
 	out->id = (uint64_t)read_int(&r, 0, INT64_MAX);
 	out->started = (enum sched_start_result)read_int(&r, SCHED_START_OK,
--- a/src/protocol/msg.c
+++ b/src/protocol/msg.c
@@ -292,3 +292,41 @@
 
 	return outcome >= 0 && outcome < 3 ? names[outcome] : "unknown";
 }
+
+/* Returns the size of the list or scalar at `at`, or 0 if its lengths don't fit
+ * in `left` bytes or lists are nested deeper than `depth`. */
+static size_t value_size(const uint8_t *at, size_t left, int depth)
+{
+	size_t header = 1;
+	size_t n = 0;
+	size_t used;
+
+	if (!left)
+		return 0;
+	if (*at >= 0x90 && *at <= 0x9f)
+		n = *at & 0x0f;
+	else if (*at == 0xdc || *at == 0xdd)
+		header = *at == 0xdc ? 3 : 5;
+	else if (*at == 0xc0)
+		return 1;
+	else
+		return scalar_size(at, left);
+	if (!depth || left < header)
+		return 0;
+	if (header > 1)
+		n = read_length(at + 1, (int)header - 1);
+	used = header;
+	for (size_t i = 0; i < n; i++) {
+		size_t size = value_size(at + used, left - used, depth - 1);
+
+		if (!size || size > left - used)
+			return 0;
+		used += size;
+	}
+	return used;
+}
+
+bool msg_is_well_formed(const void *data, size_t len, int depth)
+{
+	return len && value_size(data, len, depth) == len;
+}
--- a/src/protocol/msg.h
+++ b/src/protocol/msg.h
@@ -66,6 +66,13 @@
  * not have are "". Returns NULL if the message is malformed. */
 struct msg *msg_unpack(void *ctx, const void *data, size_t len);
 
+/*
+ * Returns whether the data is one value of lists, nested at most `depth` deep,
+ * texts, numbers and nil, whose lengths are as declared. Check it before
+ * decoding: the library allocates lists by their declared lengths.
+ */
+bool msg_is_well_formed(const void *data, size_t len, int depth);
+
 /* Returns the name of an outcome as in HTTP bodies and logs. */
 const char *msg_outcome_name(int64_t outcome);
 
