--- a/review/build.sh
+++ b/review/build.sh
@@ -8,7 +8,7 @@
 mods="talloc tevent libmicrohttpd libcurl jansson glib-2.0 libxxhash"
 mkdir -p "$out"
 make build/gd-site build/libgd.a >/dev/null
-cp build/gd-site "$out/gd-site"
+cp --remove-destination build/gd-site "$out/gd-site"
 # shellcheck disable=SC2046
 compile() {
 	gcc -std=gnu11 -O2 -g -Wall -Wextra -D_GNU_SOURCE -Isrc -I. \
