--- a/review/lib.sh
+++ b/review/lib.sh
@@ -123,6 +123,7 @@
 	eval "p=\$vm_pid_$1"
 	kill -KILL "$p"
 	wait "$p" 2>/dev/null
+	pids=$(echo "$pids " | sed "s/ $p / /")
 }
 
 wait_ready() {
