--- a/review/tools/advisor.c
+++ b/review/tools/advisor.c
@@ -68,8 +68,8 @@
 	json_array_foreach((json_t *)workers, i, id)
 	{
 		if (g_str_has_prefix(json_string_value(id), a->prefix))
-			json_array_append_new(
-				allowed, json_pack("[O,s]", id, "ticket"));
+			json_array_append_new(allowed,
+					      json_pack("[O,s]", id, "ticket"));
 	}
 	printf("%lld advise %s asked=%zu allowed=%zu first=%s last=%s\n",
 	       (long long)now, step, n, json_array_size(allowed),
@@ -82,13 +82,14 @@
 			 (json_int_t)VALID_MS, "clock_ms", (json_int_t)now);
 	c->text = json_dumps(body, JSON_COMPACT);
 	json_decref(body);
-	a->free_ms = MAX(a->free_ms, now) + DECIDE_MS + PER_ITEM_MS * (int64_t)n;
+	a->free_ms =
+		MAX(a->free_ms, now) + DECIDE_MS + PER_ITEM_MS * (int64_t)n;
 	wait_ms = a->free_ms - now;
-	tevent_add_timer(a->ev, a->ev,
-			 tevent_timeval_current_ofs(
-				 (uint32_t)(wait_ms / 1000),
-				 (uint32_t)(wait_ms % 1000 * 1000)),
-			 answer, c);
+	tevent_add_timer(
+		a->ev, a->ev,
+		tevent_timeval_current_ofs((uint32_t)(wait_ms / 1000),
+					   (uint32_t)(wait_ms % 1000 * 1000)),
+		answer, c);
 }
 
 int main(int argc, char **argv)
