Ask the policy service about every worker, not the first 30 again

Cause: a call names the first 30 workers with room and no ticket. Denials were not kept, so denied workers stayed in front of all others, and each call named the same 30. After an answer without tickets the next call waited 2.5 s.

Change: a step keeps denials by worker and incarnation and asks about each once; after any answer the next call goes out at once. The answer comes with the workers that its call named, as calls are repeated before they time out. No usable answer is told from an empty one. The waits line and the policy line tell denials from answers that are awaited.

Ruled out: the policy service itself (its log shows 30 asked, 0 allowed, the same first and last id in each call); answers lost (each is logged).

--- a/src/coordination/sched.h
+++ b/src/coordination/sched.h
@@ -145,10 +145,10 @@
 /* The worker may not have received a pace command. */
 void sched_pace_failed(struct sched *s, const struct sched_ref *ref,
 		       const char *worker);
-/* The policy service granted `n` tickets; `ids` are the workers. */
-void sched_advice_received(struct sched *s, const struct sched_ref *step,
-			   const char *const *ids, const char *const *tickets,
-			   int32_t n, int64_t valid_ms, int64_t now_ms);
+/* The policy service answered: it refuses the step at the workers that it was
+ * asked about and doesn't allow. */
+void sched_advice_received(struct sched *s, const struct sched_advice *advice,
+			   int64_t now_ms);
 
 /* Call periodically: handles expired leases, due rounds and stalled tasks. */
 void sched_tick(struct sched *s, int64_t now_ms, int64_t wall_ms);
--- a/src/coordination/sched_candidates.c
+++ b/src/coordination/sched_candidates.c
@@ -5,10 +5,6 @@
 #include <string.h>
 #include <talloc.h>
 
-/* Most workers in one call to the policy service, which charges for each. */
-#define ADVICE_WORKERS_MAX 30
-/* A call to the policy service without answer is repeated after this, in ms. */
-#define ADVICE_RETRY_MS 2500
 /* Sizes remembered for each set of candidates. More are rarely needed, since
  * one stands for all larger ones. */
 #define MISFITS_MAX 32
@@ -46,17 +42,6 @@
 	return false;
 }
 
-bool sched_has_ticket(const struct sched_step *step,
-		      const struct sched_worker *w, int64_t now_ms)
-{
-	const struct sched_ticket *ticket =
-		step->tickets ? g_hash_table_lookup(step->tickets, w->row.id)
-			      : NULL;
-
-	return ticket && now_ms < ticket->valid_until_ms &&
-	       ticket->born_ms == w->row.born_ms;
-}
-
 /* Returns whether a start could exceed the worker's capacity: it has runs that
  * this owner doesn't track, of unknown size, and does not itself refuse tasks
  * that don't fit. */
@@ -117,45 +102,6 @@
 	       SCHED_OBSTACLE_NONE;
 }
 
-/* Collects workers without a valid ticket that fit the step, or else any, from
- * where the last call ended: room is reserved only where the step may run. */
-static int32_t find_unasked(struct sched_step *step, struct sched_worker **list,
-			    int32_t n, bool any, const char **ids,
-			    int64_t now_ms)
-{
-	int32_t n_ids = 0;
-
-	for (int32_t i = 0; i < n && n_ids < ADVICE_WORKERS_MAX; i++) {
-		const struct sched_worker *w =
-			any ? list[step->advice_next++ % n] : list[i];
-
-		if ((any || sched_fits(step, w)) &&
-		    !sched_has_ticket(step, w, now_ms))
-			ids[n_ids++] = w->row.id;
-	}
-	return n_ids;
-}
-
-static bool request_tickets(struct sched *s, struct sched_step *step,
-			    struct sched_worker **list, int32_t n,
-			    int64_t now_ms)
-{
-	const char *ids[ADVICE_WORKERS_MAX];
-	int32_t n_ids;
-
-	if (step->advice_sent_ms &&
-	    now_ms < step->advice_sent_ms + ADVICE_RETRY_MS)
-		return false;
-	n_ids = find_unasked(step, list, n, false, ids, now_ms);
-	if (!n_ids && step->def->is_long_running)
-		n_ids = find_unasked(step, list, n, true, ids, now_ms);
-	if (!n_ids)
-		return false;
-	step->advice_sent_ms = now_ms;
-	s->ops->advise(s->priv, step, ids, n_ids);
-	return true;
-}
-
 /* Returns the rack where the step already runs, else the one with most room. */
 static const char *choose_rack(struct sched *s, const struct sched_step *step,
 			       struct sched_worker **list, int32_t n)
@@ -309,7 +255,8 @@
 {
 	int32_t kept = 0;
 
-	request_tickets(c->sched, r->step, out->workers, out->n, c->now_ms);
+	sched_request_tickets(c->sched, r->step, out->workers, out->n,
+			      c->now_ms);
 	for (int32_t i = 0; i < out->n; i++) {
 		if (sched_has_ticket(r->step, out->workers[i], c->now_ms))
 			out->workers[kept++] = out->workers[i];
--- a/src/coordination/sched_int.h
+++ b/src/coordination/sched_int.h
@@ -115,7 +115,8 @@
 	SCHED_OBSTACLE_RESERVED, /* the room is kept for another task */
 	SCHED_OBSTACLE_SPREAD, /* too many tasks of the step */
 	SCHED_OBSTACLE_SLOW, /* serving tasks would slow it down too much */
-	SCHED_OBSTACLE_TICKET, /* no permission of the policy service */
+	SCHED_OBSTACLE_TICKET, /* the policy service has not answered yet */
+	SCHED_OBSTACLE_DENIED, /* by the policy service */
 	SCHED_OBSTACLES
 };
 
@@ -133,6 +134,17 @@
  * the worker. */
 bool sched_has_ticket(const struct sched_step *step,
 		      const struct sched_worker *w, int64_t now_ms);
+/* Returns whether the policy service refused the step at this incarnation of
+ * the worker; it doesn't change its mind. */
+bool sched_is_denied(const struct sched_step *step,
+		     const struct sched_worker *w);
+/* Asks the policy service about workers of the list with room for the step,
+ * unless it was asked about all or owes an answer. */
+void sched_request_tickets(struct sched *s, struct sched_step *step,
+			   struct sched_worker **list, int32_t n,
+			   int64_t now_ms);
+/* Frees the step's tickets and denials. */
+void sched_free_advice(struct sched_step *step);
 /* The long-running tasks of the job's step free their room. */
 void sched_demand_ended(struct sched *s, const struct sched_step *step);
 /* Updates the pools' demands, from time to time. */
--- a/src/coordination/sched_job.c
+++ b/src/coordination/sched_job.c
@@ -162,9 +162,7 @@
 	for (int32_t i = 0; i < n; i++) {
 		struct sched_step *step = &round->steps[i];
 
-		if (step->tickets)
-			g_hash_table_destroy(step->tickets);
-		step->tickets = NULL;
+		sched_free_advice(step);
 		if (!step->in_ready_list)
 			continue;
 		step->in_ready_list = false;
--- a/src/coordination/sched_place.c
+++ b/src/coordination/sched_place.c
@@ -412,31 +412,3 @@
 	sched_candidates_finish(&c);
 	talloc_free(ranks);
 }
-
-void sched_advice_received(struct sched *s, const struct sched_ref *ref,
-			   const char *const *ids, const char *const *tickets,
-			   int32_t n, int64_t valid_ms, int64_t now_ms)
-{
-	struct sched_task *t = sched_find_task(s, ref);
-	struct sched_step *step = t ? t->step : NULL;
-
-	if (!step || sched_job_has_ended(step->round->job))
-		return;
-	if (!step->tickets)
-		step->tickets = g_hash_table_new_full(g_str_hash, g_str_equal,
-						      g_free, g_free);
-	for (int32_t i = 0; i < n; i++) {
-		struct sched_worker *w =
-			g_hash_table_lookup(s->workers, ids[i]);
-		struct sched_ticket *ticket;
-
-		if (!w)
-			continue;
-		ticket = g_new0(struct sched_ticket, 1);
-		g_strlcpy(ticket->text, tickets[i], sizeof(ticket->text));
-		ticket->valid_until_ms = now_ms + valid_ms;
-		ticket->born_ms = w->row.born_ms;
-		g_hash_table_replace(step->tickets, g_strdup(ids[i]), ticket);
-	}
-	step->advice_sent_ms = n > 0 ? 0 : now_ms;
-}
--- a/src/coordination/sched_types.h
+++ b/src/coordination/sched_types.h
@@ -181,8 +181,10 @@
 	bool in_ready_list;
 	struct sched_task *tasks;
 	GHashTable *tickets; /* worker id to struct sched_ticket */
-	int64_t advice_sent_ms;
-	uint32_t advice_next; /* candidate to ask for next, if none fits */
+	/* Worker id to the born_ms, an int64_t, of the incarnation for which
+	 * the policy service refused the step. */
+	GHashTable *denials;
+	int64_t advice_sent_ms; /* 0: no answer is awaited */
 };
 
 /* One scheduled occurrence of a job, with its own copy of all steps. */
@@ -282,6 +284,24 @@
 	int64_t born_ms;
 };
 
+/* One incarnation of a worker. */
+struct sched_life {
+	char id[SCHED_ID_MAX];
+	int64_t born_ms;
+};
+
+/* An answer of the policy service. */
+struct sched_advice {
+	struct sched_ref step; /* any task of it */
+	const struct sched_life *asked;
+	int32_t n_asked;
+	/* The workers that may run the step, and their tickets. */
+	const char *const *ids;
+	const char *const *tickets;
+	int32_t n_allowed;
+	int64_t valid_ms;
+};
+
 /* Commands to workers and calls to the policy service. The owner of the table
  * sends them and reports the outcome (sched_start_answered() and so on). `run`
  * is valid only during the call. */
@@ -294,10 +314,10 @@
 		     const struct sched_ref *ref, int32_t percent);
 	/* Polls the worker as soon as possible. */
 	void (*poll)(void *priv, struct sched_worker *w);
-	/* Requests tickets from the policy service for the step and these
+	/* Requests tickets from the policy service for the step at these
 	 * workers. */
 	void (*advise)(void *priv, struct sched_step *step,
-		       const char *const *worker_ids, int32_t n);
+		       const struct sched_life *workers, int32_t n);
 	/* Writes one line of the decision log: what was decided, and why. `ref`
 	 * and `w` may be NULL. */
 	void (*log_decision)(void *priv, const char *what,
--- a/src/coordination/sched_wait.c
+++ b/src/coordination/sched_wait.c
@@ -39,6 +39,7 @@
 	[SCHED_OBSTACLE_SPREAD] = "spread",
 	[SCHED_OBSTACLE_SLOW] = "slow",
 	[SCHED_OBSTACLE_TICKET] = "ticket",
+	[SCHED_OBSTACLE_DENIED] = "denied",
 };
 
 static enum sched_obstacle find_any_obstacle(const struct sched *s,
@@ -55,7 +56,8 @@
 		o = SCHED_OBSTACLE_SLOW;
 	if (o == SCHED_OBSTACLE_NONE && q->uses_policy &&
 	    !sched_has_ticket(step, w, now_ms))
-		o = SCHED_OBSTACLE_TICKET;
+		o = sched_is_denied(step, w) ? SCHED_OBSTACLE_DENIED
+					     : SCHED_OBSTACLE_TICKET;
 	return o;
 }
 
--- a/src/fleet/shard_ctl.c
+++ b/src/fleet/shard_ctl.c
@@ -174,13 +174,17 @@
 	int32_t shard;
 	int64_t epoch;
 	struct sched_ref step;
+	int32_t n_asked;
+	struct sched_life asked[];
 };
 
 static void do_advise(void *priv, struct sched_step *step,
-		      const char *const *ids, int32_t n)
+		      const struct sched_life *workers, int32_t n)
 {
 	struct shard_ctl *sc = priv;
-	struct advice_call *call = calloc(1, sizeof(*call));
+	struct advice_call *call =
+		calloc(1, sizeof(*call) + (size_t)n * sizeof(*workers));
+	const char **ids = talloc_array(NULL, const char *, n);
 
 	call->f = sc->f;
 	call->shard = sc->shard;
@@ -189,8 +193,13 @@
 		 step->round->job->spec->id);
 	call->step.round = step->round->number;
 	call->step.step = step->index;
+	call->n_asked = n;
+	memcpy(call->asked, workers, (size_t)n * sizeof(*workers));
+	for (int32_t i = 0; i < n; i++)
+		ids[i] = call->asked[i].id;
 	sc->f->wkr.ops->advise(sc->f->wkr.self, &call->step, ids, n, on_advised,
 			       call);
+	talloc_free(ids);
 }
 
 static void on_advised(const char *const *ids, const char *const *tickets,
@@ -198,14 +207,23 @@
 {
 	struct advice_call *call = priv;
 	struct shard_ctl *sc = call->f->shard_ctls[call->shard];
+	const struct sched_advice advice = {
+		.step = call->step,
+		.asked = call->asked,
+		.n_asked = call->n_asked,
+		.ids = ids,
+		.tickets = tickets,
+		.n_allowed = n,
+		.valid_ms = valid_ms,
+	};
 
-	if (sc->is_owner && sc->sched.epoch == call->epoch) {
+	if (ids && sc->is_owner && sc->sched.epoch == call->epoch) {
 		log_event(LOG_POLICY_ANSWER,
-			  "task=%s.%lld.%d allowed=%d valid_ms=%lld",
+			  "task=%s.%lld.%d asked=%d allowed=%d valid_ms=%lld",
 			  call->step.job, (long long)call->step.round,
-			  call->step.step, n, (long long)valid_ms);
-		sched_advice_received(&sc->sched, &call->step, ids, tickets, n,
-				      valid_ms, mono_ms(sc));
+			  call->step.step, call->n_asked, n,
+			  (long long)valid_ms);
+		sched_advice_received(&sc->sched, &advice, mono_ms(sc));
 		shard_ctl_place_soon(sc);
 	}
 	free(call);
--- a/src/fleet/wkr.h
+++ b/src/fleet/wkr.h
@@ -29,7 +29,8 @@
 typedef void (*wkr_ack_cb)(bool answered, void *priv);
 /* `report` is NULL if there was no usable answer. */
 typedef void (*wkr_poll_cb)(const struct sched_report *report, void *priv);
-/* Tickets for the workers that may run the step; valid during the call. */
+/* Tickets for the workers that may run the step; valid during the call. `ids`
+ * is NULL if there was no usable answer. */
 typedef void (*wkr_advice_cb)(const char *const *ids,
 			      const char *const *tickets, int32_t n,
 			      int64_t valid_ms, void *priv);
--- a/tests/fuzz_calls.c
+++ b/tests/fuzz_calls.c
@@ -350,10 +350,21 @@
 static void on_advice(const char *const *ids, const char *const *tickets,
 		      int32_t n, int64_t valid_ms, void *priv)
 {
-	struct sched_ref ref = { .job = JOB };
+	static const struct sched_life asked[] = { { "w", 1 } };
 	struct sched_fixture *p = priv;
-
-	sched_advice_received(&p->s, &ref, ids, tickets, n, valid_ms, 100);
+	const struct sched_advice advice = {
+		.step = { .job = JOB },
+		.asked = asked,
+		.n_asked = G_N_ELEMENTS(asked),
+		.ids = ids,
+		.tickets = tickets,
+		.n_allowed = n,
+		.valid_ms = valid_ms,
+	};
+
+	if (!ids)
+		return;
+	sched_advice_received(&p->s, &advice, 100);
 	sched_place(&p->s, 110);
 }
 
--- a/tests/sched_fixture.c
+++ b/tests/sched_fixture.c
@@ -39,11 +39,20 @@
 }
 
 static void on_advise(void *priv, struct sched_step *step,
-		      const char *const *ids, int32_t n)
+		      const struct sched_life *workers, int32_t n)
 {
-	(void)step;
-	(void)ids;
-	((struct sched_fixture *)priv)->advised += n;
+	struct sched_fixture *p = priv;
+	struct recorded_question question = {
+		.step = { .round = step->round->number, .step = step->index },
+		.n = n,
+	};
+
+	g_assert_cmpint(n, <=, FIXTURE_ASKED_MAX);
+	g_strlcpy(question.step.job, step->round->job->spec->id,
+		  sizeof(question.step.job));
+	memcpy(question.workers, workers, (size_t)n * sizeof(*workers));
+	p->advised += n;
+	g_array_append_val(p->questions, question);
 }
 
 static void on_log_decision(void *priv, const char *what,
@@ -100,6 +109,8 @@
 	p->starts = g_array_new(FALSE, FALSE, sizeof(struct recorded_command));
 	p->stops = g_array_new(FALSE, FALSE, sizeof(struct recorded_command));
 	p->paces = g_array_new(FALSE, FALSE, sizeof(struct recorded_command));
+	p->questions =
+		g_array_new(FALSE, FALSE, sizeof(struct recorded_question));
 	p->waits = g_string_new("");
 	sched_init(&p->s, &fixture_ops, p, &lim, epoch, 0);
 	sched_configure(&p->s, &catalog, out);
@@ -111,6 +122,7 @@
 	g_array_free(p->starts, TRUE);
 	g_array_free(p->stops, TRUE);
 	g_array_free(p->paces, TRUE);
+	g_array_free(p->questions, TRUE);
 	g_string_free(p->waits, TRUE);
 }
 
@@ -241,6 +253,31 @@
 	return a;
 }
 
+void fixture_answer(struct sched_fixture *p,
+		    const struct recorded_question *question,
+		    bool (*allows)(const struct sched_life *worker, void *priv),
+		    void *priv, int64_t valid_ms, int64_t now_ms)
+{
+	/* The scheduler may ask again, and move the recorded calls. */
+	const struct recorded_question asked = *question;
+	const char *ids[FIXTURE_ASKED_MAX];
+	const char *tickets[FIXTURE_ASKED_MAX];
+	struct sched_advice advice = { .step = asked.step,
+				       .asked = asked.workers,
+				       .n_asked = asked.n,
+				       .ids = ids,
+				       .tickets = tickets,
+				       .valid_ms = valid_ms };
+
+	for (int32_t i = 0; i < asked.n; i++) {
+		if (!allows(&asked.workers[i], priv))
+			continue;
+		ids[advice.n_allowed] = asked.workers[i].id;
+		tickets[advice.n_allowed++] = "t";
+	}
+	sched_advice_received(&p->s, &advice, now_ms);
+}
+
 void fixture_started(struct sched_fixture *p,
 		     const struct recorded_command *command, int64_t now_ms)
 {
--- a/tests/sched_fixture.h
+++ b/tests/sched_fixture.h
@@ -15,6 +15,7 @@
 	GArray *stops;
 	GArray *paces;
 	int advised; /* workers that tickets were requested for */
+	GArray *questions; /* struct recorded_question */
 	GString *waits; /* lines of the decision log on waiting tasks */
 };
 
@@ -24,6 +25,15 @@
 	int32_t percent;
 };
 
+#define FIXTURE_ASKED_MAX 100
+
+/* A call to the policy service. */
+struct recorded_question {
+	struct sched_ref step;
+	int32_t n;
+	struct sched_life workers[FIXTURE_ASKED_MAX];
+};
+
 /* Configures the queues short (highest priority), long, and ruled (uses the
  * policy service), all with pool p. `out` are the domains out of service. */
 void fixture_open(struct sched_fixture *p, int64_t epoch, GHashTable *out);
@@ -57,6 +67,12 @@
 			     int64_t seq, enum sched_end_reason reason);
 struct sched_active fixture_active(const struct recorded_command *command,
 				   int32_t percent);
+/* The policy service answers a call: it allows the workers for which `allows`
+ * returns true, for `valid_ms`. */
+void fixture_answer(struct sched_fixture *p,
+		    const struct recorded_question *question,
+		    bool (*allows)(const struct sched_life *worker, void *priv),
+		    void *priv, int64_t valid_ms, int64_t now_ms);
 /* The worker answers the start command with success. */
 void fixture_started(struct sched_fixture *p,
 		     const struct recorded_command *command, int64_t now_ms);
--- a/tests/unit_policy.c
+++ b/tests/unit_policy.c
@@ -327,12 +327,16 @@
 	fixture_close(&p);
 }
 
+static bool allows_all(const struct sched_life *worker, void *priv)
+{
+	(void)worker;
+	(void)priv;
+	return true;
+}
+
 static void test_advice(void)
 {
 	struct sched_fixture p;
-	const char *ids[] = { "w" };
-	const char *tickets[] = { "t" };
-	struct sched_ref step = { .job = "a" };
 	const char *payload;
 	const char *checkpoint;
 	const char *ticket;
@@ -344,7 +348,9 @@
 	sched_place(&p.s, 20);
 	g_assert_cmpuint(p.starts->len, ==, 0);
 	g_assert_cmpint(p.advised, ==, 1);
-	sched_advice_received(&p.s, &step, ids, tickets, 1, 3000, 30);
+	fixture_answer(&p,
+		       &g_array_index(p.questions, struct recorded_question, 0),
+		       allows_all, NULL, 3000, 30);
 	sched_place(&p.s, 40);
 	g_assert_cmpuint(p.starts->len, ==, 1);
 	g_assert_true(sched_start_args(&p.s, &fixture_start(&p, 0)->ref, "w",
