Choose a rack by the tasks that fit there, and wait for one in bounded time

Cause: the common rack was the one with most free CPU in all, whether a task fits at any worker of it or not; the others were dropped, in each pass anew. The waits line said "usable", since it did not know of the rack.

The same on related paths: memory, accelerators and spread were not looked at; a gang that no rack holds, and long-running tasks beyond what their rack holds, never started; denied workers made their rack win; affinity to a rack without workers, or to a full one beside idle workers, held a job of which nothing runs for twice its estimate.

The rack that holds most tasks, by all sizes; waits are bounded by what a task loses elsewhere, by 2 s for a job of which nothing runs while half of the pool is free, and end for overdue long-running tasks.

Ruled out: obstacles and room (the waits line names none at the three workers of r1); tickets (the queue has no policy).

--- a/src/coordination/sched_advice.c
+++ b/src/coordination/sched_advice.c
@@ -53,7 +53,7 @@
 }
 
 void sched_request_tickets(struct sched *s, struct sched_step *step,
-			   struct sched_worker **list, int32_t n,
+			   struct sched_worker **list, int32_t n, int32_t n_all,
 			   int64_t now_ms)
 {
 	struct sched_life lives[ADVICE_WORKERS_MAX];
@@ -62,8 +62,12 @@
 	if (step->advice_sent_ms &&
 	    now_ms < step->advice_sent_ms + ADVICE_RETRY_MS)
 		return;
-	s->pass_work += n;
+	s->pass_work += n_all;
 	n_lives = add_unasked(step, list, n, false, lives, 0, now_ms);
+	/* The next rack may be asked about in the same call. */
+	if (n_lives)
+		n_lives = add_unasked(step, list + n, n_all - n, false, lives,
+				      n_lives, now_ms);
 	/* Room for long-running tasks is reserved only where they may run. */
 	if (!n_lives && step->def->is_long_running)
 		n_lives = add_unasked(step, list, n, true, lives, 0, now_ms);
--- a/src/coordination/sched_candidates.c
+++ b/src/coordination/sched_candidates.c
@@ -26,6 +26,7 @@
 	const char *pool;
 	const char *label;
 	bool quarantined; /* quarantined workers are included */
+	bool half_used; /* half of the pool's CPU, at first */
 	struct sched_worker **list;
 	int32_t n;
 	struct misfit misfits[MISFITS_MAX];
@@ -102,64 +103,22 @@
 	       SCHED_OBSTACLE_NONE;
 }
 
-/* Returns the rack where the step already runs, else the one with most room. */
-static const char *choose_rack(struct sched *s, const struct sched_step *step,
-			       struct sched_worker **list, int32_t n)
+/* Returns whether half of the pool's CPU is reserved by tasks. */
+static bool is_half_used(const struct sched *s, const char *pool)
 {
-	GHashTable *rooms =
-		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
-	const char *best = NULL;
-	int64_t best_room = -1;
-
-	for (int32_t i = 0; i < n; i++) {
-		const struct place_resources *total = &list[i]->row.total;
-		int64_t *room = g_hash_table_lookup(rooms, list[i]->row.rack);
-
-		s->pass_work += 1 + (int64_t)list[i]->runs.length;
-		if (sched_count_tasks_at(step, list[i])) {
-			best = list[i]->row.rack;
-			break;
-		}
-		if (!room) {
-			room = g_new0(int64_t, 1);
-			g_hash_table_insert(rooms, list[i]->row.rack, room);
-		}
-		*room += MAX(0, total->cpu_milli - list[i]->used.cpu_milli);
-		if (*room <= best_room)
-			continue;
-		best = list[i]->row.rack;
-		best_room = *room;
-	}
-	g_hash_table_destroy(rooms);
-	return best;
-}
+	int64_t used = 0;
+	int64_t total = 0;
 
-/* Keeps only the workers in `rack`. Returns their number. */
-static int32_t filter_rack(struct sched_worker **list, int32_t n,
-			   const char *rack)
-{
-	int32_t kept = 0;
+	for (guint i = 0; i < s->worker_list->len; i++) {
+		const struct sched_worker *w =
+			g_ptr_array_index(s->worker_list, i);
 
-	for (int32_t i = 0; i < n; i++) {
-		if (!strcmp(list[i]->row.rack, rack))
-			list[kept++] = list[i];
+		if (!w->listed || strcmp(w->row.pool, pool))
+			continue;
+		used += w->used.cpu_milli;
+		total += w->row.total.cpu_milli;
 	}
-	return kept;
-}
-
-/*
- * Tasks run longer outside the rack of their data. They start there only if
- * they can still be in time, or if they have waited for the rack for as long as
- * the extra run time. Returns whether the step should wait for the rack.
- */
-static bool prefers_data_rack(const struct sched *s, const struct sched_rank *r,
-			      int64_t now_ms)
-{
-	int64_t extra = r->step->def->expected_ms *
-			(s->lim.off_rack_factor_milli - 1000) / 1000;
-
-	return !r->overdue && now_ms - r->step->ready_ms < extra &&
-	       now_ms + extra > r->latest_ms;
+	return 2 * used >= total;
 }
 
 static struct candidate_set *build_set(struct sched_candidates *c,
@@ -175,7 +134,7 @@
 	set->quarantined = quarantined;
 	set->list =
 		talloc_array(set, struct sched_worker *, s->worker_list->len);
-	s->pass_work += s->worker_list->len;
+	s->pass_work += 2 * (int64_t)s->worker_list->len;
 	for (guint i = 0; i < s->worker_list->len; i++) {
 		struct sched_worker *w = g_ptr_array_index(s->worker_list, i);
 		enum sched_obstacle o =
@@ -185,6 +144,7 @@
 		    (quarantined && o == SCHED_OBSTACLE_QUARANTINED))
 			set->list[set->n++] = w;
 	}
+	set->half_used = is_half_used(s, q->pool);
 	set->next = c->sets;
 	c->sets = set;
 	return set;
@@ -233,32 +193,26 @@
 	out->workers = c->filtered;
 }
 
-static void filter_racks(struct sched_candidates *c, const struct sched_rank *r,
-			 struct sched_candidate_list *out)
+static void remove_denied(const struct sched_step *step,
+			  struct sched_candidate_list *out)
 {
-	const struct jobspec_step *def = r->step->def;
-
-	if (*def->data_rack && prefers_data_rack(c->sched, r, c->now_ms))
-		out->n = filter_rack(out->workers, out->n, def->data_rack);
-	if (def->one_rack && out->n) {
-		const char *rack =
-			choose_rack(c->sched, r->step, out->workers, out->n);
+	int32_t kept = 0;
 
-		if (rack)
-			out->n = filter_rack(out->workers, out->n, rack);
+	for (int32_t i = 0; i < out->n; i++) {
+		if (!sched_is_denied(step, out->workers[i]))
+			out->workers[kept++] = out->workers[i];
 	}
+	out->n = kept;
 }
 
-static void filter_tickets(struct sched_candidates *c,
-			   const struct sched_rank *r,
-			   struct sched_candidate_list *out)
+static void remove_without_ticket(struct sched_candidates *c,
+				  const struct sched_step *step,
+				  struct sched_candidate_list *out)
 {
 	int32_t kept = 0;
 
-	sched_request_tickets(c->sched, r->step, out->workers, out->n,
-			      c->now_ms);
 	for (int32_t i = 0; i < out->n; i++) {
-		if (sched_has_ticket(r->step, out->workers[i], c->now_ms))
+		if (sched_has_ticket(step, out->workers[i], c->now_ms))
 			out->workers[kept++] = out->workers[i];
 	}
 	out->n = kept;
@@ -271,6 +225,7 @@
 	const struct catalog_queue *q = r->step->round->job->queue;
 	const struct jobspec_step *def = r->step->def;
 	struct sched_candidate_list out = { 0 };
+	int32_t n_all;
 
 	if (!q)
 		return out;
@@ -281,9 +236,17 @@
 		return out;
 	copy_list(c, &out);
 	out.is_filtered = true;
-	filter_racks(c, r, &out);
+	/* A rack is chosen by the workers that the step may use there. */
 	if (q->uses_policy)
-		filter_tickets(c, r, &out);
+		remove_denied(r->step, &out);
+	n_all = out.n;
+	out.n = sched_prefer_rack(c->sched, r, out.workers, n_all,
+				  out.set->half_used, c->now_ms);
+	if (!q->uses_policy)
+		return out;
+	sched_request_tickets(c->sched, r->step, out.workers, out.n, n_all,
+			      c->now_ms);
+	remove_without_ticket(c, r->step, &out);
 	return out;
 }
 
--- a/src/coordination/sched_choose.c
+++ b/src/coordination/sched_choose.c
@@ -93,6 +93,36 @@
 	return sched_find_shortage(step, w) == SCHED_OBSTACLE_NONE;
 }
 
+static int64_t quotient(int64_t room, int64_t size)
+{
+	return size > 0 ? room / size : INT32_MAX;
+}
+
+int64_t sched_count_fitting(const struct sched_step *step,
+			    const struct sched_worker *w)
+{
+	static const struct place_resources nothing = { 0 };
+	const struct jobspec_step *def = step->def;
+	const struct place_resources *kept =
+		step->uses_reserved ? &nothing : &w->reserved;
+	int64_t cpu =
+		w->row.total.cpu_milli - w->used.cpu_milli - kept->cpu_milli;
+	int64_t mem = w->row.total.mem_mib - w->used.mem_mib - kept->mem_mib;
+	int64_t accelerators = w->row.total.accelerators -
+			       w->used.accelerators - kept->accelerators;
+	int64_t n;
+
+	if (!sched_fits(step, w))
+		return 0;
+	if (def->best_effort)
+		cpu = free_best_effort_milli(w);
+	n = MIN(quotient(cpu, def->cpu_milli), quotient(mem, def->mem_mib));
+	n = MIN(n, quotient(accelerators, def->accelerators));
+	if (def->spread_max)
+		n = MIN(n, def->spread_max - sched_count_tasks_at(step, w));
+	return MAX(n, 1);
+}
+
 /* Score for each serving task of the same image, in thousandths of a core. All
  * tasks of an image are sensitive to the same load, so packing them together
  * leaves more workers to the best-effort tasks that would disturb them. */
--- a/src/coordination/sched_int.h
+++ b/src/coordination/sched_int.h
@@ -115,6 +115,7 @@
 	SCHED_OBSTACLE_RESERVED, /* the room is kept for another task */
 	SCHED_OBSTACLE_SPREAD, /* too many tasks of the step */
 	SCHED_OBSTACLE_SLOW, /* serving tasks would slow it down too much */
+	SCHED_OBSTACLE_RACK, /* the step waits for another rack */
 	SCHED_OBSTACLE_TICKET, /* the policy service has not answered yet */
 	SCHED_OBSTACLE_DENIED, /* by the policy service */
 	SCHED_OBSTACLES
@@ -138,11 +139,18 @@
  * the worker; it doesn't change its mind. */
 bool sched_is_denied(const struct sched_step *step,
 		     const struct sched_worker *w);
-/* Asks the policy service about workers of the list with room for the step,
- * unless it was asked about all or owes an answer. */
+/* Asks the policy service about the first `n` workers of the list with room for
+ * the step, unless it was asked about all or owes an answer. The call names
+ * others of the `n_all` workers as far as there is space. */
 void sched_request_tickets(struct sched *s, struct sched_step *step,
-			   struct sched_worker **list, int32_t n,
+			   struct sched_worker **list, int32_t n, int32_t n_all,
 			   int64_t now_ms);
+/* Moves the workers of the rack where the step should start to the front of the
+ * list. Returns their number, or `n` if the step may start anywhere.
+ * `half_used` tells whether half of the workers' CPU is reserved by tasks. */
+int32_t sched_prefer_rack(struct sched *s, const struct sched_rank *r,
+			  struct sched_worker **list, int32_t n, bool half_used,
+			  int64_t now_ms);
 /* Frees the step's tickets and denials. */
 void sched_free_advice(struct sched_step *step);
 /* The long-running tasks of the job's step free their room. */
@@ -168,6 +176,9 @@
 			  const struct sched_step *step);
 /* Returns whether one more task of the step fits on the worker. */
 bool sched_fits(const struct sched_step *step, const struct sched_worker *w);
+/* Returns how many more tasks of the step fit on the worker. */
+int64_t sched_count_fitting(const struct sched_step *step,
+			    const struct sched_worker *w);
 /* Returns the CPU available to best-effort tasks in all, including what they
  * use already, in thousandths of a core. */
 int64_t sched_best_effort_capacity(const struct sched_worker *w);
--- a/src/coordination/sched_place.c
+++ b/src/coordination/sched_place.c
@@ -59,6 +59,7 @@
 	if (t->step->def->best_effort)
 		sched_record_exploration(s, run, now_ms);
 
+	t->step->placed_ms = now_ms;
 	s->counts.starts++;
 	s->counts.resumes += t->checkpoint != NULL;
 	sched_run_ref(run, &ref);
--- a/src/coordination/sched_types.h
+++ b/src/coordination/sched_types.h
@@ -171,6 +171,9 @@
 	int32_t tasks_left; /* tasks that are not done */
 	int32_t gang_run; /* run number that all members of a gang share */
 	int64_t ready_ms;
+	int64_t placed_ms; /* last start of a task by this owner; 0: none */
+	/* The rack that it waited for or started in last; "": any. */
+	char rack[JOBSPEC_NAME_MAX];
 	bool places_suspect; /* for a task that may crash its worker */
 	bool joins_suspects; /* it runs apart together with others */
 	bool uses_reserved; /* may use room reserved for others in this pass */
--- a/src/coordination/sched_wait.c
+++ b/src/coordination/sched_wait.c
@@ -1,6 +1,7 @@
 /* Waiting tasks: since when each long-running task is idle, and what keeps the
  * tasks that wait longest from starting. */
 #include <stdio.h>
+#include <string.h>
 
 #include "coordination/sched_int.h"
 
@@ -38,6 +39,7 @@
 	[SCHED_OBSTACLE_RESERVED] = "reserved",
 	[SCHED_OBSTACLE_SPREAD] = "spread",
 	[SCHED_OBSTACLE_SLOW] = "slow",
+	[SCHED_OBSTACLE_RACK] = "other_rack",
 	[SCHED_OBSTACLE_TICKET] = "ticket",
 	[SCHED_OBSTACLE_DENIED] = "denied",
 };
@@ -54,6 +56,9 @@
 		o = sched_find_shortage(step, w);
 	if (o == SCHED_OBSTACLE_NONE && !sched_is_fast_enough(s, w, step))
 		o = SCHED_OBSTACLE_SLOW;
+	if (o == SCHED_OBSTACLE_NONE && *step->rack &&
+	    strcmp(step->rack, w->row.rack))
+		o = SCHED_OBSTACLE_RACK;
 	if (o == SCHED_OBSTACLE_NONE && q->uses_policy &&
 	    !sched_has_ticket(step, w, now_ms))
 		o = sched_is_denied(step, w) ? SCHED_OBSTACLE_DENIED
--- a/tests/unit.h
+++ b/tests/unit.h
@@ -19,6 +19,7 @@
 void unit_add_pace(void);
 void unit_add_pass(void);
 void unit_add_links(void);
+void unit_add_rack(void);
 void unit_add_relay(void);
 void unit_add_relay_msg(void);
 void unit_add_admission(void);
