--- a/src/coordination/sched_evict.c
+++ b/src/coordination/sched_evict.c
@@ -154,6 +154,41 @@
 		sched_count_tasks_at(step, w) + kept < def->spread_max);
 }
 
+/* Returns how many of `wanted` tasks of the step, beside the reservations, will
+ * fit once all but long-running tasks have ended. */
+static int32_t count_future_room(const struct sched_step *step,
+				 const struct sched_worker *w, int32_t wanted)
+{
+	const struct jobspec_step *def = step->def;
+	struct sched_worker later = *w;
+	int32_t n = 0;
+
+	later.reserved_for = step;
+	later.n_reserved = w->reserved_for == step ? w->n_reserved : 0;
+	while (n < wanted && will_fit(step, &later)) {
+		later.reserved.cpu_milli += def->cpu_milli;
+		later.reserved.mem_mib += def->mem_mib;
+		later.reserved.accelerators += def->accelerators;
+		later.n_reserved++;
+		n++;
+	}
+	return n;
+}
+
+bool sched_gang_will_fit(struct sched *s, const struct sched_step *step,
+			 struct sched_worker **list, int32_t n)
+{
+	int32_t wanted = step->def->tasks;
+
+	for (int32_t i = 0; i < n && wanted > 0; i++) {
+		int32_t here = count_future_room(step, list[i], wanted);
+
+		s->pass_work += 1 + here;
+		wanted -= here;
+	}
+	return wanted <= 0;
+}
+
 /*
  * Returns how long the run is likely to go on if a task of this priority needs
  * its room. Estimates are rough: a run past its estimate is taken to need a
--- a/src/coordination/sched_int.h
+++ b/src/coordination/sched_int.h
@@ -203,6 +203,9 @@
  * will fit at none. */
 bool sched_reserve_room(struct sched *s, const struct sched_rank *r,
 			struct sched_worker **list, int32_t n, int64_t now_ms);
+/* Returns whether all members of a gang will fit at the same time. */
+bool sched_gang_will_fit(struct sched *s, const struct sched_step *step,
+			 struct sched_worker **list, int32_t n);
 void sched_clear_reservations(struct sched *s);
 
 /* Returns the worker where a best-effort task of the step would run fastest
--- a/src/coordination/sched_place.c
+++ b/src/coordination/sched_place.c
@@ -221,7 +221,9 @@
 	for (int32_t k = 0; k < placed; k++)
 		sched_run_free(s, step->tasks[k].runs);
 	if (placed < count) {
-		if (r->overdue)
+		/* Room that never becomes enough would be lost to others. */
+		if (r->overdue &&
+		    sched_gang_will_fit(s, step, l->workers, l->n))
 			reserve_for_step(c, r, l);
 		goto out;
 	}
--- a/tests/unit_reserve.c
+++ b/tests/unit_reserve.c
@@ -433,8 +433,29 @@
 	fixture_close(&p);
 }
 
+/* A gang that can't be complete keeps no room from others. */
+static void test_hopeless_gang(void)
+{
+	struct sim *m = g_new0(struct sim, 1);
+	struct jobspec *spec = fixture_long_running("a", 8000, 3);
+
+	fixture_open(&m->p, 1, NULL);
+	sim_add(m, "w");
+	sim_add(m, "v");
+	spec->steps[0].gang = true;
+	fixture_add_job(&m->p, spec);
+	sim_run(m, 100, 4000);
+	fixture_add_job(&m->p, fixture_spec("s", "short", 1, 1));
+	sim_run(m, 4100, 7000);
+	g_assert_cmpint(count_starts(&m->p, "a"), ==, 0);
+	g_assert_cmpint(count_starts(&m->p, "s"), ==, 1);
+	fixture_close(&m->p);
+	g_free(m);
+}
+
 void unit_add_reserve(void)
 {
+	g_test_add_func("/sched/hopeless-gang", test_hopeless_gang);
 	g_test_add_func("/sched/reserved-beside-hour-long",
 			test_reserved_beside_hour_long);
 	g_test_add_func("/sched/reserved-beside-memory-hog",
--- a/tests/unit_tests.c
+++ b/tests/unit_tests.c
@@ -38,6 +38,7 @@
 	unit_add_shrink();
 	unit_add_lives();
 	unit_add_stale();
+	unit_add_starts();
 	unit_add_state();
 	unit_add_odd();
 	unit_add_odd_list();
