Compute the speed of best-effort tasks at other workers, too, by turns

Cause: the speed is computed for the 12 workers with the best estimates, and the estimate takes one serving image for all at a worker. Where that is wrong at 12 workers, none but these is looked at, in each pass anew.

Change: if none of them is fast enough, 12 others follow, from where the step's last pass ended. No paused task moves for a worker that the policy denies.

Test: /sched/wrong-estimates failed before (16 starts, 17 wanted).

--- a/src/coordination/sched_choose.c
+++ b/src/coordination/sched_choose.c
@@ -260,18 +260,11 @@
 							       step->image);
 }
 
-/*
- * Chooses the worker where a best-effort task can run fastest beside the
- * serving tasks. Computing a speed costs more than all other checks, so it is
- * done only for the candidates with the best estimates.
- */
-static struct sched_worker *
-choose_best_effort(struct sched *s, struct sched_worker **list, int32_t n,
-		   const struct sched_step *step, bool *fits)
+/* Returns the number of candidates with the best estimates. */
+static int32_t find_candidates(struct sched *s, struct sched_worker **list,
+			       int32_t n, const struct sched_step *step,
+			       struct candidate *candidates)
 {
-	struct candidate candidates[SPEED_CANDIDATES_MAX];
-	struct sched_worker *best = NULL;
-	double best_points = 0;
 	int32_t found = 0;
 
 	for (int32_t i = 0; i < n; i++) {
@@ -281,7 +274,35 @@
 				candidates, found, list[i],
 				estimate_score(s, list[i], step));
 	}
-	*fits = found > 0;
+	return found;
+}
+
+/* Collects workers on which the step fits from where the last call ended.
+ * Returns their number. */
+static int32_t next_candidates(struct sched *s, struct sched_worker **list,
+			       int32_t n, struct sched_step *step,
+			       struct candidate *candidates)
+{
+	int32_t found = 0;
+
+	for (int32_t i = 0; i < n && found < SPEED_CANDIDATES_MAX; i++) {
+		struct sched_worker *w = list[step->speed_next++ % (uint32_t)n];
+
+		s->pass_work += check_work(step, w);
+		if (sched_fits(step, w))
+			candidates[found++].worker = w;
+	}
+	return found;
+}
+
+/* Returns the best of the candidates that is fast enough, or NULL. */
+static struct sched_worker *
+choose_fast_enough(struct sched *s, const struct sched_step *step,
+		   const struct candidate *candidates, int32_t found)
+{
+	struct sched_worker *best = NULL;
+	double best_points = 0;
+
 	for (int32_t i = 0; i < found; i++) {
 		struct sched_worker *w = candidates[i].worker;
 		double speed = sched_colocated_speed(s, w, step);
@@ -298,6 +319,27 @@
 	return best;
 }
 
+/*
+ * Chooses the worker where a best-effort task can run fastest beside the
+ * serving tasks. Computing a speed costs more than all other checks, so it is
+ * done only for the candidates with the best estimates and, since these may
+ * all be wrong, for some others by turns.
+ */
+static struct sched_worker *
+choose_best_effort(struct sched *s, struct sched_worker **list, int32_t n,
+		   struct sched_step *step, bool *fits)
+{
+	struct candidate candidates[SPEED_CANDIDATES_MAX] = { 0 };
+	int32_t found = find_candidates(s, list, n, step, candidates);
+	struct sched_worker *w = choose_fast_enough(s, step, candidates, found);
+
+	*fits = found > 0;
+	if (w || found < SPEED_CANDIDATES_MAX)
+		return w;
+	found = next_candidates(s, list, n, step, candidates);
+	return choose_fast_enough(s, step, candidates, found);
+}
+
 /* Returns whether half of the memory stays free beside the task, which may be
  * paused for long. */
 static bool leaves_memory(const struct jobspec_step *def,
@@ -348,8 +390,7 @@
 
 struct sched_worker *sched_choose_worker(struct sched *s,
 					 struct sched_worker **list, int32_t n,
-					 const struct sched_step *step,
-					 bool *fits)
+					 struct sched_step *step, bool *fits)
 {
 	bool ignored;
 	struct sched_worker *w;
--- a/src/coordination/sched_int.h
+++ b/src/coordination/sched_int.h
@@ -188,8 +188,7 @@
  * to s->pass_work. */
 struct sched_worker *sched_choose_worker(struct sched *s,
 					 struct sched_worker **list, int32_t n,
-					 const struct sched_step *step,
-					 bool *fits);
+					 struct sched_step *step, bool *fits);
 
 /* Returns whether evicting tasks of the step loses at most their work since the
  * last checkpoint. */
--- a/src/coordination/sched_move.c
+++ b/src/coordination/sched_move.c
@@ -28,13 +28,13 @@
 static bool has_better_place(struct sched *s, const struct sched_run *run,
 			     struct sched_worker **list, int64_t now_ms)
 {
-	const struct sched_step *step = run->task->step;
+	struct sched_step *step = run->task->step;
 	int32_t n = 0;
 
 	for (guint i = 0; i < s->worker_list->len; i++) {
 		struct sched_worker *w = g_ptr_array_index(s->worker_list, i);
 
-		if (w != run->worker &&
+		if (w != run->worker && !sched_is_denied(step, w) &&
 		    sched_is_eligible(s, step, step->round->job->queue, w,
 				      now_ms))
 			list[n++] = w;
--- a/src/coordination/sched_place.c
+++ b/src/coordination/sched_place.c
@@ -119,7 +119,7 @@
 /* Chooses a worker for a task that need not run apart. */
 static struct sched_worker *choose(struct sched_candidates *c,
 				   const struct sched_candidate_list *l,
-				   const struct sched_step *step)
+				   struct sched_step *step)
 {
 	struct sched_worker *w;
 	bool fits;
--- a/src/coordination/sched_types.h
+++ b/src/coordination/sched_types.h
@@ -187,6 +187,7 @@
 	/* Worker id to the born_ms, an int64_t, of the incarnation for which
 	 * the policy service refused the step. */
 	GHashTable *denials;
+	uint32_t speed_next; /* candidate whose speed is computed next */
 	int64_t advice_sent_ms; /* 0: no answer is awaited */
 };
 
--- a/tests/unit_pace.c
+++ b/tests/unit_pace.c
@@ -196,9 +196,10 @@
 	interfere_finish(&next);
 }
 
-/* Teaches the model that `share` of the CPU used by image 2 costs image 1
- * `slack`. */
-static void teach_pair(struct sched_fixture *p, double share, double slack)
+/* Teaches the model that `share` of the CPU used by image 2 costs the serving
+ * image `slack`. */
+static void teach_image(struct sched_fixture *p, int32_t serving, double share,
+			double slack)
 {
 	for (int i = 0; i < 50; i++) {
 		bool ends = i % 2;
@@ -206,10 +207,15 @@
 		struct interfere_change c = { ends ? slack : -slack, 0.4, &load,
 					      1 };
 
-		interfere_observe(&p->s.interfere, 1, &c);
+		interfere_observe(&p->s.interfere, serving, &c);
 	}
 }
 
+static void teach_pair(struct sched_fixture *p, double share, double slack)
+{
+	teach_image(p, 1, share, slack);
+}
+
 /* Opens a scheduler with a running serving task that reserves 6 of 8 cores, and
  * a job of `n` best-effort tasks of `milli` each. */
 static void open_serving_and_batch(struct sched_fixture *p, int32_t n,
@@ -340,6 +346,51 @@
 	fixture_close(&p);
 }
 
+#define SLOW_WORKERS 15
+
+/* The workers with the best estimates were looked at alone, in each pass anew,
+ * though the estimate takes one serving task for all. */
+static void test_wrong_estimates(void)
+{
+	struct sched_fixture p;
+	struct sched_worker *fast;
+	int32_t harmless;
+	struct jobspec *more = fixture_long_running("c", 1000, SLOW_WORKERS);
+	char id[8];
+
+	open_serving_and_batch(&p, 1, 800);
+	teach_pair(&p, 0.1, 2.0);
+	harmless = interfere_image(&p.s.interfere, "t");
+	teach_image(&p, harmless, 0.1, 0);
+	for (int i = 0; i < SLOW_WORKERS; i++) {
+		g_snprintf(id, sizeof(id), "v%d", i);
+		fixture_add_worker(&p, id, "q");
+		fixture_poll(&p, id, NULL, 0, NULL, 0, 30);
+	}
+	more->steps[0].tail_goal_ms = 100;
+	more->steps[0].spread_max = 1;
+	g_strlcpy(more->steps[0].image, "s", JOBSPEC_NAME_MAX);
+	g_strlcpy(more->steps[0].label, "q", JOBSPEC_NAME_MAX);
+	p.s.best_effort_due_ms = INT64_MAX;
+	fixture_add_job(&p, more);
+	sched_place(&p.s, 40);
+	g_assert_cmpuint(p.starts->len, ==, 1 + SLOW_WORKERS);
+	for (guint i = 1; i <= SLOW_WORKERS; i++)
+		fixture_worker(&p, fixture_start(&p, i)->worker)
+			->serving_image = harmless;
+	fixture_add_worker(&p, "fast", "r");
+	fixture_poll(&p, "fast", NULL, 0, NULL, 0, 50);
+	fast = fixture_worker(&p, "fast");
+	fast->used.cpu_milli = 6500;
+	p.s.best_effort_due_ms = 0;
+	for (int64_t t = 60; t < 1000; t += 100)
+		sched_place(&p.s, t);
+	g_assert_cmpuint(p.starts->len, ==, 2 + SLOW_WORKERS);
+	g_assert_cmpstr(fixture_start(&p, 1 + SLOW_WORKERS)->worker, ==,
+			"fast");
+	fixture_close(&p);
+}
+
 /* The same while a job that can start nowhere has waited for longer. */
 static void test_starved_take_turns(void)
 {
@@ -461,6 +512,7 @@
 	g_test_add_func("/sched/harmful-not-begun",
 			test_harmful_is_not_started);
 	g_test_add_func("/sched/starved-take-turns", test_starved_take_turns);
+	g_test_add_func("/sched/wrong-estimates", test_wrong_estimates);
 	g_test_add_func("/sched/harmful-starts-in-the-end",
 			test_harmful_starts_in_the_end);
 	g_test_add_func("/sched/one-try-at-a-time",
