Try the suspects of a step behind a task that fits nowhere

Cause: a step's tasks are tried in their order up to the first for which there is no room. A suspect may run apart beside others at a worker that is closed to the rest, but was not tried behind such a task.

Change: the loop goes on with the suspects.

Test: /crash/suspect-behind-waiting-task failed before (1 start, 2 wanted).

--- a/src/coordination/sched_place.c
+++ b/src/coordination/sched_place.c
@@ -140,24 +140,27 @@
 {
 	struct sched *s = c->sched;
 	struct sched_step *step = r->step;
+	bool is_full = false;
 
 	for (int32_t k = 0; k < step->def->tasks && !pass_is_over(s); k++) {
 		struct sched_task *t = &step->tasks[k];
 		bool suspect = sched_is_suspect(t);
 		struct sched_worker *w;
 
-		if (!sched_task_is_ready(s, t, c->now_ms))
+		/* Suspects may fit where others run apart already. */
+		if (!sched_task_is_ready(s, t, c->now_ms) ||
+		    (is_full && !suspect))
 			continue;
 		w = suspect ? choose_for_suspect(s, r, t, l, c->now_ms)
 			    : choose(c, l, step);
-		if (!w && suspect && !r->overdue)
+		if (!w) {
+			is_full |= !suspect || r->overdue;
 			continue;
-		if (!w)
-			return true;
+		}
 		s->pass_work += START_WORK;
 		start_task(s, t, w, t->last_run + 1, c->now_ms);
 	}
-	return false;
+	return is_full;
 }
 
 /* Reserves room for the step's tasks that are ready. */
--- a/tests/unit_crash_apart.c
+++ b/tests/unit_crash_apart.c
@@ -85,6 +85,37 @@
 	check_many_suspects("long", 2, SUSPECTS_REPEATED, false);
 }
 
+/* A suspect that fits beside another one starts, though an earlier task of its
+ * step, which is no suspect, fits nowhere. */
+static void test_suspect_behind_waiting_task(void)
+{
+	struct sched_fixture p;
+	struct jobspec *spec = fixture_spec("s", "short", 1, 1);
+	struct sched_task *tasks;
+
+	fixture_open(&p, 1, NULL);
+	fixture_add_worker(&p, "w", "r");
+	fixture_poll(&p, "w", NULL, 0, NULL, 0, 10);
+	spec->steps[0].cpu_milli = 1000;
+	tasks = fixture_add_job(&p, spec)->rounds->steps[0].tasks;
+	sched_crash_count(&tasks[0], 100);
+	sched_place(&p.s, 20);
+	g_assert_cmpuint(p.starts->len, ==, 1);
+	fixture_started(&p, fixture_start(&p, 0), 25);
+	fixture_add_worker(&p, "full", "r");
+	fixture_poll(&p, "full", NULL, 0, NULL, 0, 30);
+	fixture_worker(&p, "full")->used.cpu_milli = 8000;
+	tasks = fixture_add_job(&p, fixture_spec("t", "short", 1, 2))
+			->rounds->steps[0]
+			.tasks;
+	sched_crash_count(&tasks[1], 100);
+	tasks[1].idle_since_ms = -3000;
+	sched_place(&p.s, 40);
+	g_assert_cmpuint(p.starts->len, ==, 2);
+	g_assert_cmpint(fixture_start(&p, 1)->ref.index, ==, 1);
+	fixture_close(&p);
+}
+
 /* A task that lasts comes first, whatever its queue. */
 static void test_many_suspects_lasting(void)
 {
@@ -298,6 +329,8 @@
 
 void unit_add_crash_apart(void)
 {
+	g_test_add_func("/crash/suspect-behind-waiting-task",
+			test_suspect_behind_waiting_task);
 	g_test_add_func("/crash/suspects-run-together",
 			test_suspects_run_together);
 	g_test_add_func("/crash/old-runs-are-no-suspects",
