Start no task after its last attempt once its queue is back

Cause: a failure ends the job only if the queue is configured at that moment; failures and attempts were compared at no other time.

Before each start failures are compared with the attempts of the queue; jobs of exhausted tasks end after a change of the configuration, after a load, and when a run of such a task is gone.

Ruled out: ends that were not taken note of (the record shows both noted).

--- a/src/coordination/sched.c
+++ b/src/coordination/sched.c
@@ -105,6 +105,7 @@
 	s->catalog = catalog;
 	s->domains_out = domains_out;
 	index_queues(s);
+	s->check_attempts = true;
 	g_hash_table_iter_init(&it, s->jobs);
 	while (g_hash_table_iter_next(&it, NULL, &value)) {
 		struct sched_job *job = value;
@@ -353,6 +354,7 @@
 			sched_create_due_rounds(s, job, now_ms, wall_ms);
 	}
 	sched_crash_tick(s, now_ms, wall_ms);
+	sched_end_exhausted(s, now_ms, wall_ms);
 	sched_check_stalls(s, now_ms);
 	sched_check_waits(s, now_ms);
 	sched_measure_demand(s, now_ms);
--- a/src/coordination/sched_int.h
+++ b/src/coordination/sched_int.h
@@ -58,6 +58,12 @@
 void sched_run_stop(struct sched *s, struct sched_run *run, int64_t now_ms,
 		    const char *why);
 
+/* Returns whether the task has failed as often as its queue allows. False while
+ * the queue is not configured. */
+bool sched_is_exhausted(const struct sched_task *t);
+/* Ends the jobs of exhausted tasks, if any became so in another way than by a
+ * failure. */
+void sched_end_exhausted(struct sched *s, int64_t now_ms, int64_t wall_ms);
 /* Returns false if the failure of this run was counted before. */
 bool sched_count_failure(struct sched_task *t, int32_t run);
 /* Marks the task as done and with it, as far as they are complete, its step,
--- a/src/coordination/sched_job.c
+++ b/src/coordination/sched_job.c
@@ -527,8 +527,10 @@
 			    jobspec_critical_path_ms(job->spec, i));
 	g_hash_table_insert(s->jobs, job->spec->id, job);
 	sched_count_added(s, job);
-	if (progress)
+	if (progress) {
 		unpack_progress(s, job, progress, now_ms, wall_ms);
+		s->check_attempts = true;
+	}
 	if (!sched_job_has_ended(job))
 		sched_create_due_rounds(s, job, now_ms, wall_ms);
 	return job;
--- a/src/coordination/sched_place.c
+++ b/src/coordination/sched_place.c
@@ -32,6 +32,8 @@
 {
 	if (t->ever_started && s->ownership != SCHED_OWNER_CERTAIN)
 		return false;
+	if (sched_is_exhausted(t))
+		return false;
 	return !t->done && !t->runs && now_ms >= t->not_before_ms;
 }
 
--- a/src/coordination/sched_run.c
+++ b/src/coordination/sched_run.c
@@ -134,6 +134,8 @@
 		at = &(*at)->next_of_task;
 	*at = run->next_of_task;
 	g_queue_unlink(&run->worker->runs, &run->worker_link);
+	/* Its queue may have come to allow fewer attempts meanwhile. */
+	s->check_attempts |= sched_is_exhausted(run->task);
 	talloc_free(run);
 }
 
@@ -208,15 +210,13 @@
 			   const struct sched_worker *w, int32_t run,
 			   int64_t now_ms, int64_t wall_ms)
 {
-	struct sched_job *job = t->step->round->job;
-	const struct catalog_queue *q = job->queue;
-
 	t->not_before_ms = now_ms + (w->quarantine_ms ? SUSPECT_FAILURE_PAUSE_MS
 						      : FAILURE_PAUSE_MS);
 	if (t->step->def->is_long_running || !sched_count_failure(t, run) ||
-	    !q || t->failures < q->attempts)
+	    !sched_is_exhausted(t))
 		return;
-	sched_job_end(s, job, SCHED_JOB_FAILED, now_ms, wall_ms);
+	sched_job_end(s, t->step->round->job, SCHED_JOB_FAILED, now_ms,
+		      wall_ms);
 }
 
 /* Returns the task that counts failures: for a gang its first one, since its
--- a/src/coordination/sched_types.h
+++ b/src/coordination/sched_types.h
@@ -451,6 +451,8 @@
 	/* Workers that fell silent with runs (struct lost_worker); whether they
 	 * crashed is known once their VM has a new worker. */
 	GQueue lost_workers;
+	/* A task may be exhausted whose last failure did not end its job. */
+	bool check_attempts;
 	GQueue given_up; /* tasks (struct verdict) whose jobs are to fail */
 	int64_t crashed_ms[SCHED_CRASHES_RECENT]; /* last crashes, newest first
 						   */
--- a/tests/unit_tests.c
+++ b/tests/unit_tests.c
@@ -15,6 +15,7 @@
 	log_set_level(LOG_LEVEL_ERRORS);
 	unit_add_advice();
 	unit_add_answers();
+	unit_add_attempts();
 	unit_add_coordination();
 	unit_add_count();
 	unit_add_log();
