Write progress in a form that fits a row, however large the job

Cause: the job's progress took 71,989 bytes. Without checkpoints it was still too long, which was not checked; the store refuses the transaction, and it is repeated unchanged for good.

Change: a summary of a bit and a digit for each task as the third form; what fits in none is logged and left out of the commit. Open rounds are bounded by the row, jobs whose summary can't fit are refused at once, and the parts of the owner's row fit together.

Ruled out: stuck claims (each owner claims and loads; its first commit with the row fails).

--- a/src/coordination/sched.h
+++ b/src/coordination/sched.h
@@ -49,12 +49,24 @@
 /* Returns whether a stored progress row is of a job that has ended. */
 bool sched_progress_has_ended(const json_t *progress);
 
-/*
- * Returns the job's progress in its stored form; the caller owns the reference.
- * Without checkpoints the row is far shorter, but stopped tasks restart from
- * the beginning.
- */
-json_t *sched_job_progress(const struct sched_job *job, bool checkpoints);
+/* Returns whether the progress of such a job, at least as a summary, fits in a
+ * row. */
+bool sched_fits_in_row(const struct jobspec *spec, int64_t row_bytes);
+
+/* How much a progress row says. */
+enum sched_detail {
+	SCHED_DETAIL_ALL,
+	/* Stopped tasks restart from the beginning. */
+	SCHED_DETAIL_NO_CHECKPOINTS,
+	/* A few bits for each task: likewise; crashes are forgotten, too. */
+	SCHED_DETAIL_SUMMARY,
+	SCHED_DETAILS
+};
+
+/* Returns the job's progress in its stored form; the caller owns the
+ * reference. */
+json_t *sched_job_progress(const struct sched_job *job,
+			   enum sched_detail detail);
 
 /* Called when a worker appears in the list of workers, changes there, or leaves
  * it. */
--- a/src/coordination/sched_int.h
+++ b/src/coordination/sched_int.h
@@ -36,6 +36,16 @@
 void sched_count_added(struct sched *s, const struct sched_job *job);
 void sched_count_removed(struct sched *s, const struct sched_job *job);
 
+/* Returns how many rounds of the job may exist that are not done. */
+int64_t sched_rounds_open_max(const struct sched *s,
+			      const struct jobspec *spec);
+struct sched_round *sched_create_round(struct sched *s, struct sched_job *job,
+				       int64_t number, int64_t due_ms);
+void sched_mark_task_done(struct sched *s, struct sched_task *t,
+			  int64_t now_ms);
+/* Reads a stored progress row. */
+void sched_restore_progress(struct sched *s, struct sched_job *job,
+			    const json_t *row, int64_t now_ms, int64_t wall_ms);
 /* Queues the job's progress to be stored. */
 void sched_mark_dirty(struct sched *s, struct sched_job *job);
 
--- a/src/coordination/sched_job.c
+++ b/src/coordination/sched_job.c
@@ -1,5 +1,4 @@
-/* Jobs of the scheduler: their rounds, steps and tasks, and the stored form of
- * their progress. */
+/* Jobs of the scheduler: their rounds, steps and tasks. */
 #include "coordination/sched.h"
 
 #include <stdio.h>
@@ -15,23 +14,6 @@
  * some that it did not store.
  */
 #define INHERITED_RUN_GAP 8
-/* Most rounds of one job that exist and are not done. */
-#define ROUNDS_OPEN_MAX 64
-/* Highest run number accepted from the store; no task is started as often.
- * Leaves room for further numbers. */
-#define RUN_MAX (INT32_MAX / 2)
-
-static const char *const state_names[] = {
-	[SCHED_JOB_QUEUED] = "queued",	     [SCHED_JOB_RUNNING] = "running",
-	[SCHED_JOB_DONE] = "done",	     [SCHED_JOB_FAILED] = "failed",
-	[SCHED_JOB_CANCELLED] = "cancelled",
-};
-
-const char *sched_job_state_name(enum sched_job_state state)
-{
-	return state_names[state];
-}
-
 bool sched_job_has_ended(const struct sched_job *job)
 {
 	return job->state >= SCHED_JOB_DONE;
@@ -84,8 +66,8 @@
 	}
 }
 
-static struct sched_round *create_round(struct sched *s, struct sched_job *job,
-					int64_t number, int64_t due_ms)
+struct sched_round *sched_create_round(struct sched *s, struct sched_job *job,
+				       int64_t number, int64_t due_ms)
 {
 	struct sched_round *round = talloc_zero(job, struct sched_round);
 	struct sched_round **at = &job->rounds;
@@ -115,17 +97,18 @@
 
 	if (!spec->rounds && !job->next_round) {
 		job->next_round = 1;
-		create_round(s, job, 0, job->accepted_ms);
+		sched_create_round(s, job, 0, job->accepted_ms);
 		return;
 	}
-	while (job->next_round < spec->rounds && open++ < ROUNDS_OPEN_MAX) {
+	while (job->next_round < spec->rounds &&
+	       open++ < sched_rounds_open_max(s, job->spec)) {
 		int64_t due = spec->first_due_ms +
 			      job->next_round * spec->interval_ms;
 
 		if (wall_ms < due)
 			return;
-		create_round(s, job, job->next_round++,
-			     now_ms - (wall_ms - due));
+		sched_create_round(s, job, job->next_round++,
+				   now_ms - (wall_ms - due));
 		sched_mark_dirty(s, job);
 	}
 }
@@ -143,12 +126,13 @@
 	while (job && !sched_job_has_ended(job) &&
 	       job->next_round <= ref->round &&
 	       ref->round < job->spec->rounds &&
-	       job->next_round - job->rounds_done < ROUNDS_OPEN_MAX) {
+	       job->next_round - job->rounds_done <
+		       sched_rounds_open_max(s, job->spec)) {
 		int64_t due = job->spec->first_due_ms +
 			      job->next_round * job->spec->interval_ms;
 
-		create_round(s, job, job->next_round++,
-			     now_ms - (wall_ms - due));
+		sched_create_round(s, job, job->next_round++,
+				   now_ms - (wall_ms - due));
 		sched_mark_dirty(s, job);
 	}
 	return sched_find_task(s, ref);
@@ -243,8 +227,7 @@
 	return job->rounds_done >= n_rounds;
 }
 
-static void mark_task_done(struct sched *s, struct sched_task *t,
-			   int64_t now_ms)
+void sched_mark_task_done(struct sched *s, struct sched_task *t, int64_t now_ms)
 {
 	t->done = true;
 	talloc_free(t->checkpoint);
@@ -263,7 +246,7 @@
 
 	if (t->done)
 		return;
-	mark_task_done(s, t, now_ms);
+	sched_mark_task_done(s, t, now_ms);
 	sched_mark_dirty(s, job);
 	if (round->steps_left)
 		return;
@@ -275,90 +258,10 @@
 	free_round(s, round);
 }
 
-/* Writes one bit per task as hexadecimal digits, lowest task first. */
-static void pack_done(const struct sched_step *step, char *hex)
-{
-	static const char digits[] = "0123456789abcdef";
-	int32_t n = (step->def->tasks + 3) / 4;
-
-	for (int32_t d = 0; d < n; d++) {
-		int bits = 0;
-
-		for (int32_t b = 0; b < 4 && d * 4 + b < step->def->tasks; b++)
-			bits |= step->tasks[d * 4 + b].done << b;
-		hex[d] = digits[bits];
-	}
-	hex[n] = '\0';
-}
-
-static json_t *pack_runs(const int32_t *runs, int32_t n)
-{
-	json_t *list = json_array();
-
-	for (int32_t i = 0; i < n; i++)
-		json_array_append_new(list, json_integer(runs[i]));
-	return list;
-}
-
-static json_t *pack_tasks(const struct sched_step *step, bool checkpoints)
-{
-	json_t *list = json_array();
-
-	for (int32_t k = 0; k < step->def->tasks; k++) {
-		const struct sched_task *t = &step->tasks[k];
-
-		const char *checkpoint = checkpoints ? t->checkpoint : NULL;
-
-		if (t->done ||
-		    (!t->last_ended_run && !checkpoint && !t->crashes))
-			continue;
-		json_array_append_new(
-			list,
-			json_pack("[i,i,o,s,o]", t->index, t->last_ended_run,
-				  pack_runs(t->failed_runs, t->failures),
-				  checkpoint ? checkpoint : "",
-				  pack_runs(t->crashed_runs, t->crashes)));
-	}
-	return list;
-}
-
-static json_t *pack_round(const struct sched_round *round, bool checkpoints)
-{
-	json_t *steps = json_array();
-
-	for (int32_t i = 0; i < round->job->spec->n_steps; i++) {
-		const struct sched_step *step = &round->steps[i];
-		char hex[JOBSPEC_TASKS_MAX / 4 + 2];
-
-		pack_done(step, hex);
-		json_array_append_new(
-			steps,
-			json_pack("[s,o]", hex, pack_tasks(step, checkpoints)));
-	}
-	return json_pack("[I,o]", (json_int_t)round->number, steps);
-}
-
-json_t *sched_job_progress(const struct sched_job *job, bool checkpoints)
-{
-	json_t *rounds = json_array();
-	json_t *row = json_pack("{s:s,s:I}", "state", state_names[job->state],
-				"ended_ms", (json_int_t)job->ended_wall_ms);
-
-	json_object_set_new(row, "queue", json_string(job->spec->queue));
-	if (sched_job_has_ended(job)) {
-		json_decref(rounds);
-		return row;
-	}
-	for (const struct sched_round *r = job->rounds; r; r = r->next)
-		json_array_append_new(rounds, pack_round(r, checkpoints));
-	json_object_set_new(row, "rounds", rounds);
-	json_object_set_new(row, "next_round", json_integer(job->next_round));
-	json_object_set_new(row, "rounds_done", json_integer(job->rounds_done));
-	return row;
-}
-
 bool sched_count_failure(struct sched_task *t, int32_t run)
 {
+	if (run <= t->counted_run)
+		return false;
 	for (int32_t i = 0; i < t->failures; i++) {
 		if (t->failed_runs[i] == run)
 			return false;
@@ -369,139 +272,6 @@
 	return true;
 }
 
-/* Logs that part of the job's stored progress is invalid. */
-static void log_unusable_progress(struct sched *s, const struct sched_job *job)
-{
-	struct sched_ref ref = { 0 };
-
-	memcpy(ref.job, job->spec->id, sizeof(ref.job));
-	s->ops->log_decision(s->priv, "progress unusable", &ref, NULL,
-			     "a number is out of range; skipping the entry");
-}
-
-static void unpack_task(struct sched *s, struct sched_step *step,
-			const json_t *row)
-{
-	const json_t *failed = json_array_get(row, 2);
-	/* Absent in rows of older releases. */
-	const json_t *crashed = json_array_get(row, 4);
-	const char *checkpoint = json_string_value(json_array_get(row, 3));
-	struct sched_task *t;
-	const json_t *run;
-	int64_t index;
-	int64_t last_ended;
-	int64_t n;
-	size_t i;
-
-	if (!num_integer(json_array_get(row, 0), 0, step->def->tasks - 1,
-			 &index) ||
-	    !num_integer(json_array_get(row, 1), 0, RUN_MAX, &last_ended)) {
-		log_unusable_progress(s, step->round->job);
-		return;
-	}
-	t = &step->tasks[index];
-	t->last_ended_run = (int32_t)last_ended;
-	json_array_foreach(failed, i, run)
-	{
-		if (num_integer(run, 0, RUN_MAX, &n))
-			sched_count_failure(t, (int32_t)n);
-		else
-			log_unusable_progress(s, step->round->job);
-	}
-	json_array_foreach(crashed, i, run)
-	{
-		if (num_integer(run, 0, RUN_MAX, &n))
-			sched_crash_count(t, (int32_t)n);
-		else
-			log_unusable_progress(s, step->round->job);
-	}
-	t->ever_started = true;
-	t->last_run += t->last_ended_run;
-	if (step->gang_run < t->last_run)
-		step->gang_run = t->last_run;
-	if (checkpoint && *checkpoint)
-		t->checkpoint = talloc_strdup(step->round, checkpoint);
-}
-
-static void unpack_step(struct sched *s, struct sched_step *step,
-			const json_t *row, int64_t now_ms)
-{
-	const char *hex = json_string_value(json_array_get(row, 0));
-	const json_t *list = json_array_get(row, 1);
-	size_t len = hex ? strlen(hex) : 0;
-	const json_t *entry;
-	size_t i;
-
-	json_array_foreach(list, i, entry) unpack_task(s, step, entry);
-	for (int32_t k = 0; k < step->def->tasks; k++) {
-		char digit[2] = { (size_t)k / 4 < len ? hex[k / 4] : '0', 0 };
-
-		if (strtol(digit, NULL, 16) >> (k % 4) & 1)
-			mark_task_done(s, &step->tasks[k], now_ms);
-	}
-}
-
-static enum sched_job_state parse_state(const json_t *row)
-{
-	const char *name = json_string_value(json_object_get(row, "state"));
-
-	for (int i = 0; name && i <= SCHED_JOB_CANCELLED; i++) {
-		if (!strcmp(state_names[i], name))
-			return (enum sched_job_state)i;
-	}
-	return SCHED_JOB_QUEUED;
-}
-
-bool sched_progress_has_ended(const json_t *progress)
-{
-	return progress && parse_state(progress) >= SCHED_JOB_DONE;
-}
-
-static void unpack_progress(struct sched *s, struct sched_job *job,
-			    const json_t *row, int64_t now_ms, int64_t wall_ms)
-{
-	const json_t *rounds = json_object_get(row, "rounds");
-	int64_t n_rounds = job->spec->rounds ? job->spec->rounds : 1;
-	int64_t next = 0; /* lowest number possible for the next entry */
-	const json_t *r;
-	size_t i;
-
-	sched_set_job_state(s, job, parse_state(row));
-	job->ended_wall_ms =
-		json_integer_value(json_object_get(row, "ended_ms"));
-	if (sched_job_has_ended(job))
-		return;
-	json_array_foreach(rounds, i, r)
-	{
-		struct sched_round *round;
-		int64_t number;
-		int64_t due;
-		int64_t due_ms;
-
-		/* Rounds are stored in order of their numbers. */
-		if (i >= ROUNDS_OPEN_MAX ||
-		    !num_integer(json_array_get(r, 0), next, n_rounds - 1,
-				 &number)) {
-			log_unusable_progress(s, job);
-			continue;
-		}
-		next = number + 1;
-		due = job->spec->first_due_ms + number * job->spec->interval_ms;
-		due_ms = job->spec->rounds ? now_ms - (wall_ms - due)
-					   : job->accepted_ms;
-		round = create_round(s, job, number, due_ms);
-		for (int32_t k = 0; k < job->spec->n_steps; k++)
-			unpack_step(
-				s, &round->steps[k],
-				json_array_get(json_array_get(r, 1), (size_t)k),
-				now_ms);
-	}
-	job->next_round = num_clamp(json_object_get(row, "next_round"), next,
-				    n_rounds, next);
-	job->rounds_done = num_clamp(json_object_get(row, "rounds_done"), 0,
-				     job->next_round, 0);
-}
-
 struct sched_job *sched_job_add(struct sched *s, struct jobspec *spec,
 				const json_t *progress, int64_t version,
 				bool inherited, int64_t now_ms, int64_t wall_ms)
@@ -528,7 +298,7 @@
 	g_hash_table_insert(s->jobs, job->spec->id, job);
 	sched_count_added(s, job);
 	if (progress) {
-		unpack_progress(s, job, progress, now_ms, wall_ms);
+		sched_restore_progress(s, job, progress, now_ms, wall_ms);
 		s->check_attempts = true;
 	}
 	if (!sched_job_has_ended(job))
--- a/src/coordination/sched_types.h
+++ b/src/coordination/sched_types.h
@@ -151,6 +151,9 @@
 	int32_t last_run; /* highest run number used or reported */
 	int32_t last_ended_run; /* highest run number known to have ended */
 	int32_t failures; /* length of failed_runs */
+	/* Failures of runs up to this one are counted, though `failed_runs` may
+	 * not have their numbers. */
+	int32_t counted_run;
 	int32_t *failed_runs; /* numbers of failed runs, unsorted, no doubles */
 	int32_t crashes; /* length of crashed_runs */
 	int64_t crash_lasted_ms; /* the longest of crashed_runs, roughly */
@@ -340,6 +343,7 @@
 	 * thousandths. */
 	int64_t off_rack_factor_milli;
 	int64_t impact_ms; /* interference that lasts longer does harm */
+	int64_t row_bytes; /* longest progress row; 0: any length */
 };
 
 /* Start commands that may be sent at once. */
--- a/src/fleet/job_submit.c
+++ b/src/fleet/job_submit.c
@@ -261,6 +261,7 @@
 {
 	struct submission *sub = calloc(1, sizeof(*sub));
 	json_t *row;
+	bool fits;
 
 	spec->accepted_ms = now_ms(api) + api->f->store_offset_ms;
 	admission_check(api->f, spec, &sub->admission);
@@ -278,9 +279,11 @@
 	sub->done = done;
 	sub->priv = priv;
 	json_decref(row);
+	fits = (int64_t)strlen(sub->row_value) <= api->f->set.row_bytes_max &&
+	       sched_fits_in_row(spec, api->f->set.row_bytes_max);
 	talloc_free(spec);
 	api->active++;
-	if ((int64_t)strlen(sub->row_value) > api->f->set.row_bytes_max) {
+	if (!fits) {
 		tmr_after(api->f->timers, 0, refuse_too_long, sub);
 		return;
 	}
--- a/src/fleet/shard_ctl_commit.c
+++ b/src/fleet/shard_ctl_commit.c
@@ -14,10 +14,11 @@
  * as much. */
 #define COMMIT_BYTES_MAX (512 * 1024)
 
-/* Parts of the owner's row that the handover and the job counts may take: a row
- * that the store rejects would block all later commits. */
+/* Parts of the owner's row that the handover, the job counts and the rooms may
+ * take: a row that the store rejects would block all later commits. */
 #define HANDOVER_PART 2
 #define PENDING_PART 4
+#define ROOMS_PART 8
 /* Estimated size of one run in the handover, by which the number of runs is
  * limited: ids of 16 characters and four numbers. */
 #define HANDOVER_RUN_BYTES 50
@@ -29,23 +30,26 @@
 	return text;
 }
 
-/* Returns the progress row of the job; the caller frees it. Omits checkpoints
- * if it would be too long: a row that the store rejects would block all later
- * commits. */
+/* Returns the progress row of the job, with as much detail as fits; the caller
+ * frees it. Returns NULL if nothing fits: a row that the store rejects would
+ * block all later commits. */
 static char *progress_text(const struct shard_ctl *sc,
 			   const struct sched_job *job)
 {
-	json_t *j = sched_job_progress(job, true);
-	char *text = json_dumps(j, JSON_COMPACT);
+	for (int detail = 0; detail < SCHED_DETAILS; detail++) {
+		json_t *j = sched_job_progress(job, detail);
+		char *text = json_dumps(j, JSON_COMPACT);
 
-	json_decref(j);
-	if ((int64_t)strlen(text) <= sc->f->set.row_bytes_max)
-		return text;
-	free(text);
-	j = sched_job_progress(job, false);
-	text = json_dumps(j, JSON_COMPACT);
-	json_decref(j);
-	return text;
+		json_decref(j);
+		if ((int64_t)strlen(text) <= sc->f->set.row_bytes_max)
+			return text;
+		free(text);
+	}
+	log_event(LOG_ROW_UNUSABLE,
+		  "table=" SHARD_CTL_PROGRESS_TABLE
+		  " key=%s why=\"not written: it exceeds the row size limit\"",
+		  job->spec->id);
+	return NULL;
 }
 
 /* Adds a row if interference was learned since the last one and the interval
@@ -120,6 +124,8 @@
 		char *text = progress_text(sc, job);
 
 		job->dirty = false;
+		if (!text)
+			continue;
 		bytes += strlen(text);
 		out[n++] = (struct rows_change){
 			.table = SHARD_CTL_PROGRESS_TABLE,
@@ -243,7 +249,7 @@
 	row->pending_version = sc->jobs_version;
 	talloc_free(row->rooms);
 	row->rooms = text_if_fits(sc, pack_rooms(&sc->sched),
-				  sc->f->set.row_bytes_max / PENDING_PART);
+				  sc->f->set.row_bytes_max / ROOMS_PART);
 }
 
 char *shard_ctl_handover(void *ctx, void *priv)
--- a/tests/fuzz_rows.c
+++ b/tests/fuzz_rows.c
@@ -201,7 +201,7 @@
 
 static char *dump_progress(const struct sched_job *job)
 {
-	json_t *j = sched_job_progress(job, true);
+	json_t *j = sched_job_progress(job, SCHED_DETAIL_ALL);
 	char *text = json_dumps(j, JSON_COMPACT | JSON_SORT_KEYS);
 
 	json_decref(j);
--- a/tests/unit.h
+++ b/tests/unit.h
@@ -8,6 +8,7 @@
 void unit_add_coordination(void);
 void unit_add_count(void);
 void unit_add_log(void);
+void unit_add_progress(void);
 void unit_add_protocol(void);
 void unit_add_restart(void);
 void unit_add_shard(void);
--- a/tests/unit_attempts.c
+++ b/tests/unit_attempts.c
@@ -137,7 +137,7 @@
 	struct sched_fixture next;
 	struct sched_job *job =
 		fail_without_queue(&p, fixture_spec("a", "short", 1, 1));
-	json_t *progress = sched_job_progress(job, true);
+	json_t *progress = sched_job_progress(job, SCHED_DETAIL_ALL);
 
 	fixture_open(&next, 2, NULL);
 	fixture_add_worker(&next, "w", "r");
--- a/tests/unit_crash.c
+++ b/tests/unit_crash.c
@@ -212,7 +212,7 @@
 	sched_place(&p.s, 100);
 	now = crash_last(&p, vms, CRASH_VMS, 110);
 	g_assert_cmpuint(p.s.dirty_jobs.length, ==, 1);
-	progress = sched_job_progress(job, true);
+	progress = sched_job_progress(job, SCHED_DETAIL_ALL);
 	fixture_close(&p);
 
 	crash_open_vms(&p, vms);
--- a/tests/unit_crash_apart.c
+++ b/tests/unit_crash_apart.c
@@ -143,7 +143,7 @@
 	sched_worker_unlisted(&p.s, vm->id, 3000);
 	if (expired)
 		sched_tick(&p.s, 8000, 1008000);
-	progress = sched_job_progress(job, true);
+	progress = sched_job_progress(job, SCHED_DETAIL_ALL);
 	handover = sched_handover_pack(&p.s, 100, 3000);
 	for (int32_t i = 0; i < SCHED_ROSTER_ROWS; i++)
 		roster[i] = sched_roster_pack_row(&p.s, i);
--- a/tests/unit_sched.c
+++ b/tests/unit_sched.c
@@ -305,7 +305,7 @@
 	e[1] = fixture_end(fixture_start(&p, 1), 2, SCHED_END_FAILED);
 	g_strlcpy(e[1].checkpoint, "cp", sizeof(e[1].checkpoint));
 	fixture_poll(&p, "w", NULL, 0, e, 2, 30);
-	progress = sched_job_progress(job, false);
+	progress = sched_job_progress(job, SCHED_DETAIL_NO_CHECKPOINTS);
 	g_assert_cmpstr(
 		json_string_value(json_array_get(
 			json_array_get(
@@ -325,7 +325,7 @@
 			3)),
 		==, "");
 	json_decref(progress);
-	progress = sched_job_progress(job, true);
+	progress = sched_job_progress(job, SCHED_DETAIL_ALL);
 	fixture_close(&p);
 
 	fixture_open(&q, 2, NULL);
