Give a task up for crashes under runs that are known to have begun

Cause: a start without an answer at a worker that crashed counted like a run that the worker had reported.

Change: crashes are certain if the run was reported or its start answered. Second (or third) certain crashes give up a task that ran apart, four do in any case, and five with uncertain ones. The log and the stored progress have the number of certain ones; rows without it are read as before.

--- a/src/coordination/sched_crash.c
+++ b/src/coordination/sched_crash.c
@@ -22,8 +22,11 @@
 /* Most suspects that run apart together, where there are many: if their worker
  * crashes, each of them runs apart alone next time. */
 #define GROUP_MAX 8
-/* Crashes after which a task is given up even if it never ran apart. */
+/* Crashes after which a task is given up even if it never ran apart, and with
+ * those under starts that got no answer: the worker may have been down already.
+ */
 #define CRASHES_MAX 4
+#define CRASHES_UNCERTAIN_MAX 5
 /* More crashes than SCHED_CRASHES_RECENT within this time, in ms, have another
  * cause, such as the loss of a failure domain: they count only against tasks
  * that no worker has reported running, and those that ran apart. */
@@ -38,6 +41,7 @@
 struct lost_run {
 	struct sched_ref ref;
 	bool reported; /* by the worker */
+	bool certain; /* reported, or its start was answered */
 	bool isolated;
 	int64_t lasted_ms; /* up to the last report */
 };
@@ -137,6 +141,7 @@
 		return;
 	/* Harmless for that long: the crashes had other causes. */
 	t->crashes = 0;
+	t->certain_crashes = 0;
 	t->crash_lasted_ms = 0;
 	sched_mark_dirty(s, t->step->round->job);
 }
@@ -156,8 +161,9 @@
 static bool is_convicted(const struct sched_task *t, const struct lost_run *run,
 			 bool sole)
 {
-	return t->crashes >= CRASHES_MAX ||
-	       (run->isolated && t->crashes > (sole ? 1 : 2));
+	return t->crashes >= CRASHES_UNCERTAIN_MAX ||
+	       t->certain_crashes >= CRASHES_MAX ||
+	       (run->isolated && t->certain_crashes > (sole ? 1 : 2));
 }
 
 /* A task that is given up: its job ends with the next tick. */
@@ -184,20 +190,22 @@
 {
 	struct sched_task *t = sched_find_task(s, &run->ref);
 	bool convicted;
-	char text[80];
+	char text[120];
 
 	if (!t || sched_job_has_ended(t->step->round->job))
 		return;
 	t = counting_task(t);
 	if (t->done || !sched_crash_count(t, run->ref.run))
 		return;
+	t->certain_crashes += run->certain;
 	t->crash_lasted_ms = MAX(t->crash_lasted_ms, run->lasted_ms);
 	/* So that a successor uses higher numbers, which count anew. */
 	t->last_ended_run = MAX(t->last_ended_run, run->ref.run);
 	sched_mark_dirty(s, t->step->round->job);
 	convicted = is_convicted(t, run, sole);
-	snprintf(text, sizeof(text), "crashes=%d reported=%d apart=%d%s",
-		 t->crashes, run->reported, run->isolated,
+	snprintf(text, sizeof(text),
+		 "crashes=%d certain=%d reported=%d apart=%d%s", t->crashes,
+		 t->certain_crashes, run->reported, run->isolated,
 		 convicted ? "; given up" : "");
 	s->ops->log_decision(s->priv, "crash counted", &run->ref, w, text);
 	if (convicted)
@@ -239,6 +247,7 @@
 		struct lost_run *to = &lost->runs[lost->n_runs++];
 
 		sched_run_ref(run, &to->ref);
+		to->certain = run->reported || run->state == SCHED_RUN_ACTIVE;
 		to->reported = run->reported;
 		to->isolated = run->isolated;
 		if (run->reported)
@@ -347,10 +356,11 @@
 
 		json_array_append_new(
 			runs,
-			json_pack("[s,I,i,i,i,b,b,I]", run->ref.job,
+			json_pack("[s,I,i,i,i,b,b,I,b]", run->ref.job,
 				  (json_int_t)run->ref.round, run->ref.step,
 				  run->ref.index, run->ref.run, run->reported,
-				  run->isolated, (json_int_t)run->lasted_ms));
+				  run->isolated, (json_int_t)run->lasted_ms,
+				  run->certain));
 	}
 	return json_pack(
 		"{s:s,s:s,s:I,s:I,s:I,s:o}", "vm", lost->vm, "address",
@@ -379,6 +389,8 @@
 {
 	out->reported = json_is_true(json_array_get(row, 5));
 	out->isolated = json_is_true(json_array_get(row, 6));
+	/* Absent in rows of older releases. */
+	out->certain = out->reported || json_is_true(json_array_get(row, 8));
 	return sched_unpack_ref(row, &out->ref) &&
 	       num_integer(json_array_get(row, 7), 0, NUM_MAX, &out->lasted_ms);
 }
--- a/src/coordination/sched_progress.c
+++ b/src/coordination/sched_progress.c
@@ -96,10 +96,11 @@
 			continue;
 		json_array_append_new(
 			list,
-			json_pack("[i,i,o,s,o]", t->index, t->last_ended_run,
+			json_pack("[i,i,o,s,o,i]", t->index, t->last_ended_run,
 				  pack_runs(t->failed_runs, t->failures),
 				  checkpoint ? checkpoint : "",
-				  pack_runs(t->crashed_runs, t->crashes)));
+				  pack_runs(t->crashed_runs, t->crashes),
+				  t->certain_crashes));
 	}
 	return list;
 }
@@ -222,6 +223,8 @@
 		else
 			log_unusable_progress(s, step->round->job);
 	}
+	t->certain_crashes = (int32_t)num_clamp(json_array_get(row, 5), 0,
+						t->crashes, t->crashes);
 	t->ever_started = true;
 	t->last_run += t->last_ended_run;
 	if (step->gang_run < t->last_run)
--- a/src/coordination/sched_types.h
+++ b/src/coordination/sched_types.h
@@ -156,6 +156,7 @@
 	int32_t counted_run;
 	int32_t *failed_runs; /* numbers of failed runs, unsorted, no doubles */
 	int32_t crashes; /* length of crashed_runs */
+	int32_t certain_crashes; /* those whose run is known to have begun */
 	int64_t crash_lasted_ms; /* the longest of crashed_runs, roughly */
 	int32_t *crashed_runs; /* runs under which a worker crashed */
 	int64_t not_before_ms; /* retry delay after a failure */
