Count tasks of a VM as unavailable once its upkeep is commanded

Cause: the tasks of the first VM still counted as available when the second was asked about.

Change: the scheduler is told of commands; tasks there are unavailable until the VM has a new worker or the command is rejected.

Test: /upkeep/commanded-vm-counts failed before.

--- a/src/coordination/sched.c
+++ b/src/coordination/sched.c
@@ -173,6 +173,7 @@
 	w->quarantine_until_ms = 0;
 	w->refused_until_ms = 0;
 	w->evacuating = false;
+	w->terminating = false;
 	/* A command to the old incarnation may still be in transit. */
 	w->fence++;
 	s->ops->poll(s->priv, w);
--- a/src/coordination/sched.h
+++ b/src/coordination/sched.h
@@ -108,6 +108,9 @@
 /* Starts or stops evacuating the VM: it gets no new tasks, and tasks are moved
  * off as far as their steps' limits on unavailable tasks allow. */
 void sched_vm_evacuate(struct sched *s, const char *vm, bool on);
+/* The VM's upkeep was commanded, or (`on` false) has not begun and won't: until
+ * the VM has a new worker, tasks there count as unavailable. */
+void sched_vm_set_terminating(struct sched *s, const char *vm, bool on);
 /*
  * Returns whether the VM may be taken down: its workers answer, and each step
  * stays within its limit on unavailable tasks. Unless `late`
--- a/src/coordination/sched_drain.c
+++ b/src/coordination/sched_drain.c
@@ -4,11 +4,12 @@
 
 #include "coordination/sched_int.h"
 
-/* Returns whether the run is active, started up and not being stopped. */
+/* Returns whether the run is active, started up and not about to end. */
 static bool is_available(const struct sched_run *run)
 {
 	return run->state == SCHED_RUN_ACTIVE && run->percent == 100 &&
-	       !run->stopping && !run->worker->unreachable;
+	       !run->stopping && !run->worker->unreachable &&
+	       !run->worker->terminating;
 }
 
 /* Returns the number of tasks of the step without an available run. */
@@ -164,8 +165,20 @@
 	for (guint i = 0; i < s->worker_list->len; i++) {
 		struct sched_worker *w = g_ptr_array_index(s->worker_list, i);
 
+		if (!runs_on_vm(w, vm))
+			continue;
+		w->evacuating = on;
+		w->terminating &= on;
+	}
+}
+
+void sched_vm_set_terminating(struct sched *s, const char *vm, bool on)
+{
+	for (guint i = 0; i < s->worker_list->len; i++) {
+		struct sched_worker *w = g_ptr_array_index(s->worker_list, i);
+
 		if (runs_on_vm(w, vm))
-			w->evacuating = on;
+			w->terminating = on;
 	}
 }
 
--- a/src/coordination/sched_types.h
+++ b/src/coordination/sched_types.h
@@ -245,6 +245,7 @@
 	 * has started at any other worker. */
 	bool heard;
 	bool evacuating; /* its VM is due for upkeep: accepts no new tasks */
+	bool terminating; /* its VM's upkeep was commanded */
 	int64_t fence; /* fence token that commands to it carry */
 	int64_t clock_ms; /* worker's clock in its latest report */
 	int64_t clock_seen_ms; /* when that report arrived */
--- a/src/fleet/upkeep_runner.c
+++ b/src/fleet/upkeep_runner.c
@@ -108,6 +108,8 @@
 
 	log_event(LOG_UPKEEP, "what=\"ordered\" wave=%lld vm=%s outcome=%d",
 		  (long long)c->wave, c->vm, res);
+	if (r && res != UPKEEP_BEGUN && res != UPKEEP_UNKNOWN)
+		sched_vm_set_terminating(r->sched, c->vm, false);
 	if (r)
 		upkeep_note_result(&r->upkeep, c->wave, c->vm, res,
 				   clk_mono_ms(r->f->clk));
@@ -119,6 +121,7 @@
 	struct upkeep_runner *r = priv;
 	struct vms_issuer issuer = { r->f->set.vm, r->epoch };
 
+	sched_vm_set_terminating(r->sched, vm, true);
 	r->f->vms.ops->upkeep(r->f->vms.self, &issuer, wave, vm,
 			      on_upkeep_answer, new_call(r, wave, vm));
 }
--- a/tests/unit_upkeep.c
+++ b/tests/unit_upkeep.c
@@ -260,6 +260,44 @@
 	fixture_close(&p);
 }
 
+/* Review, no case: a wave commanded the upkeep of two VMs at once, with a task
+ * each of a step of which one may be unavailable, since the tasks of the first
+ * one still counted as available. */
+static void test_commanded_vm_counts(void)
+{
+	static const char *const ids[] = { "w", "v" };
+	static const char *const vms[] = { "m1", "m2" };
+	struct jobspec *spec = fixture_long_running("a", 2000, 2);
+	struct sched_fixture p;
+
+	fixture_open(&p, 1, NULL);
+	for (guint i = 0; i < 2; i++) {
+		fixture_add_worker(&p, ids[i], "r");
+		g_strlcpy(fixture_worker(&p, ids[i])->row.vm, vms[i],
+			  SCHED_ID_MAX);
+		fixture_poll(&p, ids[i], NULL, 0, NULL, 0, 10);
+	}
+	spec->steps[0].spread_max = 1;
+	spec->steps[0].unavailable_max = 1;
+	fixture_add_job(&p, spec);
+	sched_place(&p.s, 20);
+	for (guint i = 0; i < 2; i++) {
+		struct sched_active a =
+			fixture_active(fixture_start(&p, i), 100);
+
+		fixture_poll(&p, fixture_start(&p, i)->worker, &a, 1, NULL, 0,
+			     100);
+	}
+	g_assert_true(sched_vm_may_terminate(&p.s, "m1", true, 110));
+	sched_vm_set_terminating(&p.s, "m1", true);
+	g_assert_true(sched_vm_may_terminate(&p.s, "m1", true, 120));
+	g_assert_false(sched_vm_may_terminate(&p.s, "m2", true, 120));
+	/* The command was rejected. */
+	sched_vm_set_terminating(&p.s, "m1", false);
+	g_assert_true(sched_vm_may_terminate(&p.s, "m2", true, 130));
+	fixture_close(&p);
+}
+
 /* Without a limit of unavailable tasks, all tasks of a step move at once. */
 static void test_evacuates_without_budget(void)
 {
@@ -332,6 +370,8 @@
 
 void unit_add_upkeep(void)
 {
+	g_test_add_func("/upkeep/commanded-vm-counts",
+			test_commanded_vm_counts);
 	g_test_add_func("/upkeep/wave", test_wave);
 	g_test_add_func("/upkeep/lost-answer", test_wave_lost_answer);
 	g_test_add_func("/upkeep/successor", test_wave_successor);
