Name incarnations, count places once, keep certain crashes within all

One copy of what counts the tasks that fit at a worker (sched_drain.c had its own, without accelerators); struct sched_incarnation in place of sched_life. A crash that is taken back, since its start came later, lowers the certain ones, too. Found on reading the change.

--- a/src/coordination/sched_advice.c
+++ b/src/coordination/sched_advice.c
@@ -34,47 +34,47 @@
  * those with room for the step unless `any` is set. Returns the new length. */
 static int32_t add_unasked(const struct sched_step *step,
 			   struct sched_worker **list, int32_t n, bool any,
-			   struct sched_life *lives, int32_t n_lives,
+			   struct sched_incarnation *asked, int32_t n_asked,
 			   int64_t now_ms)
 {
-	for (int32_t i = 0; i < n && n_lives < ADVICE_WORKERS_MAX; i++) {
+	for (int32_t i = 0; i < n && n_asked < ADVICE_WORKERS_MAX; i++) {
 		const struct sched_worker *w = list[i];
-		struct sched_life *life = &lives[n_lives];
+		struct sched_incarnation *to = &asked[n_asked];
 
 		if (sched_is_denied(step, w) ||
 		    sched_has_ticket(step, w, now_ms) ||
 		    (!any && !sched_fits(step, w)))
 			continue;
-		g_strlcpy(life->id, w->row.id, sizeof(life->id));
-		life->born_ms = w->row.born_ms;
-		n_lives++;
+		g_strlcpy(to->id, w->row.id, sizeof(to->id));
+		to->born_ms = w->row.born_ms;
+		n_asked++;
 	}
-	return n_lives;
+	return n_asked;
 }
 
 void sched_request_tickets(struct sched *s, struct sched_step *step,
 			   struct sched_worker **list, int32_t n, int32_t n_all,
 			   int64_t now_ms)
 {
-	struct sched_life lives[ADVICE_WORKERS_MAX];
-	int32_t n_lives;
+	struct sched_incarnation asked[ADVICE_WORKERS_MAX];
+	int32_t n_asked;
 
 	if (step->advice_sent_ms &&
 	    now_ms < step->advice_sent_ms + ADVICE_RETRY_MS)
 		return;
 	s->pass_work += n_all;
-	n_lives = add_unasked(step, list, n, false, lives, 0, now_ms);
+	n_asked = add_unasked(step, list, n, false, asked, 0, now_ms);
 	/* The next rack may be asked about in the same call. */
-	if (n_lives)
-		n_lives = add_unasked(step, list + n, n_all - n, false, lives,
-				      n_lives, now_ms);
+	if (n_asked)
+		n_asked = add_unasked(step, list + n, n_all - n, false, asked,
+				      n_asked, now_ms);
 	/* Room for long-running tasks is reserved only where they may run. */
-	if (!n_lives && step->def->is_long_running)
-		n_lives = add_unasked(step, list, n, true, lives, 0, now_ms);
-	if (!n_lives)
+	if (!n_asked && step->def->is_long_running)
+		n_asked = add_unasked(step, list, n, true, asked, 0, now_ms);
+	if (!n_asked)
 		return;
 	step->advice_sent_ms = now_ms;
-	s->ops->advise(s->priv, step, lives, n_lives);
+	s->ops->advise(s->priv, step, asked, n_asked);
 }
 
 static void add_ticket(struct sched *s, struct sched_step *step, const char *id,
@@ -104,13 +104,15 @@
 	return false;
 }
 
-static void add_denial(struct sched_step *step, const struct sched_life *life)
+static void add_denial(struct sched_step *step,
+		       const struct sched_incarnation *worker)
 {
 	if (!step->denials)
 		step->denials = g_hash_table_new_full(g_str_hash, g_str_equal,
 						      g_free, g_free);
-	g_hash_table_replace(step->denials, g_strdup(life->id),
-			     g_memdup2(&life->born_ms, sizeof(life->born_ms)));
+	g_hash_table_replace(
+		step->denials, g_strdup(worker->id),
+		g_memdup2(&worker->born_ms, sizeof(worker->born_ms)));
 }
 
 void sched_advice_received(struct sched *s, const struct sched_advice *advice,
--- a/src/coordination/sched_crash.c
+++ b/src/coordination/sched_crash.c
@@ -116,6 +116,7 @@
 		if (t->crashed_runs[i] != run->number)
 			continue;
 		t->crashed_runs[i] = t->crashed_runs[--t->crashes];
+		t->certain_crashes = MIN(t->certain_crashes, t->crashes);
 		sched_mark_dirty(s, t->step->round->job);
 		return;
 	}
--- a/src/coordination/sched_drain.c
+++ b/src/coordination/sched_drain.c
@@ -39,30 +39,6 @@
 	       count_unavailable(step) + n <= step->def->unavailable_max;
 }
 
-/* Returns how many more tasks of the step the worker has room for. */
-static int64_t count_places(const struct sched_step *step,
-			    const struct sched_worker *w)
-{
-	const struct jobspec_step *def = step->def;
-	const struct place_resources *total = &w->row.total;
-	int64_t places = INT32_MAX;
-
-	if (!sched_fits(step, w))
-		return 0;
-	if (def->cpu_milli)
-		places = MIN(places, (total->cpu_milli - w->used.cpu_milli -
-				      w->reserved.cpu_milli) /
-					     def->cpu_milli);
-	if (def->mem_mib)
-		places = MIN(places, (total->mem_mib - w->used.mem_mib -
-				      w->reserved.mem_mib) /
-					     def->mem_mib);
-	if (def->spread_max)
-		places = MIN(places,
-			     def->spread_max - sched_count_tasks_at(step, w));
-	return MAX(places, 1);
-}
-
 /* Returns the number of tasks of the step that will look for a place: those
  * without a run, and those that are being stopped. */
 static int32_t count_displaced(const struct sched_step *step)
@@ -90,7 +66,7 @@
 			g_ptr_array_index(s->worker_list, i);
 
 		if (sched_is_eligible(s, step, q, w, now_ms))
-			wanted -= count_places(step, w);
+			wanted -= sched_count_fitting(step, w);
 	}
 	return q && wanted <= 0;
 }
--- a/src/coordination/sched_types.h
+++ b/src/coordination/sched_types.h
@@ -294,7 +294,7 @@
 };
 
 /* One incarnation of a worker. */
-struct sched_life {
+struct sched_incarnation {
 	char id[SCHED_ID_MAX];
 	int64_t born_ms;
 };
@@ -302,7 +302,7 @@
 /* An answer of the policy service. */
 struct sched_advice {
 	struct sched_ref step; /* any task of it */
-	const struct sched_life *asked;
+	const struct sched_incarnation *asked;
 	int32_t n_asked;
 	/* The workers that may run the step, and their tickets. */
 	const char *const *ids;
@@ -326,7 +326,7 @@
 	/* Requests tickets from the policy service for the step at these
 	 * workers. */
 	void (*advise)(void *priv, struct sched_step *step,
-		       const struct sched_life *workers, int32_t n);
+		       const struct sched_incarnation *workers, int32_t n);
 	/* Writes one line of the decision log: what was decided, and why. `ref`
 	 * and `w` may be NULL. */
 	void (*log_decision)(void *priv, const char *what,
--- a/src/fleet/shard_ctl.c
+++ b/src/fleet/shard_ctl.c
@@ -175,11 +175,11 @@
 	int64_t epoch;
 	struct sched_ref step;
 	int32_t n_asked;
-	struct sched_life asked[];
+	struct sched_incarnation asked[];
 };
 
 static void do_advise(void *priv, struct sched_step *step,
-		      const struct sched_life *workers, int32_t n)
+		      const struct sched_incarnation *workers, int32_t n)
 {
 	struct shard_ctl *sc = priv;
 	struct advice_call *call =
--- a/tests/fuzz_calls.c
+++ b/tests/fuzz_calls.c
@@ -350,7 +350,7 @@
 static void on_advice(const char *const *ids, const char *const *tickets,
 		      int32_t n, int64_t valid_ms, void *priv)
 {
-	static const struct sched_life asked[] = { { "w", 1 } };
+	static const struct sched_incarnation asked[] = { { "w", 1 } };
 	struct sched_fixture *p = priv;
 	const struct sched_advice advice = {
 		.step = { .job = JOB },
--- a/tests/sched_fixture.c
+++ b/tests/sched_fixture.c
@@ -39,7 +39,7 @@
 }
 
 static void on_advise(void *priv, struct sched_step *step,
-		      const struct sched_life *workers, int32_t n)
+		      const struct sched_incarnation *workers, int32_t n)
 {
 	struct sched_fixture *p = priv;
 	struct recorded_question question = {
@@ -255,7 +255,8 @@
 
 void fixture_answer(struct sched_fixture *p,
 		    const struct recorded_question *question,
-		    bool (*allows)(const struct sched_life *worker, void *priv),
+		    bool (*allows)(const struct sched_incarnation *worker,
+				   void *priv),
 		    void *priv, int64_t valid_ms, int64_t now_ms)
 {
 	/* The scheduler may ask again, and move the recorded calls. */
--- a/tests/sched_fixture.h
+++ b/tests/sched_fixture.h
@@ -31,7 +31,7 @@
 struct recorded_question {
 	struct sched_ref step;
 	int32_t n;
-	struct sched_life workers[FIXTURE_ASKED_MAX];
+	struct sched_incarnation workers[FIXTURE_ASKED_MAX];
 };
 
 /* Configures the queues short (highest priority), long, and ruled (uses the
@@ -71,7 +71,8 @@
  * returns true, for `valid_ms`. */
 void fixture_answer(struct sched_fixture *p,
 		    const struct recorded_question *question,
-		    bool (*allows)(const struct sched_life *worker, void *priv),
+		    bool (*allows)(const struct sched_incarnation *worker,
+				   void *priv),
 		    void *priv, int64_t valid_ms, int64_t now_ms);
 /* The worker answers the start command with success. */
 void fixture_started(struct sched_fixture *p,
--- a/tests/unit_advice.c
+++ b/tests/unit_advice.c
@@ -13,7 +13,7 @@
 #define START_MAX_MS 3000
 
 /* Allows the workers whose ids begin with the text `priv`. */
-static bool allows_prefix(const struct sched_life *worker, void *priv)
+static bool allows_prefix(const struct sched_incarnation *worker, void *priv)
 {
 	return g_str_has_prefix(worker->id, priv);
 }
--- a/tests/unit_policy.c
+++ b/tests/unit_policy.c
@@ -327,7 +327,7 @@
 	fixture_close(&p);
 }
 
-static bool allows_all(const struct sched_life *worker, void *priv)
+static bool allows_all(const struct sched_incarnation *worker, void *priv)
 {
 	(void)worker;
 	(void)priv;
--- a/tests/unit_rack.c
+++ b/tests/unit_rack.c
@@ -170,7 +170,7 @@
 }
 
 /* A rack all of whose workers are denied by the policy is left for others. */
-static bool allows_r1(const struct sched_life *worker, void *priv)
+static bool allows_r1(const struct sched_incarnation *worker, void *priv)
 {
 	(void)priv;
 	return g_str_has_prefix(worker->id, "r1");
--- a/tests/unit_starts.c
+++ b/tests/unit_starts.c
@@ -52,7 +52,7 @@
 	const char *job;
 };
 
-static bool allows(const struct sched_life *worker, void *priv)
+static bool allows(const struct sched_incarnation *worker, void *priv)
 {
 	const struct policy *policy = priv;
 
