Poll a worker until runs that its owner doesn't need have ended

Cause: such a worker is closed while its last report lists runs that the owner doesn't track. Only a report can show their end, and only workers with tracked runs were polled.

Evidence: the successor's waits lines say workers: foreign_runs=2 each second for 18 s; the workers' log has both runs stopped 5 ms after the takeover.

Change: a worker has runs if it has tracked ones or its last report lists others. It is polled until they end (these polls wait for an end and renew no lease), isn't forgotten when its entry expires, and stays on the roster while it drains.

Why this works: nothing else can clear the count, and each report that still lists a run sends its stop again, so a lost stop is covered, too.

Ruled out: a stop that was lost (the runs had ended), stored ends that block the worker (the waits lines name the obstacle).

--- a/src/coordination/sched.c
+++ b/src/coordination/sched.c
@@ -163,6 +163,7 @@
 	w->inherited_runs_known |= w->reconciled;
 	w->reconciled = false;
 	w->restarted = true;
+	w->foreign_runs = 0;
 	w->seen_seq = 0;
 	w->durable_seq = 0;
 	w->commit_seq = 0;
@@ -230,9 +231,14 @@
 	s->ops->poll(s->priv, w);
 }
 
+bool sched_worker_has_runs(const struct sched_worker *w)
+{
+	return w->runs.length || w->foreign_runs;
+}
+
 bool sched_worker_busy(const struct sched_worker *w)
 {
-	return !w->reconciled || w->runs.length ||
+	return !w->reconciled || sched_worker_has_runs(w) ||
 	       w->seen_seq > w->durable_seq || w->unreachable;
 }
 
@@ -289,6 +295,7 @@
 	sched_crash_worker_lost(s, w, now_ms);
 	while (w->runs.head)
 		drop_lost_run(s, w->runs.head->data);
+	w->foreign_runs = 0;
 	w->lease_end_clock_ms = 0;
 }
 
@@ -329,7 +336,7 @@
 			free_worker(s, w);
 		return;
 	}
-	if (!w->listed && !w->runs.length && w->reconciled &&
+	if (!w->listed && !sched_worker_has_runs(w) && w->reconciled &&
 	    w->seen_seq == w->durable_seq) {
 		free_worker(s, w);
 		return;
--- a/src/coordination/sched.h
+++ b/src/coordination/sched.h
@@ -185,6 +185,10 @@
 /* Returns whether the job is done, failed or cancelled. */
 bool sched_job_has_ended(const struct sched_job *job);
 
+/* Returns whether anything runs at the worker, as far as is known, including
+ * runs that are being stopped because they are not needed. */
+bool sched_worker_has_runs(const struct sched_worker *w);
+
 /* Returns whether the worker has to be polled: it has runs or unstored ends, is
  * unreachable, or is not reconciled. */
 bool sched_worker_busy(const struct sched_worker *w);
--- a/src/coordination/sched_roster.c
+++ b/src/coordination/sched_roster.c
@@ -15,7 +15,7 @@
 /* Returns whether nothing runs at the worker and nothing will start there. */
 static bool is_idle_and_draining(const struct sched_worker *w)
 {
-	return w->row.draining && w->reconciled && !w->runs.length &&
+	return w->row.draining && w->reconciled && !sched_worker_has_runs(w) &&
 	       w->seen_seq == w->durable_seq;
 }
 
--- a/src/fleet/wkr_links.c
+++ b/src/fleet/wkr_links.c
@@ -329,7 +329,8 @@
  * is needed. */
 static int64_t poll_wait_ms(const struct sched_worker *w, bool urgent)
 {
-	if (urgent || !w->reconciled || w->unreachable || !w->runs.length)
+	if (urgent || !w->reconciled || w->unreachable ||
+	    !sched_worker_has_runs(w))
 		return 0;
 	if (w->n_isolated)
 		return POLL_WAIT_ISOLATED_MS;
--- a/tests/unit_links.c
+++ b/tests/unit_links.c
@@ -27,6 +27,10 @@
 	int64_t start_bytes; /* of these */
 	int n_starts;
 	char changed[SCHED_ID_MAX]; /* the worker whose report came last */
+	/* Reports list a run that the owner doesn't need, until it has sent so
+	 * many stops; 0: they list nothing. */
+	guint stops_needed;
+	bool lease_renewed;
 };
 
 /* A call in flight. */
@@ -39,11 +43,20 @@
 	int64_t bytes;
 };
 
+static bool lists_unneeded_run(const struct links_fixture *fx)
+{
+	return fx->p.stops->len < fx->stops_needed;
+}
+
 static void answer_poll(void *priv)
 {
+	static struct sched_active unneeded = { .ref = { "gone", 0, 0, 0, 1 } };
 	struct call *c = priv;
 	struct sched_report report = {
-		.clock_ms = 100000 + clk_mono_ms(&clk_system), .born_ms = 1
+		.clock_ms = 100000 + clk_mono_ms(&clk_system),
+		.born_ms = 1,
+		.n_active = lists_unneeded_run(c->fx) ? 1 : 0,
+		.active = &unneeded,
 	};
 
 	c->fx->polls_open--;
@@ -63,6 +76,7 @@
 	c->polled = done;
 	c->priv = priv;
 	c->times_out = after_ms > to->timeout_ms;
+	fx->lease_renewed |= to->lease_end_clock_ms != 0;
 	fx->polls++;
 	fx->polls_open++;
 	fx->polls_open_max = MAX(fx->polls_open_max, fx->polls_open);
@@ -319,8 +333,63 @@
 	fixture_close(&p);
 }
 
+/*
+ * Guards against workers that are never used again (LOST, review/8): an owner
+ * stopped a run of a cancelled job, and nothing asked for the report that shows
+ * its end. Here the first stop is lost, too.
+ */
+static void test_unneeded_run_is_polled(void)
+{
+	struct links_fixture fx;
+	struct sched_worker *w;
+
+	links_fixture_open(&fx, 10);
+	fx.stops_needed = 2;
+	fixture_add_worker(&fx.p, "w", "r");
+	w = fixture_worker(&fx.p, "w");
+	wkr_links_poll(fx.links, w);
+	run_for(&fx, 100);
+	g_assert_cmpint(w->foreign_runs, ==, 1);
+	run_for(&fx, 3500);
+	g_assert_cmpuint(fx.p.stops->len, ==, 2);
+	g_assert_cmpint(w->foreign_runs, ==, 0);
+	/* The second and third one wait for an end. */
+	g_assert_cmpint(fx.polls, ==, 3);
+	g_assert_false(fx.lease_renewed);
+	links_fixture_close(&fx);
+}
+
+/* Nor is such a worker forgotten while its entry has expired from the list, or
+ * taken off the roster as idle: the run goes on until it is stopped. */
+static void test_unneeded_run_keeps_its_worker(void)
+{
+	struct sched_fixture p;
+	struct sched_active unneeded = { .ref = { "gone", 0, 0, 0, 1 } };
+	struct sched_worker_row row;
+
+	fixture_open(&p, 1, NULL);
+	fixture_add_worker(&p, "w", "r");
+	fixture_poll(&p, "w", &unneeded, 1, NULL, 0, 10);
+	row = fixture_worker(&p, "w")->row;
+	row.draining = true;
+	sched_worker_listed(&p.s, &row, 20);
+	sched_tick(&p.s, 30, 1000030);
+	g_assert_true(fixture_worker(&p, "w")->on_roster);
+	sched_worker_unlisted(&p.s, "w", 40);
+	sched_tick(&p.s, 50, 1000050);
+	g_assert_nonnull(fixture_worker(&p, "w"));
+	fixture_poll(&p, "w", NULL, 0, NULL, 0, 60);
+	sched_tick(&p.s, 70, 1000070);
+	g_assert_null(fixture_worker(&p, "w"));
+	fixture_close(&p);
+}
+
 void unit_add_links(void)
 {
+	g_test_add_func("/links/unneeded-run-is-polled",
+			test_unneeded_run_is_polled);
+	g_test_add_func("/links/unneeded-run-keeps-its-worker",
+			test_unneeded_run_keeps_its_worker);
 	g_test_add_func("/links/late-answer-is-used", test_late_answer_is_used);
 	g_test_add_func("/links/silent-worker", test_silent_worker);
 	g_test_add_func("/links/freed-while-late", test_freed_while_late);
