--- a/src/fleet/wkr_links.c
+++ b/src/fleet/wkr_links.c
@@ -1,5 +1,5 @@
-/* Polls workers, one poll at a time each, and sends them queued commands. */
-#include "fleet/wkr_links.h"
+/* Polls workers, one poll at a time each. */
+#include "fleet/wkr_links_int.h"
 
 #include <stdio.h>
 #include <stdlib.h>
@@ -40,81 +40,22 @@
 #define START_WINDOW_MS 100
 /* Calls that a full core makes in one ms, roughly. */
 #define CALLS_PER_CORE_MS 10
-/* Commands in flight to one worker. Each takes a connection. */
-#define COMMANDS_IN_FLIGHT_MAX 3
-
-enum command_kind { CMD_START, CMD_STOP, CMD_PACE };
-
-struct command {
-	enum command_kind kind;
-	struct sched_ref ref;
-	int32_t percent; /* of full speed; for CMD_PACE */
-	int64_t start_bytes; /* for CMD_START; else 0 */
-};
-
-/* The contact with one worker. */
-struct wkr_link {
-	struct wkr_links *links;
-	char id[SCHED_ID_MAX];
-	struct tmr *poll_timer;
-	GQueue commands; /* not sent yet */
-	int32_t commands_in_flight;
-	int32_t polls_in_flight; /* without the late ones */
-	int32_t late_polls;
-	int64_t poll_fence; /* highest fence token of the polls in flight */
-	int64_t last_poll_ms; /* when the last poll ended */
-	int32_t poll_failures; /* polls in a row without answer */
-	bool poll_requested; /* poll even if the worker is idle */
-};
-
-struct wkr_links {
-	struct sched *sched;
-	struct wkr wkr;
-	struct tmr_set *timers;
-	const struct clk *clk;
-	const struct wkr_links_ops *ops;
-	void *priv;
-	GHashTable *table; /* worker id to struct wkr_link */
-	bool enabled;
-	bool quiesced;
-	struct sched_start_room window;
-	/* Start commands that are queued or in flight. */
-	struct sched_start_room starts;
-	struct wkr_links_counts counts;
-	struct wkr_call *calls; /* in flight */
-};
-
-/* A call in flight. If the links are freed first, `links` is set to NULL and
- * the answer is ignored. */
-struct wkr_call {
-	struct wkr_links *links;
-	struct wkr_call *next;
-	struct wkr_call **prev_next; /* the pointer that points to this call */
-	struct wkr_link *link;
-	struct sched_ref ref;
-	enum command_kind kind;
-	int64_t start_bytes; /* as in struct command */
-	int64_t sent_ms;
-	int64_t fence;
-	struct tmr *late_timer; /* of a poll that is not late yet */
-};
 
 static void poll_if_due(struct wkr_link *wl);
-static void send_queued(struct wkr_link *wl);
 
-static int64_t now_ms(const struct wkr_links *links)
+int64_t wkr_links_now_ms(const struct wkr_links *links)
 {
 	return clk_mono_ms(links->clk);
 }
 
-static struct wkr_call *new_call(struct wkr_link *wl)
+struct wkr_call *wkr_call_new(struct wkr_link *wl)
 {
 	struct wkr_links *links = wl->links;
 	struct wkr_call *c = calloc(1, sizeof(*c));
 
 	c->links = links;
 	c->link = wl;
-	c->sent_ms = now_ms(links);
+	c->sent_ms = wkr_links_now_ms(links);
 	c->next = links->calls;
 	c->prev_next = &links->calls;
 	if (c->next)
@@ -123,17 +64,7 @@
 	return c;
 }
 
-/* Adds a start command to the window (`sign` 1) or removes it (-1). */
-static void count_start(struct wkr_links *links, int64_t bytes, int sign)
-{
-	if (!bytes)
-		return;
-	links->starts.bytes += sign * bytes;
-	links->starts.commands += sign;
-}
-
-/* Returns the link that made the call, or NULL if the links are gone. */
-static struct wkr_link *finish_call(struct wkr_call *c)
+struct wkr_link *wkr_call_finish(struct wkr_call *c)
 {
 	struct wkr_link *wl = c->links ? c->link : NULL;
 
@@ -142,7 +73,7 @@
 	*c->prev_next = c->next;
 	if (c->next)
 		c->next->prev_next = c->prev_next;
-	count_start(wl->links, c->start_bytes, -1);
+	wkr_links_count_start(wl->links, c->start_bytes, -1);
 	return wl;
 }
 
@@ -199,7 +130,7 @@
 	return links;
 }
 
-static struct wkr_link *get_link(struct wkr_links *links, const char *id)
+struct wkr_link *wkr_links_get(struct wkr_links *links, const char *id)
 {
 	struct wkr_link *wl = g_hash_table_lookup(links->table, id);
 
@@ -213,13 +144,13 @@
 	return wl;
 }
 
-static struct sched_worker *worker_of(const struct wkr_link *wl)
+struct sched_worker *wkr_link_worker(const struct wkr_link *wl)
 {
 	return g_hash_table_lookup(wl->links->sched->workers, wl->id);
 }
 
-static struct wkr_target target_of(const struct wkr_link *wl,
-				   const struct sched_worker *w)
+struct wkr_target wkr_link_target(const struct wkr_link *wl,
+				  const struct sched_worker *w)
 {
 	return (struct wkr_target){
 		.id = w->row.id,
@@ -258,19 +189,20 @@
 	wl->polls_in_flight--;
 	if (!wl->polls_in_flight)
 		wl->poll_fence = 0;
-	wl->last_poll_ms = now_ms(wl->links);
+	wl->last_poll_ms = wkr_links_now_ms(wl->links);
 }
 
 static void poll_failed(struct wkr_link *wl)
 {
-	struct sched_worker *w = worker_of(wl);
+	struct sched_worker *w = wkr_link_worker(wl);
 
 	poll_ended(wl);
 	wl->poll_failures++;
 	wl->links->counts.polls_failed++;
 	if (!w)
 		return;
-	sched_worker_unanswered(wl->links->sched, w, now_ms(wl->links));
+	sched_worker_unanswered(wl->links->sched, w,
+				wkr_links_now_ms(wl->links));
 	poll_after(wl, retry_delay_ms(wl));
 }
 
@@ -287,7 +219,7 @@
 static void handle_report(struct wkr_link *wl, const struct wkr_call *c,
 			  const struct sched_report *answer)
 {
-	struct sched_worker *w = worker_of(wl);
+	struct sched_worker *w = wkr_link_worker(wl);
 	struct sched_report report = *answer;
 
 	wl->poll_failures = 0;
@@ -295,7 +227,8 @@
 		return;
 	report.sent_ms = c->sent_ms;
 	report.fence = c->fence;
-	sched_poll_answered(wl->links->sched, w, &report, now_ms(wl->links),
+	sched_poll_answered(wl->links->sched, w, &report,
+			    wkr_links_now_ms(wl->links),
 			    clk_wall_ms(wl->links->clk));
 	wl->links->ops->changed(w, wl->links->priv);
 	poll_after(wl, POLL_GAP_MS);
@@ -304,7 +237,7 @@
 static void on_poll_answer(const struct sched_report *answer, void *priv)
 {
 	struct wkr_call *c = priv;
-	struct wkr_link *wl = finish_call(c);
+	struct wkr_link *wl = wkr_call_finish(c);
 	bool is_late = wl && !c->late_timer;
 
 	if (!wl) {
@@ -342,9 +275,9 @@
 static void send_poll(struct wkr_link *wl, struct sched_worker *w, bool urgent)
 {
 	struct wkr_links *links = wl->links;
-	struct wkr_target to = target_of(wl, w);
+	struct wkr_target to = wkr_link_target(wl, w);
 	int64_t wait_ms = poll_wait_ms(w, urgent);
-	struct wkr_call *c = new_call(wl);
+	struct wkr_call *c = wkr_call_new(wl);
 
 	wl->poll_requested = false;
 	wl->polls_in_flight++;
@@ -365,7 +298,7 @@
 static void poll_if_due(struct wkr_link *wl)
 {
 	struct wkr_links *links = wl->links;
-	struct sched_worker *w = worker_of(wl);
+	struct sched_worker *w = wkr_link_worker(wl);
 	bool has_unstored_ends = w && w->seen_seq > w->durable_seq;
 
 	if (!w || !links->enabled || links->quiesced)
@@ -381,9 +314,9 @@
 	if (!wl->poll_requested && !sched_worker_busy(w))
 		return;
 	if (has_unstored_ends && w->reconciled &&
-	    now_ms(links) - wl->last_poll_ms < POLL_UNSTORED_MS) {
-		poll_after(wl, POLL_UNSTORED_MS -
-				       (now_ms(links) - wl->last_poll_ms));
+	    wkr_links_now_ms(links) - wl->last_poll_ms < POLL_UNSTORED_MS) {
+		poll_after(wl, POLL_UNSTORED_MS - (wkr_links_now_ms(links) -
+						   wl->last_poll_ms));
 		return;
 	}
 	send_poll(wl, w, false);
@@ -391,7 +324,7 @@
 
 void wkr_links_poll(struct wkr_links *links, struct sched_worker *w)
 {
-	struct wkr_link *wl = get_link(links, w->row.id);
+	struct wkr_link *wl = wkr_links_get(links, w->row.id);
 
 	wl->poll_requested = true;
 	poll_after(wl, 0);
@@ -405,7 +338,7 @@
 	g_hash_table_iter_init(&it, links->table);
 	while (g_hash_table_iter_next(&it, NULL, &value)) {
 		struct wkr_link *wl = value;
-		struct sched_worker *w = worker_of(wl);
+		struct sched_worker *w = wkr_link_worker(wl);
 
 		if (!w || wl->polls_in_flight || !sched_worker_busy(w) ||
 		    w->seen_seq > w->durable_seq)
@@ -431,153 +364,6 @@
 	links->quiesced = true;
 }
 
-static void command_ended(struct wkr_link *wl)
-{
-	wl->commands_in_flight--;
-	send_queued(wl);
-}
-
-static void on_start_answer(enum sched_start_result res, void *priv)
-{
-	struct wkr_call *c = priv;
-	struct wkr_link *wl = finish_call(c);
-
-	if (wl) {
-		sched_start_answered(wl->links->sched, &c->ref, wl->id, res,
-				     now_ms(wl->links));
-		if (res != SCHED_START_OK || wl->links->sched->starts_held)
-			wl->links->ops->changed(NULL, wl->links->priv);
-		command_ended(wl);
-	}
-	free(c);
-}
-
-static void on_ack(bool answered, void *priv)
-{
-	struct wkr_call *c = priv;
-	struct wkr_link *wl = finish_call(c);
-
-	if (wl) {
-		if (c->kind == CMD_STOP)
-			sched_stop_answered(wl->links->sched, &c->ref, wl->id,
-					    answered, now_ms(wl->links));
-		else if (!answered)
-			sched_pace_failed(wl->links->sched, &c->ref, wl->id);
-		command_ended(wl);
-	}
-	free(c);
-}
-
-static void send_start(struct wkr_link *wl, struct sched_worker *w,
-		       const struct command *cmd)
-{
-	struct wkr_links *links = wl->links;
-	struct wkr_start_cmd start = { .ref = &cmd->ref };
-	struct wkr_target to = target_of(wl, w);
-	struct wkr_call *c;
-
-	/* The decision may have been reversed while the command was queued. */
-	if (w->unreachable ||
-	    !sched_start_args(links->sched, &cmd->ref, wl->id, &start.payload,
-			      &start.checkpoint, &start.ticket)) {
-		count_start(links, cmd->start_bytes, -1);
-		sched_start_answered(links->sched, &cmd->ref, wl->id,
-				     SCHED_START_FENCED, now_ms(links));
-		return;
-	}
-	c = new_call(wl);
-	c->kind = CMD_START;
-	c->ref = cmd->ref;
-	c->start_bytes = cmd->start_bytes;
-	to.lease_end_clock_ms = sched_lease_end(links->sched, w, c->sent_ms);
-	wl->commands_in_flight++;
-	links->counts.commands++;
-	links->wkr.ops->start(links->wkr.self, &to, &start, on_start_answer, c);
-}
-
-static void send_command(struct wkr_link *wl, struct sched_worker *w,
-			 const struct command *cmd)
-{
-	struct wkr_links *links = wl->links;
-	struct wkr_target to = target_of(wl, w);
-	struct wkr_call *c;
-
-	if (cmd->kind == CMD_START) {
-		send_start(wl, w, cmd);
-		return;
-	}
-	c = new_call(wl);
-	c->kind = cmd->kind;
-	c->ref = cmd->ref;
-	wl->commands_in_flight++;
-	links->counts.commands++;
-	if (cmd->kind == CMD_STOP)
-		links->wkr.ops->stop(links->wkr.self, &to, &cmd->ref, on_ack,
-				     c);
-	else
-		links->wkr.ops->pace(links->wkr.self, &to, &cmd->ref,
-				     cmd->percent, on_ack, c);
-}
-
-static void send_queued(struct wkr_link *wl)
-{
-	struct wkr_links *links = wl->links;
-
-	while (wl->commands_in_flight < COMMANDS_IN_FLIGHT_MAX &&
-	       wl->commands.length) {
-		struct command *cmd = g_queue_pop_head(&wl->commands);
-		struct sched_worker *w = worker_of(wl);
-
-		if (w && !links->quiesced)
-			send_command(wl, w, cmd);
-		else
-			count_start(links, cmd->start_bytes, -1);
-		free(cmd);
-	}
-}
-
-static void queue_command(struct wkr_links *links, const char *worker,
-			  const struct sched_ref *ref, enum command_kind kind,
-			  int32_t percent, int64_t start_bytes)
-{
-	struct wkr_link *wl = get_link(links, worker);
-	struct command *cmd = calloc(1, sizeof(*cmd));
-
-	cmd->kind = kind;
-	cmd->ref = *ref;
-	cmd->percent = percent;
-	cmd->start_bytes = start_bytes;
-	count_start(links, start_bytes, 1);
-	g_queue_push_tail(&wl->commands, cmd);
-	send_queued(wl);
-}
-
-struct sched_start_room wkr_links_start_room(const struct wkr_links *links)
-{
-	return (struct sched_start_room){
-		.bytes = links->window.bytes - links->starts.bytes,
-		.commands = links->window.commands - links->starts.commands,
-	};
-}
-
-void wkr_links_start_task(struct wkr_links *links, const char *worker,
-			  const struct sched_ref *ref, int64_t bytes)
-{
-	queue_command(links, worker, ref, CMD_START, 0, bytes);
-}
-
-void wkr_links_stop_task(struct wkr_links *links, const char *worker,
-			 const struct sched_ref *ref)
-{
-	queue_command(links, worker, ref, CMD_STOP, 0, 0);
-}
-
-void wkr_links_pace_task(struct wkr_links *links, const char *worker,
-			 const struct sched_ref *ref, int32_t percent)
-{
-	queue_command(links, worker, ref, CMD_PACE, percent, 0);
-}
-
 const struct wkr_links_counts *wkr_links_counts(const struct wkr_links *links)
 {
 	return &links->counts;
