Acknowledge the last ends of a worker that became idle

Workers list them for good, and each new owner reads them again.

Cause: ends are acknowledged by polls, and a worker whose ends are stored and which runs nothing was not polled.

Change: one poll, 2 s after the ends of an idle worker are stored, unless a poll for another reason did it.

--- a/src/coordination/sched.c
+++ b/src/coordination/sched.c
@@ -167,6 +167,7 @@
 	w->seen_seq = 0;
 	w->durable_seq = 0;
 	w->commit_seq = 0;
+	w->acked_seq = 0;
 	w->clock_ms = 0;
 	w->clock_seen_ms = 0;
 	w->lease_end_clock_ms = 0;
--- a/src/coordination/sched_run.c
+++ b/src/coordination/sched_run.c
@@ -445,6 +445,9 @@
 		return;
 	w->clock_ms = report->clock_ms;
 	w->clock_seen_ms = now_ms;
+	/* Not if it was sent to an earlier incarnation, which had more ends. */
+	if (report->acked_seq <= w->durable_seq)
+		w->acked_seq = MAX(w->acked_seq, report->acked_seq);
 	for (int32_t i = 0; i < report->n_ends; i++) {
 		if (report->ends[i].seq <= w->seen_seq)
 			continue;
--- a/src/coordination/sched_types.h
+++ b/src/coordination/sched_types.h
@@ -85,6 +85,7 @@
 	int64_t born_ms;
 	int64_t fence; /* fence token that the poll carried */
 	int64_t sent_ms; /* when the poll was sent, on the owner's clock */
+	int64_t acked_seq; /* last end that the poll acknowledged */
 	int32_t n_active;
 	int32_t n_ends;
 	struct sched_active *active;
@@ -253,6 +254,7 @@
 	int64_t seen_seq; /* last end that was processed */
 	int64_t commit_seq; /* last end in the commit under way */
 	int64_t durable_seq; /* last end that is stored */
+	int64_t acked_seq; /* last end acknowledged in an answered poll */
 	int64_t created_ms; /* when this owner first knew of it */
 	int64_t last_answer_ms;
 	int64_t refused_until_ms; /* delay after it refused a start */
--- a/src/fleet/wkr_links.c
+++ b/src/fleet/wkr_links.c
@@ -22,6 +22,9 @@
 /* Poll interval while ends that were received are not stored yet, in ms. Polls
  * return at once then, but still have to renew the lease. */
 #define POLL_UNSTORED_MS 500
+/* An idle worker whose ends are stored is told so after this time, in ms.
+ * Mostly the polls of its next task do it before. */
+#define ACK_DELAY_MS 2000
 /* Delay after the first failed poll, and its maximum, in ms. It grows with each
  * failure in a row. */
 #define POLL_RETRY_MS 150
@@ -91,6 +94,7 @@
 		struct wkr_link *wl = value;
 
 		TALLOC_FREE(wl->poll_timer);
+		TALLOC_FREE(wl->ack_timer);
 		g_queue_clear_full(&wl->commands, free);
 	}
 	g_hash_table_destroy(links->table);
@@ -227,6 +231,7 @@
 		return;
 	report.sent_ms = c->sent_ms;
 	report.fence = c->fence;
+	report.acked_seq = c->acked_seq;
 	sched_poll_answered(wl->links->sched, w, &report,
 			    wkr_links_now_ms(wl->links),
 			    clk_wall_ms(wl->links->clk));
@@ -283,6 +288,7 @@
 	wl->polls_in_flight++;
 	wl->poll_fence = w->fence;
 	c->fence = w->fence;
+	c->acked_seq = w->durable_seq;
 	links->counts.polls++;
 	to.lease_end_clock_ms =
 		w->runs.length ? sched_lease_end(links->sched, w, c->sent_ms)
@@ -330,6 +336,28 @@
 	poll_after(wl, 0);
 }
 
+static bool awaits_ack(const struct sched_worker *w)
+{
+	return !sched_worker_busy(w) && w->acked_seq < w->durable_seq;
+}
+
+static void on_ack_due(void *priv)
+{
+	struct wkr_link *wl = priv;
+	struct sched_worker *w = wkr_link_worker(wl);
+
+	wl->ack_timer = NULL;
+	if (w && awaits_ack(w))
+		wkr_links_poll(wl->links, w);
+}
+
+static void ack_later(struct wkr_link *wl)
+{
+	if (!wl->ack_timer)
+		wl->ack_timer = tmr_after(wl->links->timers, ACK_DELAY_MS,
+					  on_ack_due, wl);
+}
+
 void wkr_links_committed(struct wkr_links *links)
 {
 	GHashTableIter it;
@@ -340,6 +368,8 @@
 		struct wkr_link *wl = value;
 		struct sched_worker *w = wkr_link_worker(wl);
 
+		if (w && awaits_ack(w))
+			ack_later(wl);
 		if (!w || wl->polls_in_flight || !sched_worker_busy(w) ||
 		    w->seen_seq > w->durable_seq)
 			continue;
--- a/src/fleet/wkr_links_int.h
+++ b/src/fleet/wkr_links_int.h
@@ -11,6 +11,7 @@
 	struct wkr_links *links;
 	char id[SCHED_ID_MAX];
 	struct tmr *poll_timer;
+	struct tmr *ack_timer;
 	GQueue commands; /* struct command of wkr_commands.c, not sent yet */
 	int32_t commands_in_flight;
 	int32_t polls_in_flight; /* without the late ones */
@@ -50,6 +51,7 @@
 	int64_t start_bytes; /* for WKR_CMD_START; else 0 */
 	int64_t sent_ms;
 	int64_t fence;
+	int64_t acked_seq; /* as in struct sched_report */
 	struct tmr *late_timer; /* of a poll that is not late yet */
 };
 
--- a/tests/unit_links.c
+++ b/tests/unit_links.c
@@ -30,6 +30,8 @@
 	/* Reports list a run that the owner doesn't need, until it has sent so
 	 * many stops; 0: they list nothing. */
 	guint stops_needed;
+	/* Reports list one end until it is acknowledged. */
+	bool has_end;
 	bool lease_renewed;
 };
 
@@ -51,12 +53,17 @@
 static void answer_poll(void *priv)
 {
 	static struct sched_active unneeded = { .ref = { "gone", 0, 0, 0, 1 } };
+	static struct sched_end end = { .seq = 1,
+					.ref = { "gone", 0, 0, 0, 1 },
+					.reason = SCHED_END_STOPPED };
 	struct call *c = priv;
 	struct sched_report report = {
 		.clock_ms = 100000 + clk_mono_ms(&clk_system),
 		.born_ms = 1,
 		.n_active = lists_unneeded_run(c->fx) ? 1 : 0,
 		.active = &unneeded,
+		.n_ends = c->fx->has_end ? 1 : 0,
+		.ends = &end,
 	};
 
 	c->fx->polls_open--;
@@ -71,7 +78,8 @@
 	struct call *c = g_new0(struct call, 1);
 	int64_t after_ms = fx->delay_ms + wait_ms;
 
-	(void)seq;
+	if (seq)
+		fx->has_end = false;
 	c->fx = fx;
 	c->polled = done;
 	c->priv = priv;
@@ -359,8 +367,39 @@
 	links_fixture_close(&fx);
 }
 
-/* Nor is such a worker forgotten while its entry has expired from the list, or
- * taken off the roster as idle: the run goes on until it is stopped. */
+/*
+ * Guards against ends that a worker lists for good (review/8): it became idle
+ * with the last of them, and only polls acknowledge ends.
+ */
+static void test_idle_worker_is_acknowledged(void)
+{
+	struct links_fixture fx;
+	struct sched_worker *w;
+	int polls;
+
+	links_fixture_open(&fx, 10);
+	fx.has_end = true;
+	fixture_add_worker(&fx.p, "w", "r");
+	w = fixture_worker(&fx.p, "w");
+	wkr_links_poll(fx.links, w);
+	run_for(&fx, 100);
+	g_assert_cmpint(w->seen_seq, ==, 1);
+	w->durable_seq = 1;
+	wkr_links_committed(fx.links);
+	run_for(&fx, 3000);
+	g_assert_false(fx.has_end);
+	g_assert_cmpint(w->acked_seq, ==, 1);
+	/* Once is enough. */
+	polls = fx.polls;
+	wkr_links_committed(fx.links);
+	run_for(&fx, 2500);
+	g_assert_cmpint(fx.polls, ==, polls);
+	links_fixture_close(&fx);
+}
+
+/* A worker with such a run isn't forgotten when its entry expires from the
+ * list, or taken off the roster as idle: the run goes on until it is stopped.
+ */
 static void test_unneeded_run_keeps_its_worker(void)
 {
 	struct sched_fixture p;
@@ -388,6 +427,8 @@
 {
 	g_test_add_func("/links/unneeded-run-is-polled",
 			test_unneeded_run_is_polled);
+	g_test_add_func("/links/idle-worker-is-acknowledged",
+			test_idle_worker_is_acknowledged);
 	g_test_add_func("/links/unneeded-run-keeps-its-worker",
 			test_unneeded_run_keeps_its_worker);
 	g_test_add_func("/links/late-answer-is-used", test_late_answer_is_used);
