Tell successors of the longer leases of restarted workers

Cause: a poll for the earlier incarnation takes effect in the new one, whose clock started anew, so the worker cuts the lease to its longest, 10 s. The owner knew that, its successor took the lease for one of 6 s that owners grant. Likewise, a successor that was handed such a lease forgot it with the worker's first report; and a poll under way when the restart was noticed could outlast the owner's bound.

The roster marks such workers, and the owner's row says how much longer these leases may last, before a task starts there. The bound covers calls under way, and ends with the worker's first report.

Why this works: each lease that outlasts the ordinary one is granted between the restart and that report, and what bounds it is in the store before it matters. Workers without a mark are waited for as before.

Ruled out: renewals after the takeover (the owner was dead), late starts by the dead owner (its successor's token refused none), a slow clock (2 % of 6 s is 0.12 s).

Tests that list prev_owner's fields in order name them now.

--- a/src/coordination/sched.c
+++ b/src/coordination/sched.c
@@ -129,8 +129,7 @@
  * of any other run may have reached the new incarnation, whose first report
  * under a higher fence token shows it.
  */
-static void end_old_incarnation(struct sched *s, struct sched_worker *w,
-				int64_t now_ms)
+static void end_old_incarnation(struct sched *s, struct sched_worker *w)
 {
 	GList *next;
 
@@ -148,10 +147,6 @@
 		run->state = SCHED_RUN_UNCERTAIN;
 		run->fence = w->fence;
 	}
-	if (w->runs.length)
-		w->prev_lease_expiry_ms =
-			MAX(w->prev_lease_expiry_ms,
-			    now_ms + sched_lease_bound_ms(s->lim.lease_max_ms));
 }
 
 static void start_incarnation(struct sched *s, struct sched_worker *w,
@@ -159,10 +154,12 @@
 {
 	if (!was_leaving)
 		sched_crash_worker_restarted(s, w, now_ms);
-	end_old_incarnation(s, w, now_ms);
+	end_old_incarnation(s, w);
+	sched_note_restart(s, w, now_ms);
+	/* For the new birth. */
+	sched_roster_mark_dirty(s, w);
 	w->inherited_runs_known |= w->reconciled;
 	w->reconciled = false;
-	w->restarted = true;
 	w->foreign_runs = 0;
 	w->seen_seq = 0;
 	w->durable_seq = 0;
@@ -263,6 +260,7 @@
 		own_expiry_ms = w->clock_seen_ms +
 				sched_lease_bound_ms(w->lease_end_clock_ms -
 						     w->clock_ms);
+	own_expiry_ms = MAX(own_expiry_ms, w->long_lease_expiry_ms);
 	if (w->reconciled || own_expiry_ms > w->prev_lease_expiry_ms)
 		return own_expiry_ms;
 	return w->prev_lease_expiry_ms;
@@ -285,6 +283,7 @@
 	      s->lim.lease_ms;
 	if (end > w->lease_end_clock_ms)
 		w->lease_end_clock_ms = end;
+	w->lease_sent_ms = now_ms;
 	return end;
 }
 
@@ -344,6 +343,7 @@
 	}
 	sched_drain_worker(s, w, now_ms);
 	sched_roster_update(s, w);
+	sched_check_long_lease(s, w, now_ms);
 	resend_stops(s, w, now_ms);
 }
 
--- a/src/coordination/sched.h
+++ b/src/coordination/sched.h
@@ -193,6 +193,10 @@
  * unreachable, or is not reconciled. */
 bool sched_worker_busy(const struct sched_worker *w);
 
+/* Returns when the leases of all workers that the roster marks have expired,
+ * for the owner's row. */
+int64_t sched_long_leases_until_ms(const struct sched *s);
+
 /* Returns the lease end to send to the worker now, on the worker's clock; 0:
  * don't renew the lease. */
 int64_t sched_lease_end(struct sched *s, struct sched_worker *w,
--- a/src/coordination/sched_handover.c
+++ b/src/coordination/sched_handover.c
@@ -143,6 +143,9 @@
 	if (w->reconciled)
 		return;
 	w->prev_lease_expiry_ms = expiry_ms;
+	w->long_lease_expiry_ms = MIN(w->long_lease_expiry_ms, expiry_ms);
+	if (expiry_ms > sched_prev_lease_expiry_ms(s))
+		sched_note_long_lease(s, w, expiry_ms);
 	w->unreachable = true;
 	w->inherited_runs_known = json_is_array(runs);
 	json_array_foreach(runs, i, j)
@@ -193,7 +196,8 @@
 			g_ptr_array_index(s->worker_list, i);
 
 		if (!w->reconciled && !w->inherited_runs_known &&
-		    now_ms < w->prev_lease_expiry_ms)
+		    now_ms < MAX(w->prev_lease_expiry_ms,
+				 w->long_lease_expiry_ms))
 			return true;
 	}
 	return now_ms < s->roster_incomplete_until_ms;
--- a/src/coordination/sched_int.h
+++ b/src/coordination/sched_int.h
@@ -94,6 +94,21 @@
 /* Returns the longest time by the owner's clock that a lease of `lease_ms` on a
  * worker's clock takes to expire, delays included. */
 int64_t sched_lease_bound_ms(int64_t lease_ms);
+/* The worker may have a lease until `expiry_ms`, longer than owners grant. No
+ * task starts there until the roster says so, for a successor. */
+void sched_note_long_lease(struct sched *s, struct sched_worker *w,
+			   int64_t expiry_ms);
+/* The same for a worker that has restarted: calls to its earlier incarnation
+ * may take effect in the present one. */
+void sched_note_restart(struct sched *s, struct sched_worker *w,
+			int64_t now_ms);
+/* The worker reported under the present fence token: from now on it gets no
+ * more such leases. */
+void sched_end_long_lease(struct sched *s, struct sched_worker *w,
+			  int64_t now_ms);
+/* Takes the mark off the worker's roster entry once its lease has expired. */
+void sched_check_long_lease(struct sched *s, struct sched_worker *w,
+			    int64_t now_ms);
 /* Returns when every lease that a previous owner granted has expired. */
 int64_t sched_prev_lease_expiry_ms(const struct sched *s);
 /* Returns whether a worker may run tasks of a previous owner that this owner
--- a/src/coordination/sched_roster.c
+++ b/src/coordination/sched_roster.c
@@ -47,13 +47,16 @@
 	s->roster_dirty &= ~(1u << row);
 	for (guint i = 0; i < s->worker_list->len; i++) {
 		struct sched_worker *w = g_ptr_array_index(s->worker_list, i);
+		json_t *entry;
 
 		if (roster_row_of(w->row.id) != row || !belongs_on_roster(w))
 			continue;
 		w->roster_committing = true;
-		json_array_append_new(
-			list, json_pack("[s,s,I]", w->row.id, w->row.address,
-					(json_int_t)w->row.born_ms));
+		entry = json_pack("[s,s,I]", w->row.id, w->row.address,
+				  (json_int_t)w->row.born_ms);
+		if (w->has_long_lease)
+			json_array_append_new(entry, json_true());
+		json_array_append_new(list, entry);
 	}
 	return list;
 }
@@ -68,10 +71,25 @@
 	}
 }
 
+/* Sets until when the worker may have leases of previous owners. */
+static void restore_leases(struct sched *s, struct sched_worker *w,
+			   int64_t born_ms, bool has_long_lease, int64_t now_ms)
+{
+	w->prev_lease_expiry_ms = sched_prev_lease_expiry_ms(s);
+	if (has_long_lease) {
+		w->long_lease_expiry_ms = s->prev_owner.long_leases_until_ms;
+		w->has_long_lease = true;
+	}
+	/* It restarted after the row was written. */
+	if (born_ms && born_ms < w->row.born_ms)
+		sched_note_restart(s, w, now_ms);
+}
+
 static bool restore_entry(struct sched *s, const json_t *entry, int64_t now_ms)
 {
 	const char *id = json_string_value(json_array_get(entry, 0));
 	const char *address = json_string_value(json_array_get(entry, 1));
+	int64_t born_ms = json_integer_value(json_array_get(entry, 2));
 	struct sched_worker_row row = { 0 };
 	struct sched_worker *w;
 
@@ -82,7 +100,7 @@
 	if (!w) {
 		g_strlcpy(row.id, id, sizeof(row.id));
 		g_strlcpy(row.address, address, sizeof(row.address));
-		row.born_ms = json_integer_value(json_array_get(entry, 2));
+		row.born_ms = born_ms;
 		sched_worker_listed(s, &row, now_ms);
 		w = g_hash_table_lookup(s->workers, id);
 		/* The worker counts as listed only once the list of workers
@@ -91,17 +109,19 @@
 	} else if (strcmp(w->row.address, address)) {
 		sched_roster_mark_dirty(s, w);
 	}
-	w->prev_lease_expiry_ms = sched_prev_lease_expiry_ms(s);
 	w->heard = true;
 	w->on_roster = true;
 	w->roster_stored = true;
+	restore_leases(s, w, born_ms, json_is_true(json_array_get(entry, 3)),
+		       now_ms);
 	return true;
 }
 
 /* Any worker may be one of those that could not be read. */
 static void await_all_workers(struct sched *s)
 {
-	s->roster_incomplete_until_ms = sched_prev_lease_expiry_ms(s);
+	s->roster_incomplete_until_ms = MAX(sched_prev_lease_expiry_ms(s),
+					    s->prev_owner.long_leases_until_ms);
 	for (guint i = 0; i < s->worker_list->len; i++) {
 		struct sched_worker *w = g_ptr_array_index(s->worker_list, i);
 
--- a/src/coordination/sched_run.c
+++ b/src/coordination/sched_run.c
@@ -396,23 +396,16 @@
 /* Marks the worker as reconciled if the report is under its present fence
  * token: no command with a lower one can take effect any more. */
 static void mark_reconciled(struct sched *s, struct sched_worker *w,
-			    const struct sched_report *report)
+			    const struct sched_report *report, int64_t now_ms)
 {
-	int64_t granted_ms = 0;
-
 	if (report->fence != w->fence || w->reconciled)
 		return;
 	w->reconciled = true;
 	/* A previous owner may have granted this lease just before. */
 	if (s->epoch > 1)
-		granted_ms = s->prev_owner.lease_ms;
-	/* A lease end on the old incarnation's clock may be far ahead on the
-	 * new one's. */
-	if (w->restarted)
-		granted_ms = s->lim.lease_max_ms;
-	w->restarted = false;
-	if (granted_ms)
-		w->lease_end_clock_ms = report->clock_ms + granted_ms;
+		w->lease_end_clock_ms =
+			report->clock_ms + s->prev_owner.lease_ms;
+	sched_end_long_lease(s, w, now_ms);
 }
 
 void sched_poll_answered(struct sched *s, struct sched_worker *w,
@@ -462,7 +455,7 @@
 	 * run that it doesn't list may just have ended. */
 	if (report->n_ends < SCHED_ENDS_MAX) {
 		drop_unreported_runs(s, w, report);
-		mark_reconciled(s, w, report);
+		mark_reconciled(s, w, report, now_ms);
 	}
 	sched_adjust_paces(s, w, now_ms);
 }
--- a/src/coordination/sched_types.h
+++ b/src/coordination/sched_types.h
@@ -230,13 +230,16 @@
 	bool listed; /* in the list of workers */
 	bool reconciled; /* this incarnation reported under the present fence */
 	bool unreachable; /* the last poll or command got no answer */
-	bool restarted; /* new incarnation, not reconciled yet */
 	bool row_outdated; /* `row` describes an earlier incarnation */
 	/* `runs` contains all runs that previous owners left there. */
 	bool inherited_runs_known;
 	/* Leases granted by previous owners, or by commands to an older
 	 * incarnation, have expired by then. */
 	int64_t prev_lease_expiry_ms;
+	/* Leases that outlast those that owners grant have expired by then: see
+	 * sched_lease.c. */
+	int64_t long_lease_expiry_ms;
+	bool has_long_lease; /* not expired yet; the roster says so */
 	/* In the stored roster. Tasks start only on stored workers, so that a
 	 * successor knows of them. */
 	bool roster_stored;
@@ -251,6 +254,7 @@
 	int64_t clock_ms; /* worker's clock in its latest report */
 	int64_t clock_seen_ms; /* when that report arrived */
 	int64_t lease_end_clock_ms; /* latest lease end sent, worker's clock */
+	int64_t lease_sent_ms; /* when that was; 0: never */
 	int64_t seen_seq; /* last end that was processed */
 	int64_t commit_seq; /* last end in the commit under way */
 	int64_t durable_seq; /* last end that is stored */
@@ -342,6 +346,7 @@
 	int64_t lease_max_ms; /* workers cut longer leases to this */
 	/* An owner renews leases this long after others may claim its shard. */
 	int64_t in_doubt_max_ms;
+	int64_t call_max_ms; /* longest time that a call to a worker takes */
 	int64_t stop_ms; /* longest time that a stop takes */
 	/* Run time outside the rack of its data relative to inside, in
 	 * thousandths. */
@@ -386,6 +391,8 @@
 struct sched_prev_owner {
 	int64_t renews_until_ms; /* none of them renews a lease later */
 	int64_t lease_ms; /* longest lease that they granted */
+	/* Longer leases of workers that restarted have expired by then. */
+	int64_t long_leases_until_ms;
 };
 
 /* How certain it is that this process still owns the shard. */
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -13,6 +13,7 @@
 #include "fleet/relay_client.h"
 #include "fleet/relay_server.h"
 #include "fleet/shard_ctl.h"
+#include "fleet/wkr_links.h"
 
 /* Interval at which non-owners read the owner's row, in ms: 18 reads a second
  * for 9 VMs. */
@@ -76,6 +77,7 @@
 	s->sched.lease_ms = LEASE_MS;
 	if (s->sched.lease_ms > s->sched.lease_max_ms)
 		s->sched.lease_ms = s->sched.lease_max_ms;
+	s->sched.call_max_ms = WKR_LINKS_CALL_MAX_MS;
 	s->sched.in_doubt_max_ms = IN_DOUBT_MAX_MS;
 	s->owner.in_doubt_max_ms = IN_DOUBT_MAX_MS;
 	s->owner.lease_ms = s->sched.lease_ms;
--- a/src/fleet/shard_ctl.c
+++ b/src/fleet/shard_ctl.c
@@ -315,6 +315,8 @@
 		/* 0 only from an owner that ran an older release. */
 		.lease_ms = prev_row->lease_ms ? prev_row->lease_ms
 					       : set->sched.lease_max_ms,
+		.long_leases_until_ms =
+			owner_previous_long_leases_end_ms(sc->owner),
 	};
 
 	sched_set_prev_owner(&sc->sched, &prev);
--- a/src/fleet/shard_ctl_commit.c
+++ b/src/fleet/shard_ctl_commit.c
@@ -222,6 +222,13 @@
 	return rooms;
 }
 
+static int64_t long_leases_until_ms(const struct shard_ctl *sc)
+{
+	if (!sc->roster_loaded)
+		return owner_previous_long_leases_end_ms(sc->owner);
+	return sched_long_leases_until_ms(&sc->sched);
+}
+
 void shard_ctl_fill_row(struct owner_row *row, void *priv)
 {
 	struct shard_ctl *sc = priv;
@@ -230,6 +237,8 @@
 	gpointer n;
 	json_t *pending;
 
+	row->long_leases_ms =
+		MAX(0, long_leases_until_ms(sc) - clk_mono_ms(sc->f->clk));
 	/* Until the jobs are loaded, the row keeps the counts of the previous
 	 * owner, and their time. */
 	if (!sc->jobs_loaded)
--- a/src/fleet/shard_ctl_load.c
+++ b/src/fleet/shard_ctl_load.c
@@ -116,13 +116,16 @@
 					clk_wall_ms(sc->f->clk));
 	log_event(LOG_SHARD_LOADED,
 		  "shard=%d epoch=%lld jobs=%u workers=%u handed_silent=%d "
-		  "former_renews_ms=%lld former_lease_ms=%lld after_ms=%lld",
+		  "former_renews_ms=%lld former_lease_ms=%lld "
+		  "former_long_ms=%lld after_ms=%lld",
 		  sc->shard, (long long)sc->sched.epoch,
 		  g_hash_table_size(sc->sched.jobs),
 		  g_hash_table_size(sc->sched.workers), n_silent,
 		  (long long)(sc->sched.prev_owner.renews_until_ms -
 			      sc->sched.taken_over_ms),
 		  (long long)sc->sched.prev_owner.lease_ms,
+		  (long long)(sc->sched.prev_owner.long_leases_until_ms -
+			      sc->sched.taken_over_ms),
 		  (long long)(now - sc->sched.taken_over_ms));
 	wkr_links_enable(sc->links);
 	shard_ctl_place_soon(sc);
--- a/src/fleet/wkr_links.c
+++ b/src/fleet/wkr_links.c
@@ -35,6 +35,9 @@
 /* An answer to a poll is used up to this much later, in ms: where a link is
  * slow, none would ever be in time. */
 #define LATE_ANSWER_MS 2500
+_Static_assert(CALL_SLACK_MS + POLL_WAIT_MS + LATE_ANSWER_MS <=
+		       WKR_LINKS_CALL_MAX_MS,
+	       "polls take longer than leases allow for");
 /* Polls of one worker whose answers are late, at most: each adds to the load of
  * a slow link. */
 #define LATE_POLLS_MAX 2
--- a/src/fleet/wkr_links.h
+++ b/src/fleet/wkr_links.h
@@ -11,6 +11,10 @@
 #include "fleet/wkr.h"
 #include "transport/tmr.h"
 
+/* A call to a worker takes this long at most, in ms, its late answer included.
+ */
+#define WKR_LINKS_CALL_MAX_MS 4700
+
 struct wkr_links;
 
 struct wkr_links_ops {
--- a/src/state/owner.c
+++ b/src/state/owner.c
@@ -182,15 +182,18 @@
 	o->rows.ops->commit(o->rows.self, &tx, on_commit, o);
 }
 
+static int64_t left_ms(int64_t end_ms, int64_t now_ms)
+{
+	return end_ms > now_ms ? end_ms - now_ms : 0;
+}
+
 static void start_commit(struct owner *o)
 {
 	o->committing = true;
 	o->commit_wanted = false;
 	o->last_commit_ms = clk_mono_ms(o->clk);
 	o->row.previous_renews_ms =
-		o->previous_renew_end_ms > o->last_commit_ms
-			? o->previous_renew_end_ms - o->last_commit_ms
-			: 0;
+		left_ms(o->previous_renew_end_ms, o->last_commit_ms);
 	o->row.seq++;
 	free(o->value);
 	o->value = owner_row_text(&o->row);
@@ -264,10 +267,13 @@
 		return;
 	o->phase = OWNER_CLAIMING;
 	o->previous_renew_end_ms = previous_renew_end_ms(o, now);
+	/* The row was written before we saw it change. */
+	o->previous_long_leases_end_ms = o->changed_ms + o->row.long_leases_ms;
 	owner_row_clear(&o->previous);
 	o->previous = o->row;
 	o->row.handover = NULL;
 	o->row.rooms = NULL;
+	o->row.long_leases_ms = left_ms(o->previous_long_leases_end_ms, now);
 	if (o->row.lease_ms < o->lim.lease_ms)
 		o->row.lease_ms = o->lim.lease_ms;
 	/* Keep the previous owner's counts until we have our own. */
@@ -437,6 +443,11 @@
 	return o->previous_renew_end_ms;
 }
 
+int64_t owner_previous_long_leases_end_ms(const struct owner *o)
+{
+	return o->previous_long_leases_end_ms;
+}
+
 int64_t owner_version(const struct owner *o)
 {
 	return o->version;
--- a/src/state/owner.h
+++ b/src/state/owner.h
@@ -87,6 +87,9 @@
 /* For the owner: the time, by our monotonic clock, after which no owner before
  * us renews a lease. */
 int64_t owner_previous_renew_end_ms(const struct owner *o);
+/* For the owner: the time by which the leases have expired that
+ * `long_leases_ms` of the row before ours is about. */
+int64_t owner_previous_long_leases_end_ms(const struct owner *o);
 int64_t owner_version(const struct owner *o);
 
 /* Returns the row last read or written, and when it last changed; NULL if none
--- a/src/state/owner_int.h
+++ b/src/state/owner_int.h
@@ -46,7 +46,8 @@
 	int64_t first_sent_ms; /* first attempt of the current commit */
 	int64_t sent_ms; /* last attempt of the current commit */
 	int64_t confirmed_ms; /* when the last confirmed commit was sent */
-	int64_t previous_renew_end_ms; /* see owner.h */
+	int64_t previous_renew_end_ms; /* see owner.h, also for the next */
+	int64_t previous_long_leases_end_ms;
 	int64_t last_commit_ms;
 	bool committing;
 	bool outcome_unknown; /* an attempt may have been committed */
--- a/src/state/owner_row.c
+++ b/src/state/owner_row.c
@@ -78,6 +78,8 @@
 	out->lease_ms = json_integer_value(json_object_get(j, "lease_ms"));
 	out->previous_renews_ms =
 		json_integer_value(json_object_get(j, "renews_ms"));
+	out->long_leases_ms =
+		num_clamp(json_object_get(j, "long_leases_ms"), 0, NUM_MAX, 0);
 	if (is_counts(pending)) {
 		out->pending = text_of(ctx, pending);
 		out->pending_ms = num_clamp(json_object_get(j, "pending_ms"), 0,
@@ -120,6 +122,9 @@
 	json_object_set_new(j, "pending_ms", json_integer(row->pending_ms));
 	json_object_set_new(j, "pending_version",
 			    json_integer(row->pending_version));
+	if (row->long_leases_ms)
+		json_object_set_new(j, "long_leases_ms",
+				    json_integer(row->long_leases_ms));
 	if (*row->successor) {
 		json_object_set_new(j, "successor",
 				    json_string(row->successor));
--- a/src/state/owner_row.h
+++ b/src/state/owner_row.h
@@ -21,6 +21,8 @@
 	int64_t lease_ms; /* longest lease that any owner grants; 0: unknown */
 	int64_t previous_renews_ms; /* earlier owners may renew leases for this
 				       long after the row was written */
+	int64_t long_leases_ms; /* workers that the roster marks may have leases
+				   for this long after that, at most */
 	/* JSON object of queue to job count, a talloc child; NULL: no counts
 	 * that can be read. */
 	char *pending;
--- a/tests/owners.c
+++ b/tests/owners.c
@@ -31,6 +31,8 @@
 	c->previous_lease_ms = previous->lease_ms;
 	c->previous_renew_end_ms =
 		c->owner ? owner_previous_renew_end_ms(c->owner) : 0;
+	c->long_leases_end_ms =
+		c->owner ? owner_previous_long_leases_end_ms(c->owner) : 0;
 	g_strlcpy(c->handover, previous->handover ? previous->handover : "",
 		  sizeof(c->handover));
 }
@@ -64,8 +66,10 @@
 
 static void on_fill(struct owner_row *row, void *priv)
 {
-	(void)row;
-	(void)priv;
+	const struct candidate *c = priv;
+
+	row->long_leases_ms =
+		MAX(0, c->long_leases_end_ms - clk_mono_ms(&clk_system));
 }
 
 static char *on_hand_over(void *ctx, void *priv)
--- a/tests/owners.h
+++ b/tests/owners.h
@@ -29,6 +29,7 @@
 	char own_handover[32]; /* for its successor; "": none */
 	int64_t previous_renew_end_ms;
 	int64_t previous_lease_ms;
+	int64_t long_leases_end_ms; /* likewise of previous owners */
 	char value[32]; /* written with each commit; "": none */
 };
 
--- a/tests/unit.h
+++ b/tests/unit.h
@@ -27,6 +27,8 @@
 void unit_add_admission(void);
 void unit_add_sched(void);
 void unit_add_handover(void);
+void unit_add_recut(void);
+void unit_add_lease(void);
 void unit_add_shard_ctl(void);
 void unit_add_shrink(void);
 void unit_add_lives(void);
--- a/tests/unit_handover.c
+++ b/tests/unit_handover.c
@@ -16,8 +16,10 @@
 #define MARGIN_MS 300
 
 /* A failed owner may renew leases for as long as its ownership is in doubt. */
-static const struct sched_prev_owner failed_owner = { IN_DOUBT_MAX_MS,
-						      FIXTURE_LEASE_MS };
+static const struct sched_prev_owner failed_owner = {
+	.renews_until_ms = IN_DOUBT_MAX_MS,
+	.lease_ms = FIXTURE_LEASE_MS,
+};
 
 /* Opens a successor that knows worker w from the roster, has a report of worker
  * v, and got no answer from w. */
@@ -95,7 +97,9 @@
 /* Remaining time at 1,500 ms of the lease that w was granted at 900 ms. */
 #define LEASE_LEFT_MS (LEASE_BOUND_MS + 200 - 600)
 
-static const struct sched_prev_owner stopped_owner = { 0, FIXTURE_LEASE_MS };
+static const struct sched_prev_owner stopped_owner = {
+	.lease_ms = FIXTURE_LEASE_MS,
+};
 
 static void open_with_handover(struct sched_fixture *p, json_t *handover)
 {
--- a/tests/unit_lives.c
+++ b/tests/unit_lives.c
@@ -145,7 +145,7 @@
 static void test_lease_of_new_incarnation(void)
 {
 	static const struct sched_prev_owner stopped_owner = {
-		0, FIXTURE_LEASE_MS
+		.lease_ms = FIXTURE_LEASE_MS,
 	};
 	struct sched_fixture p;
 	struct sched_active a = { .ref = { "a", 0, 0, 0, 1 }, .percent = 1 };
--- a/tests/unit_state.c
+++ b/tests/unit_state.c
@@ -526,6 +526,33 @@
 	g_hash_table_destroy(s.rows);
 }
 
+/* How long marked workers may have leases is passed on from owner to owner, and
+ * counted from the last row seen, not from each takeover. */
+static void test_long_leases_outlive_a_successor(void)
+{
+	struct owner_fixture f;
+	struct candidate first;
+	struct candidate restarted;
+	int64_t began_ms = clk_mono_ms(&clk_system);
+
+	owner_fixture_open(&f);
+	fake_rows_put(&f.store, "owners", "s0", "owner",
+		      "{\"vm\":\"x\",\"epoch\":4,\"long_leases_ms\":20000}");
+	candidate_start(&f, &first, "a", "1");
+	wait_for_count(&f, &first.gained, 1);
+	g_assert_cmpint(first.long_leases_end_ms, >=, began_ms + 20000);
+	g_assert_cmpint(first.long_leases_end_ms, <=,
+			clk_mono_ms(&clk_system) + 20000 - SILENCE_MS);
+	run_loop_for(&f, 300);
+	candidate_start(&f, &restarted, "a", "2");
+	wait_for_count(&f, &restarted.gained, 1);
+	g_assert_cmpint(restarted.long_leases_end_ms, >=,
+			first.long_leases_end_ms);
+	g_assert_cmpint(restarted.long_leases_end_ms, <,
+			first.long_leases_end_ms + 300);
+	owner_fixture_close(&f);
+}
+
 void unit_add_state(void)
 {
 	g_test_add_func("/state/claim-and-commit", test_claim_and_commit);
@@ -536,6 +563,8 @@
 	g_test_add_func("/state/release-hands-over", test_release_hands_over);
 	g_test_add_func("/state/doubt-outlives-a-successor",
 			test_stale_owner_outlives_a_successor);
+	g_test_add_func("/state/long-leases-outlive-a-successor",
+			test_long_leases_outlive_a_successor);
 	g_test_add_func("/state/yield-unanswered", test_yield_unanswered);
 	g_test_add_func("/state/yield", test_yield);
 	g_test_add_func("/state/confirmed-since-first-try",
