Load a shard over a slow link: bound reads by progress, pages by the link

Cause: a read had 900 ms for the whole answer, and pages had up to 500 rows. A page that took longer was asked for again, whole, for good.

Jobs and progress are read in pages that take the link 300 ms, by the mean size of the rows before; where the link isn't known, in pages of the store's size.

Why this works: what arrives steadily is waited for, and the owner's commits have the link in between.

Ruled out: yielding while the shard isn't loaded (the next VM has the same link).

--- a/src/fleet/shard_ctl.c
+++ b/src/fleet/shard_ctl.c
@@ -343,6 +343,9 @@
 	sc->loaded_progress = g_hash_table_new_full(
 		g_str_hash, g_str_equal, g_free, (GDestroyNotify)json_decref);
 	sc->progress_from = NULL;
+	sc->progress_page = (struct page_size){
+		.bytes_max = page_size_bytes_max(f->set.capacity.link_kbit_s),
+	};
 	sc->last_cleanup_ms = mono_ms(sc);
 	sc->cleanup_running = false;
 	sc->last_tick_ms = mono_ms(sc);
--- a/src/fleet/shard_ctl_int.h
+++ b/src/fleet/shard_ctl_int.h
@@ -3,6 +3,7 @@
 #define SHARD_CTL_INT_H
 
 #include "fleet/shard_ctl.h"
+#include "state/page_size.h"
 #include "state/row_watch.h"
 
 struct shard_ctl {
@@ -20,6 +21,7 @@
 	/* Job id to json_t; an entry is removed once its job is loaded. */
 	GHashTable *loaded_progress;
 	char *progress_from; /* first key of the next page; NULL: the start */
+	struct page_size progress_page;
 	json_t *handover; /* left by the previous owner; NULL: none */
 	int64_t acquired_version; /* store version of our claim */
 	int64_t jobs_version; /* all jobs up to it are known */
--- a/src/fleet/shard_ctl_load.c
+++ b/src/fleet/shard_ctl_load.c
@@ -183,6 +183,8 @@
 		.part = shard_ctl_job_part_prefix(sc->shard, parts),
 		.parts = SHARD_CTL_JOB_PARTS,
 		.wait_ms = JOBS_WAIT_MS,
+		.page_bytes =
+			page_size_bytes_max(sc->f->set.capacity.link_kbit_s),
 	};
 
 	sc->jobs_watch = row_watch_start(sc->term_ctx, &sc->f->rows,
@@ -292,6 +294,7 @@
 
 static void add_progress(struct shard_ctl *sc, const struct rows_answer *ans)
 {
+	page_size_note(&sc->progress_page, ans);
 	for (int32_t i = 0; i < ans->n; i++) {
 		json_t *j = ans->rows[i].value
 				    ? json_loads(ans->rows[i].value, 0, NULL)
@@ -340,6 +343,7 @@
 		.table = SHARD_CTL_PROGRESS_TABLE,
 		.part = shard_ctl_state_part(sc->shard, part),
 		.from = sc->progress_from,
+		.limit = page_size_rows(&sc->progress_page),
 	};
 
 	sc->f->rows.ops->read(sc->f->rows.self, &range, on_progress,
--- a/src/state/row_watch.c
+++ b/src/state/row_watch.c
@@ -9,6 +9,8 @@
 #include <string.h>
 #include <talloc.h>
 
+#include "state/page_size.h"
+
 /* Pause after a failed call, in ms: a tenth of the shortest time bound. */
 #define RETRY_MS 250
 /* An answer with so many changes may not have all: the store limits pages to as
@@ -33,6 +35,7 @@
 	GHashTable *keys_read; /* keys found by the current read */
 	int32_t part_index; /* index of the part being read */
 	char *page_from; /* first key of the next page; NULL: the first page */
+	struct page_size page;
 	int64_t read_version; /* of the first page */
 	int64_t read_ms; /* store's clock at the first page */
 	int64_t version; /* all changes up to it were reported */
@@ -136,6 +139,7 @@
 		w->read_version = ans->version;
 		w->read_ms = ans->now_ms;
 	}
+	page_size_note(&w->page, ans);
 	for (int32_t i = 0; i < ans->n; i++) {
 		g_hash_table_add(w->keys_read, g_strdup(ans->rows[i].key));
 		deliver(w, &ans->rows[i]);
@@ -205,7 +209,8 @@
 	char part[PART_MAX];
 	struct rows_range range = { .table = w->opt.table,
 				    .part = part,
-				    .from = w->page_from };
+				    .from = w->page_from,
+				    .limit = page_size_rows(&w->page) };
 
 	w->timer = NULL;
 	if (w->opt.parts)
@@ -234,6 +239,7 @@
 	w->opt = *opt;
 	w->opt.table = talloc_strdup(w, opt->table);
 	w->opt.part = talloc_strdup(w, opt->part);
+	w->page.bytes_max = opt->page_bytes;
 	w->ops = ops;
 	w->priv = priv;
 	w->versions =
--- a/src/state/row_watch.h
+++ b/src/state/row_watch.h
@@ -22,6 +22,7 @@
 	const char *part; /* rows of other parts are ignored */
 	int32_t parts; /* > 0: watches `part` with 0 to parts - 1 appended */
 	int64_t wait_ms; /* longest time that one call waits for changes */
+	int64_t page_bytes; /* largest page of a read; 0: the store's limit */
 	int64_t gap_ms; /* pause between calls, for tables that change often */
 };
 
--- a/src/transport/htc.c
+++ b/src/transport/htc.c
@@ -44,6 +44,8 @@
 	bool (*may_send)(void *priv);
 	bool sent; /* the first byte may have been sent */
 	void *priv;
+	int64_t idle_ms; /* as in struct htc_request */
+	struct tmr *idle_timer;
 	char *body;
 	size_t body_len;
 	size_t body_size;
@@ -51,11 +53,23 @@
 	char request_id[REQUEST_ID_MAX];
 };
 
+static void on_idle(void *priv);
+
+/* Something of the response has arrived, or the request begins. */
+static void restart_idle_timer(struct transfer *t)
+{
+	TALLOC_FREE(t->idle_timer);
+	if (t->idle_ms > 0)
+		t->idle_timer =
+			tmr_after(t->client->timers, t->idle_ms, on_idle, t);
+}
+
 static size_t on_body(char *data, size_t size, size_t n, void *priv)
 {
 	struct transfer *t = priv;
 	size_t len = size * n;
 
+	restart_idle_timer(t);
 	if (t->body_len + len + 1 > t->body_size) {
 		t->body_size = (t->body_len + len + 1) * 2;
 		t->body = realloc(t->body, t->body_size);
@@ -154,6 +168,7 @@
 		.request_id = t->request_id,
 	};
 
+	TALLOC_FREE(t->idle_timer);
 	curl_easy_getinfo(t->easy, CURLINFO_RESPONSE_CODE, &resp.status);
 	curl_multi_remove_handle(t->client->multi, t->easy);
 	curl_slist_free_all(t->headers);
@@ -163,6 +178,14 @@
 	free(t);
 }
 
+static void on_idle(void *priv)
+{
+	struct transfer *t = priv;
+
+	t->idle_timer = NULL;
+	finish_transfer(t, CURLE_OPERATION_TIMEDOUT);
+}
+
 static void finish_transfers(struct htc *c)
 {
 	CURLMsg *msg;
@@ -333,6 +356,8 @@
 	curl_easy_setopt(easy, CURLOPT_CONNECTTIMEOUT_MS, CONNECT_TIMEOUT_MS);
 	curl_easy_setopt(easy, CURLOPT_TIMEOUT_MS,
 			 (long)(req->timeout_ms > 0 ? req->timeout_ms : 1));
+	t->idle_ms = req->idle_ms;
+	restart_idle_timer(t);
 	t->may_send = req->may_send;
 	curl_easy_setopt(easy, CURLOPT_PREREQFUNCTION, on_before_send);
 	curl_easy_setopt(easy, CURLOPT_PREREQDATA, t);
--- a/src/transport/htc.h
+++ b/src/transport/htc.h
@@ -34,6 +34,9 @@
 	size_t body_len;
 	const char *headers[4]; /* "Name: value"; a NULL ends the list */
 	int64_t timeout_ms;
+	/* > 0: the request is also given up if nothing of the response arrives
+	 * for this long, as by `timeout_ms`. */
+	int64_t idle_ms;
 	/*
 	 * Opens a connection for this request alone and closes it afterwards.
 	 * A reused connection may be broken without the client's knowledge, and
--- a/tests/fleet_tests.c
+++ b/tests/fleet_tests.c
@@ -12,6 +12,7 @@
 #include <unistd.h>
 
 #include "tests/fleet_helpers.h"
+#include "tests/http_tests.h"
 
 #define VMS 3
 /* After this time an accepted job must be in the number of pending jobs, in
@@ -460,5 +461,6 @@
 			test_pending_after_owner_lost);
 	g_test_add_func("/fleet/upkeep-wave", test_upkeep_wave);
 	g_test_add_func("/fleet/odd-entries", test_odd_entries);
+	http_tests_add();
 	return g_test_run();
 }
