Report a table as read once the changes made meanwhile are known

Cause: a new owner reads the parts of the jobs table one after the other, 6 to 8 s over a slow link, and acted on a state as old as the first page. Changes to parts that had been read were asked for only after that.

Change: after a read, a watch asks for the changes since its first page, until an answer has at most 20, and then reports the table as read. If the store has dropped them, the table is read again and reported as before.

Why this works: what is reported is as old as an answer that took no time worth speaking of to arrive.

Ruled out: cancellings that are lost (the owner read them 0.5 s after the start).

--- a/src/state/row_watch.c
+++ b/src/state/row_watch.c
@@ -16,6 +16,9 @@
 /* An answer with so many changes may not have all: the store limits pages to as
  * many rows. The next call follows at once. */
 #define FULL_ANSWER_ROWS 500
+/* After a read, changes made meanwhile are asked for until an answer has no
+ * more than these, which took no time worth speaking of to arrive. */
+#define CAUGHT_UP_ROWS 20
 #define PART_MAX 64
 
 /* Context of a call in flight; outlives a watch that is freed meanwhile. */
@@ -40,6 +43,9 @@
 	int64_t read_ms; /* store's clock at the first page */
 	int64_t version; /* all changes up to it were reported */
 	bool loaded; /* the read is done: ask for changes */
+	bool catching_up; /* ... but those made meanwhile aren't known yet */
+	/* The store had dropped those: the next read has to do without. */
+	bool no_catching_up;
 	bool failed; /* the last call for changes did */
 };
 
@@ -163,8 +169,11 @@
 	deliver_deletions(w);
 	w->version = w->read_version;
 	w->loaded = true;
-	w->ops->synced(w->version, w->read_ms, w->priv);
-	schedule_call(w, w->opt.gap_ms);
+	w->catching_up = !w->no_catching_up;
+	w->no_catching_up = false;
+	if (!w->catching_up)
+		w->ops->synced(w->version, w->read_ms, w->priv);
+	schedule_call(w, w->catching_up ? 0 : w->opt.gap_ms);
 }
 
 static bool is_watched(const struct row_watch *w, const char *part)
@@ -182,8 +191,10 @@
 	if (!w)
 		return;
 	w->failed = ans->result != ROWS_OK;
-	if (ans->result == ROWS_COMPACTED)
+	if (ans->result == ROWS_COMPACTED) {
 		w->loaded = false;
+		w->no_catching_up = w->catching_up;
+	}
 	if (ans->result != ROWS_OK) {
 		schedule_call(w, ans->result == ROWS_COMPACTED ? 0 : RETRY_MS);
 		return;
@@ -199,8 +210,12 @@
 		deliver(w, &ans->rows[i]);
 	}
 	w->version = ans->version;
-	w->ops->synced(w->version, ans->now_ms, w->priv);
-	schedule_call(w, ans->n >= FULL_ANSWER_ROWS ? 0 : w->opt.gap_ms);
+	w->catching_up &= ans->n > CAUGHT_UP_ROWS;
+	if (!w->catching_up)
+		w->ops->synced(w->version, ans->now_ms, w->priv);
+	schedule_call(w, w->catching_up || ans->n >= FULL_ANSWER_ROWS
+				 ? 0
+				 : w->opt.gap_ms);
 }
 
 static void send_call(void *priv)
@@ -220,9 +235,10 @@
 		snprintf(part, sizeof(part), "%s", w->opt.part);
 	if (w->loaded)
 		/* After a failure, what is known is confirmed at once. */
-		w->rows.ops->changes(w->rows.self, w->opt.table, w->version,
-				     w->failed ? 0 : w->opt.wait_ms, on_changes,
-				     begin_call(w));
+		w->rows.ops->changes(
+			w->rows.self, w->opt.table, w->version,
+			w->failed || w->catching_up ? 0 : w->opt.wait_ms,
+			on_changes, begin_call(w));
 	else
 		w->rows.ops->read(w->rows.self, &range, on_page, begin_call(w));
 }
--- a/src/state/row_watch.h
+++ b/src/state/row_watch.h
@@ -11,7 +11,8 @@
 	/* A row is new, changed or deleted. Rows come in order of version,
 	 * except while the whole table is read. */
 	void (*row)(const struct rows_row *row, void *priv);
-	/* All rows up to `version` were reported; called after each read.
+	/* All rows up to `version` were reported. Called once the table has
+	 * been read, and the changes made during that, then after each answer.
 	 * `store_ms` is a time of the store's clock at which `version` was the
 	 * newest. */
 	void (*synced)(int64_t version, int64_t store_ms, void *priv);
