Hand the shard of an owner that is behind to a much stronger VM

Cause: a VM of 0.069 cores takes over while the others are down, loads the shard for 11 s and starts 350 tasks a second where 850 come. Only late ticks make an owner give up, and neither makes a tick late.

Change: an owner that loads or holds starts back at more than 60 % of its ticks over some 3 s looks once a second for a VM with twice its processor that has started since the takeover, names it as its successor and yields.

Why this works: such a VM is known to be up, and loads the shard in a second; the handover names silent workers, so nobody waits for leases.

--- a/src/fleet/shard_ctl.c
+++ b/src/fleet/shard_ctl.c
@@ -23,6 +23,12 @@
 #define TICK_DELAY_MAX_MS 250
 #define TICK_DELAY_WEIGHT_DIVISOR 16
 #define YIELD_REST_MS 15000
+/* An owner that is behind, since its processor or link takes no more, at more
+ * than this share of its ticks, in thousandths, looks for a stronger VM in this
+ * interval, in ms. The share is a moving mean over about 3 s. */
+#define BEHIND_MAX_MILLI 600
+#define BEHIND_WEIGHT_DIVISOR 32
+#define SEEK_INTERVAL_MS 1000
 
 const char *shard_ctl_jobs_table(int32_t shard, char buf[SHARD_CTL_NAME_MAX])
 {
@@ -274,6 +280,22 @@
 	return sc->active && sc->mean_tick_delay_ms > TICK_DELAY_MAX_MS;
 }
 
+/* Hands the shard to a stronger VM if this one takes long to load it, or holds
+ * back starts. Neither need make a tick late. */
+static void check_strength(struct shard_ctl *sc, int64_t now)
+{
+	bool is_behind = !sc->active || sc->sched.starts_held;
+
+	sc->mean_behind_milli +=
+		((is_behind ? 1000 : 0) - sc->mean_behind_milli) /
+		BEHIND_WEIGHT_DIVISOR;
+	if (sc->mean_behind_milli <= BEHIND_MAX_MILLI ||
+	    now - sc->sought_ms < SEEK_INTERVAL_MS)
+		return;
+	sc->sought_ms = now;
+	owner_seek_stronger(sc->owner, YIELD_REST_MS);
+}
+
 static void on_tick(void *priv)
 {
 	struct shard_ctl *sc = priv;
@@ -287,6 +309,7 @@
 		wkr_links_quiesce(sc->links);
 		owner_yield(sc->owner, YIELD_REST_MS);
 	}
+	check_strength(sc, now);
 	if (!sc->active)
 		return;
 	if (sc->f->relay_client)
@@ -350,6 +373,7 @@
 	sc->cleanup_running = false;
 	sc->last_tick_ms = mono_ms(sc);
 	sc->mean_tick_delay_ms = 0;
+	sc->mean_behind_milli = 0;
 	sc->learned_saved_ms = mono_ms(sc);
 	sc->learned_saved = 0;
 	sc->row_texts = g_ptr_array_new_with_free_func(free);
--- a/src/fleet/shard_ctl_int.h
+++ b/src/fleet/shard_ctl_int.h
@@ -37,6 +37,10 @@
 	struct tmr *tick_timer;
 	int64_t last_tick_ms;
 	int64_t mean_tick_delay_ms; /* moving mean */
+	/* Share of ticks at which the shard was not loaded yet or starts were
+	 * held back, in thousandths; a moving mean. */
+	int64_t mean_behind_milli;
+	int64_t sought_ms; /* when a stronger VM was last looked for */
 	int64_t last_cleanup_ms;
 	bool cleanup_running; /* a transaction that removes rows is open */
 	int32_t cleanup_part; /* the part of the next cleanup */
--- a/src/state/owner.c
+++ b/src/state/owner.c
@@ -90,6 +90,7 @@
 	}
 	o->phase = OWNER_OWNING;
 	if (old_phase == OWNER_CLAIMING) {
+		o->gained_store_ms = o->store_ms;
 		log_event(LOG_SHARD_GAINED, "part=%s epoch=%lld from=%s",
 			  o->part, (long long)o->row.epoch, o->previous.vm);
 		o->ops->gained(&o->previous, version, o->priv);
--- a/src/state/owner.h
+++ b/src/state/owner.h
@@ -77,6 +77,15 @@
  */
 void owner_yield(struct owner *o, int64_t no_claim_ms);
 
+/*
+ * For an owner whose work waits for its processor: looks for a much stronger VM
+ * and hands the shard to it. As long as some owner was much stronger, which the
+ * row tells, and only to a VM that has started since the takeover: of others it
+ * isn't known whether they are up. This process may claim again after
+ * `no_claim_ms`.
+ */
+void owner_seek_stronger(struct owner *o, int64_t no_claim_ms);
+
 /*
  * Returns how long ago the last confirmed commit was sent. While that is less
  * than OWNER_CERTAIN_PERCENT of `silence_ms`, no other process can own the
--- a/src/state/owner_int.h
+++ b/src/state/owner_int.h
@@ -53,6 +53,9 @@
 	bool outcome_unknown; /* an attempt may have been committed */
 	bool commit_wanted; /* there are changes to collect */
 	bool releasing; /* the next commit without a backlog releases */
+	bool seeking; /* a read for owner_seek_stronger() is under way */
+	int64_t seek_no_claim_ms; /* its argument */
+	int64_t gained_store_ms; /* the store's clock when we took over */
 	bool publishing; /* our incarnation's row is being written */
 	bool published; /* it was written, or is no longer wanted */
 	bool stopping; /* never claims again */
--- a/src/state/owner_release.c
+++ b/src/state/owner_release.c
@@ -11,6 +11,9 @@
 /* A stopping owner reads the incarnations this many times per poll interval. At
  * the end of its wait it releases the shard even if reads went unanswered. */
 #define LIST_READS_PER_POLL 2
+/* A VM is much stronger with so many times the processor: a change of owner
+ * takes a second or two. */
+#define MUCH_STRONGER 2
 
 static struct incarnation own_incarnation(const struct owner *o)
 {
@@ -122,6 +125,44 @@
 	owner_schedule_commit(o);
 }
 
+static bool is_much_stronger(const struct owner *o, int64_t cpu_milli)
+{
+	return cpu_milli >= MUCH_STRONGER * o->lim.cpu_milli;
+}
+
+static void on_stronger_sought(const struct rows_answer *ans, void *priv)
+{
+	struct owner *o = priv;
+	struct incarnation self = own_incarnation(o);
+	struct incarnation next = { 0 };
+
+	o->seeking = false;
+	if (o->phase != OWNER_OWNING || o->releasing || o->stopping ||
+	    ans->result != ROWS_OK ||
+	    !incarnation_choose(ans, &self, o->row.max_cpu_milli, &next) ||
+	    next.started_ms <= o->gained_store_ms ||
+	    !is_much_stronger(o, next.cpu_milli))
+		return;
+	snprintf(o->row.successor, sizeof(o->row.successor), "%s", next.vm);
+	snprintf(o->row.successor_incarnation,
+		 sizeof(o->row.successor_incarnation), "%s", next.id);
+	log_event(LOG_SHARD_YIELDED, "part=%s to=%s cpu_milli=%lld of=%lld",
+		  o->part, next.vm, (long long)o->lim.cpu_milli,
+		  (long long)next.cpu_milli);
+	o->ops->releasing(o->priv);
+	owner_yield(o, o->seek_no_claim_ms);
+}
+
+void owner_seek_stronger(struct owner *o, int64_t no_claim_ms)
+{
+	if (o->phase != OWNER_OWNING || o->seeking || o->releasing ||
+	    o->stopping || !is_much_stronger(o, o->row.max_cpu_milli))
+		return;
+	o->seeking = true;
+	o->seek_no_claim_ms = no_claim_ms;
+	incarnation_read_all(&o->rows, o->part, on_stronger_sought, o);
+}
+
 void owner_release(struct owner *o, int64_t successor_wait_ms)
 {
 	if (o->stopping)
--- a/tests/unit.h
+++ b/tests/unit.h
@@ -28,6 +28,7 @@
 void unit_add_sched(void);
 void unit_add_handover(void);
 void unit_add_recut(void);
+void unit_add_stronger(void);
 void unit_add_row_watch(void);
 void unit_add_lease(void);
 void unit_add_shard_ctl(void);
--- a/tests/unit_tests.c
+++ b/tests/unit_tests.c
@@ -37,6 +37,7 @@
 	unit_add_sched();
 	unit_add_handover();
 	unit_add_recut();
+	unit_add_stronger();
 	unit_add_row_watch();
 	unit_add_lease();
 	unit_add_shard_ctl();
