--- a/Makefile
+++ b/Makefile
@@ -42,7 +42,7 @@
 FUZZ_SRC = tests/fuzz_calls.c tests/fuzz_rows.c tests/sched_fixture.c
 UNIT_SRC = $(wildcard tests/unit*.c) $(FUZZ_SRC) tests/fake_rows.c \
 	tests/owners.c tests/crash_vms.c tests/ctl_fixture.c tests/sched_sim.c \
-	tests/worker_world.c
+	tests/worker_world.c tests/recut_owner.c
 HARNESS = $(call obj,$(wildcard tests/harness*.c)) $(B)/libgd.a
 obj = $(patsubst %.c,$(B)/%.o,$(1))
 
