Fixtures and tests that the unit tests found wanting; trace drawn plays

/count/*: the fixture of a loaded owner had no clock and no loaded roster, which the owner's row needs now. It has both; the checks are as before.

--- a/tests/recut.h
+++ b/tests/recut.h
@@ -55,10 +55,18 @@
 	int64_t loss_due_ms; /* likewise */
 	GArray *calls; /* struct world_call, not carried out yet */
 	GArray *failed; /* the same, whose owner gets no answer */
+	bool traces; /* prints what happens */
+	bool broken; /* a task ran twice, or doesn't run in the end */
 	int n_jobs; /* accepted so far */
 	int starts;
 };
 
+#define RECUT_TRACE(x, ...)                                                    \
+	do {                                                                   \
+		if ((x)->traces)                                               \
+			g_test_message(__VA_ARGS__);                           \
+	} while (0)
+
 /* Returns true once in so many times. */
 bool recut_chance(struct play *x, int one_in);
 /* Returns a number from `from` up to, but without, `to`. */
--- a/tests/sched_fixture.c
+++ b/tests/sched_fixture.c
@@ -61,9 +61,10 @@
 {
 	struct sched_fixture *p = priv;
 
-	g_test_message("%s %s.%d#%d %s: %s", what, ref ? ref->job : "-",
-		       ref ? ref->index : 0, ref ? ref->run : 0,
-		       w ? w->row.id : "-", detail);
+	if (p->traces)
+		g_test_message("%s %s.%d#%d %s: %s", what, ref ? ref->job : "-",
+			       ref ? ref->index : 0, ref ? ref->run : 0,
+			       w ? w->row.id : "-", detail);
 	if (!strcmp(what, "waits"))
 		g_string_append_printf(p->waits, "%s.%d %s\n", ref->job,
 				       ref->index, detail);
--- a/tests/sched_fixture.h
+++ b/tests/sched_fixture.h
@@ -17,6 +17,7 @@
 	int advised; /* workers that tickets were requested for */
 	GArray *questions; /* struct recorded_question */
 	GString *waits; /* lines of the decision log on waiting tasks */
+	bool traces; /* the decision log is printed */
 };
 
 struct recorded_command {
--- a/tests/unit_count.c
+++ b/tests/unit_count.c
@@ -32,7 +32,10 @@
 		g_snprintf(c->queues[i].name, CATALOG_NAME_MAX, "q%d", i);
 	sc->f = talloc_zero(sc, struct fleet);
 	sc->f->catalog = c;
+	sc->f->clk = &clk_system;
 	sc->f->set.row_bytes_max = 65536;
+	/* The roster is loaded before the jobs are. */
+	sc->roster_loaded = true;
 	sc->jobs_loaded = true;
 	sc->active = true;
 	sched_init(&sc->sched, &no_ops, sc, &lim, 1, 0);
