--- a/Makefile
+++ b/Makefile
@@ -33,7 +33,7 @@
 	-D_GNU_SOURCE $(shell pkg-config --cflags $(MODULES))
 LDLIBS = $(shell pkg-config --libs $(MODULES)) -lurcu-common -lpthread -lm
 
-LIB_DIRS = base transport protocol coordination state
+LIB_DIRS = base transport protocol org coordination state
 LIB_SRC = $(foreach d,$(LIB_DIRS),$(wildcard src/$d/*.c))
 DAEMON_SRC = $(wildcard src/daemon/*.c)
 ENTRY_SRC = $(wildcard src/entry/*.c) $(DAEMON_SRC)
--- a/src/coordination/catalog.c
+++ b/src/coordination/catalog.c
@@ -24,6 +24,15 @@
 	return NULL;
 }
 
+const struct org *catalog_find_org(const struct catalog *c, const char *name)
+{
+	for (int32_t i = 0; c && i < c->n_orgs; i++) {
+		if (!strcmp(c->orgs[i].name, name))
+			return &c->orgs[i];
+	}
+	return NULL;
+}
+
 /* Ignores case and a port at the end of the Host header. */
 static bool host_matches(const char *configured, const char *host)
 {
--- a/src/coordination/catalog.h
+++ b/src/coordination/catalog.h
@@ -8,6 +8,8 @@
 #include <stdbool.h>
 #include <stdint.h>
 
+#include "org/org.h"
+
 #define CATALOG_NAME_MAX 64
 #define CATALOG_PATH_MAX 128
 
@@ -24,6 +26,7 @@
 	int64_t target_factor_milli;
 	int64_t target_offset_ms;
 	bool uses_policy; /* the policy service chooses the allowed workers */
+	bool is_public; /* callers need no key */
 };
 
 struct catalog_pool {
@@ -39,6 +42,10 @@
 	int32_t n_pools;
 	struct catalog_queue *queues;
 	struct catalog_pool *pools;
+	/* Whether callers belong to organisations; if not, there are none. */
+	bool has_orgs;
+	int32_t n_orgs;
+	struct org *orgs;
 };
 
 /* Return the entry of that name, or NULL. */
@@ -46,6 +53,7 @@
 					       const char *name);
 const struct catalog_pool *catalog_find_pool(const struct catalog *c,
 					     const char *name);
+const struct org *catalog_find_org(const struct catalog *c, const char *name);
 
 /* Returns the queue of this host with the longest prefix of `path`, or NULL.
  * A port in `host` is ignored. */
--- a/src/coordination/place.h
+++ b/src/coordination/place.h
@@ -9,13 +9,7 @@
 #include <stdint.h>
 
 #include "coordination/view.h"
-
-/* Resources that a task needs or a worker has. */
-struct place_resources {
-	int64_t cpu_milli;
-	int64_t mem_mib;
-	int64_t accelerators;
-};
+#include "protocol/resources.h"
 
 enum place_health { PLACE_HEALTHY, PLACE_PROBING, PLACE_QUARANTINED };
 
--- a/src/protocol/jobspec.c
+++ b/src/protocol/jobspec.c
@@ -168,6 +168,8 @@
 	for (int32_t i = 0; i < spec->n_steps; i++)
 		json_array_append_new(steps, pack_step(&spec->steps[i]));
 	json_object_set_new(row, "steps", steps);
+	if (*spec->org)
+		json_object_set_new(row, "org", json_string(spec->org));
 	if (!spec->rounds)
 		return row;
 	json_object_set_new(row, "rounds", json_integer(spec->rounds));
@@ -258,22 +260,27 @@
 {
 	const json_t *steps = json_object_get(row, "steps");
 	const char *queue = json_string_value(json_object_get(row, "queue"));
+	const json_t *org = json_object_get(row, "org");
 	const char *payload =
 		json_string_value(json_object_get(row, "payload"));
 	struct jobspec *spec;
 
 	if (!queue || !payload || !json_is_array(steps) ||
 	    json_array_size(steps) > JOBSPEC_STEPS_MAX ||
-	    strlen(id) >= JOBSPEC_ID_MAX || strlen(queue) >= JOBSPEC_NAME_MAX) {
+	    strlen(id) >= JOBSPEC_ID_MAX || strlen(queue) >= JOBSPEC_NAME_MAX ||
+	    (org && (!json_is_string(org) ||
+		     json_string_length(org) >= JOBSPEC_NAME_MAX))) {
 		err_set(e, ERR_RECORD,
 			"the row of job %s lacks queue, payload or steps, or "
-			"they are too long: remove it",
+			"one of its names is invalid: remove it",
 			id);
 		return NULL;
 	}
 	spec = jobspec_new(ctx, (int32_t)json_array_size(steps));
 	snprintf(spec->id, sizeof(spec->id), "%s", id);
 	snprintf(spec->queue, sizeof(spec->queue), "%s", queue);
+	snprintf(spec->org, sizeof(spec->org), "%s",
+		 org ? json_string_value(org) : "");
 	spec->payload = talloc_strdup(spec, payload);
 	spec->accepted_ms =
 		num_clamp(json_object_get(row, "accepted_ms"), 0, NUM_MAX, 0);
--- a/src/protocol/jobspec.h
+++ b/src/protocol/jobspec.h
@@ -57,6 +57,8 @@
 struct jobspec {
 	char id[JOBSPEC_ID_MAX];
 	char queue[JOBSPEC_NAME_MAX];
+	/* The organisation that it was accepted for; "": none. */
+	char org[JOBSPEC_NAME_MAX];
 	char *payload; /* passed to the workers unchanged */
 	int64_t accepted_ms; /* store's clock */
 	int64_t rounds; /* times that the job runs; 0: not scheduled, runs
--- a/tests/lint.sh
+++ b/tests/lint.sh
@@ -4,7 +4,7 @@
 err() { echo "lint: $*" >&2; fail=1; }
 
 # A lower layer never includes a higher one.
-layers="base transport protocol coordination state"
+layers="base transport protocol org coordination state"
 below=""
 for layer in $layers; do
 	above=""
@@ -32,7 +32,8 @@
 	err "src includes platform"
 for f in fleet; do
 	grep -nH "#include \"$f/" src/base/*.[ch] src/transport/*.[ch] \
-		src/protocol/*.[ch] src/coordination/*.[ch] src/state/*.[ch] &&
+		src/protocol/*.[ch] src/org/*.[ch] src/coordination/*.[ch] \
+		src/state/*.[ch] &&
 		err "a lower layer includes $f"
 done
 for f in $(git ls-files '*.[ch]'); do
--- a/tests/sched_fixture.c
+++ b/tests/sched_fixture.c
@@ -96,7 +96,11 @@
 	  .uses_policy = true },
 };
 static struct catalog_pool pools[] = { { .name = "p" } };
-static const struct catalog catalog = { 1, 3, 1, queues, pools };
+static const struct catalog catalog = { .version = 1,
+					.n_queues = 3,
+					.n_pools = 1,
+					.queues = queues,
+					.pools = pools };
 
 void fixture_open(struct sched_fixture *p, int64_t epoch, GHashTable *out)
 {
--- a/tests/unit_attempts.c
+++ b/tests/unit_attempts.c
@@ -7,7 +7,7 @@
 
 #define ATTEMPTS 2 /* of the fixture's queue "short" */
 
-static const struct catalog without_queues = { 2, 0, 1, NULL, NULL };
+static const struct catalog without_queues = { .version = 2, .n_pools = 1 };
 
 /* The configuration of the fixture, but for its version and attempts. */
 struct config {
--- a/tests/unit_count.c
+++ b/tests/unit_count.c
@@ -158,7 +158,11 @@
 	struct catalog_pool *pools =
 		talloc_zero_array(NULL, struct catalog_pool, n_pools);
 	struct catalog_queue queue = { .name = "q", .pool = "p" };
-	struct catalog c = { 2, 1, n_pools, &queue, pools };
+	struct catalog c = { .version = 2,
+			     .n_queues = 1,
+			     .n_pools = n_pools,
+			     .queues = &queue,
+			     .pools = pools };
 	int64_t least_ns = INT64_MAX;
 	struct sched_fixture p;
 
