--- a/src/coordination/sched.c
+++ b/src/coordination/sched.c
@@ -41,6 +41,7 @@
 	s->demands =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	interfere_init(&s->interfere);
+	org_accounts_init(&s->orgs);
 	s->queues = g_hash_table_new(g_str_hash, g_str_equal);
 	s->jobs = g_hash_table_new(g_str_hash, g_str_equal);
 	s->queued =
@@ -81,6 +82,7 @@
 	g_hash_table_destroy(s->workers);
 	g_ptr_array_free(s->worker_list, TRUE);
 	interfere_finish(&s->interfere);
+	org_accounts_finish(&s->orgs);
 }
 
 static void index_queues(struct sched *s)
@@ -105,6 +107,8 @@
 	s->catalog = catalog;
 	s->domains_out = domains_out;
 	index_queues(s);
+	org_accounts_configure(&s->orgs, catalog ? catalog->orgs : NULL,
+			       catalog ? catalog->n_orgs : 0);
 	s->check_attempts = true;
 	g_hash_table_iter_init(&it, s->jobs);
 	while (g_hash_table_iter_next(&it, NULL, &value)) {
--- a/src/coordination/sched_job.c
+++ b/src/coordination/sched_job.c
@@ -289,6 +289,7 @@
 	job->inherited = inherited;
 	job->dirty_link.data = job;
 	job->queue = g_hash_table_lookup(s->queues, job->spec->queue);
+	job->org = org_accounts_get(&s->orgs, job->spec->org);
 	job->work = sched_estimate_work(job->spec);
 	sched_update_mean_work(s, job->spec);
 	for (int32_t i = 0; i < job->spec->n_steps; i++)
--- a/src/coordination/sched_run.c
+++ b/src/coordination/sched_run.c
@@ -60,6 +60,11 @@
 		w->long_lived.mem_mib += sign * size.mem_mib;
 		w->long_lived.accelerators += sign * size.accelerators;
 	}
+	org_account_adjust(run->task->step->round->job->org,
+			   &(struct place_resources){ def->cpu_milli,
+						      def->mem_mib,
+						      def->accelerators },
+			   sign);
 	if (sched_is_small(def))
 		w->n_small += sign;
 	if (def->best_effort) {
--- a/src/coordination/sched_types.h
+++ b/src/coordination/sched_types.h
@@ -15,6 +15,7 @@
 #include "coordination/catalog.h"
 #include "coordination/interfere.h"
 #include "coordination/place.h"
+#include "org/org_accounts.h"
 #include "protocol/jobspec.h"
 
 #define SCHED_ID_MAX 72
@@ -209,6 +210,7 @@
 struct sched_job {
 	struct jobspec *spec;
 	const struct catalog_queue *queue; /* NULL if not configured now */
+	struct org_account *org; /* NULL: it belongs to no organisation */
 	int64_t critical_path_ms; /* estimate of the longest chain of steps */
 	double work; /* see sched_estimate_work() */
 	enum sched_job_state state; /* set by sched_set_job_state() */
@@ -425,6 +427,7 @@
 	const struct sched_rank_policy *rank_policy;
 	const struct catalog *catalog;
 	GHashTable *queues; /* name to struct catalog_queue of `catalog` */
+	struct org_accounts orgs;
 	GHashTable *mean_work; /* queue to double; see sched_rank.c */
 	GHashTable *domains_out; /* names of failure domains out of service */
 	GHashTable *jobs; /* id to struct sched_job */
