--- a/src/coordination/catalog.h
+++ b/src/coordination/catalog.h
@@ -9,6 +9,7 @@
 #include <stdint.h>
 
 #include "org/org.h"
+#include "org/org_keys.h"
 
 #define CATALOG_NAME_MAX 64
 #define CATALOG_PATH_MAX 128
@@ -46,6 +47,7 @@
 	bool has_orgs;
 	int32_t n_orgs;
 	struct org *orgs;
+	struct org_keys *org_keys; /* of `orgs` */
 };
 
 /* Return the entry of that name, or NULL. */
