--- a/src/transport/hts.c
+++ b/src/transport/hts.c
@@ -6,6 +6,7 @@
 #include <errno.h>
 #include <microhttpd.h>
 #include <string.h>
+#include <strings.h>
 #include <stdlib.h>
 #include <talloc.h>
 #include <unistd.h>
@@ -301,6 +302,38 @@
 	return MHD_lookup_connection_value(x->con, MHD_GET_ARGUMENT_KIND, name);
 }
 
+struct header_count {
+	const char *name;
+	struct hts_value *value;
+	int n;
+};
+
+static enum MHD_Result count_header(void *priv, enum MHD_ValueKind kind,
+				    const char *name, size_t name_len,
+				    const char *value, size_t value_len)
+{
+	struct header_count *c = priv;
+
+	(void)kind;
+	if (name_len != strlen(c->name) ||
+	    strncasecmp(name, c->name, name_len) != 0)
+		return MHD_YES;
+	c->value->text = value ? value : "";
+	c->value->len = value ? value_len : 0;
+	c->n++;
+	return MHD_YES;
+}
+
+int hts_count_headers(struct hts_req *req, const char *name,
+		      struct hts_value *value)
+{
+	struct exchange *x = (struct exchange *)req;
+	struct header_count c = { .name = name, .value = value };
+
+	MHD_get_connection_values_n(x->con, MHD_HEADER_KIND, count_header, &c);
+	return c.n;
+}
+
 void hts_quiesce(struct hts *s)
 {
 	MHD_socket fd = MHD_quiesce_daemon(s->daemon);
--- a/src/transport/hts.h
+++ b/src/transport/hts.h
@@ -50,6 +50,17 @@
 const char *hts_header(struct hts_req *req, const char *name);
 const char *hts_query(struct hts_req *req, const char *name);
 
+/* Value of a request header; may contain NULs. */
+struct hts_value {
+	const char *text;
+	size_t len;
+};
+
+/* Returns how many request headers have this name; `value` is set to that of
+ * the last one, if any. */
+int hts_count_headers(struct hts_req *req, const char *name,
+		      struct hts_value *value);
+
 /* Stops accepting connections; open ones continue. */
 void hts_quiesce(struct hts *s);
 
