--- a/src/state/row_watch.c
+++ b/src/state/row_watch.c
@@ -41,6 +41,7 @@
 	struct page_size page;
 	int64_t read_version; /* of the first page */
 	int64_t read_ms; /* store's clock at the first page */
+	int64_t sent_ms; /* of the first page, or of the last changes */
 	int64_t version; /* all changes up to it were reported */
 	bool loaded; /* the read is done: ask for changes */
 	bool catching_up; /* ... but those made meanwhile aren't known yet */
@@ -144,6 +145,7 @@
 	if (first) {
 		w->read_version = ans->version;
 		w->read_ms = ans->now_ms;
+		w->sent_ms = ans->sent_ms;
 	}
 	page_size_note(&w->page, ans);
 	for (int32_t i = 0; i < ans->n; i++) {
@@ -210,6 +212,7 @@
 		deliver(w, &ans->rows[i]);
 	}
 	w->version = ans->version;
+	w->sent_ms = ans->sent_ms;
 	w->catching_up &= ans->n > CAUGHT_UP_ROWS;
 	if (!w->catching_up)
 		w->ops->synced(w->version, ans->now_ms, w->priv);
@@ -266,3 +269,8 @@
 	schedule_call(w, 0);
 	return w;
 }
+
+int64_t row_watch_sent_ms(const struct row_watch *w)
+{
+	return w->sent_ms;
+}
--- a/src/state/row_watch.h
+++ b/src/state/row_watch.h
@@ -33,4 +33,8 @@
 				  const struct row_watch_options *opt,
 				  const struct row_watch_ops *ops, void *priv);
 
+/* Returns the sent_ms of the answer, for a read its first one, that the last
+ * `synced` was called for. What changed after that may be missing. */
+int64_t row_watch_sent_ms(const struct row_watch *w);
+
 #endif
--- a/src/state/rows.h
+++ b/src/state/rows.h
@@ -30,6 +30,7 @@
 	enum rows_result result;
 	int64_t version; /* newest of the store; next `after` for changes */
 	int64_t now_ms; /* the store's monotonic clock */
+	int64_t sent_ms; /* when the call was sent; 0: not known */
 	bool more; /* the range has rows after the last one */
 	int32_t n;
 	struct rows_row *rows;
