--- a/src/coordination/sched_progress.c
+++ b/src/coordination/sched_progress.c
@@ -13,6 +13,10 @@
 #define SUMMARY_BYTES 32
 #define ROUND_BYTES 32
 #define ROW_BYTES 256
+/* Length of the field of an organisation beside its name, and of a character of
+ * that as JSON, in bytes. */
+#define ORG_BYTES 9
+#define CHARACTER_BYTES_MAX 6
 /* Highest run number accepted from the store; no task is started as often.
  * Leaves room for further numbers. */
 #define RUN_MAX (INT32_MAX / 2)
@@ -41,9 +45,16 @@
 	return sum;
 }
 
-bool sched_fits_in_row(const struct jobspec *spec, int64_t row_bytes)
+static int64_t row_bytes(const struct jobspec *spec)
 {
-	return ROW_BYTES + summary_bytes(spec) <= row_bytes;
+	int64_t n = (int64_t)strlen(spec->org);
+
+	return ROW_BYTES + (n ? ORG_BYTES + n * CHARACTER_BYTES_MAX : 0);
+}
+
+bool sched_fits_in_row(const struct jobspec *spec, int64_t max)
+{
+	return row_bytes(spec) + summary_bytes(spec) <= max;
 }
 
 int64_t sched_rounds_open_max(const struct sched *s, const struct jobspec *spec)
@@ -52,7 +63,7 @@
 
 	if (!s->lim.row_bytes)
 		return ROUNDS_OPEN_MAX;
-	n = (s->lim.row_bytes - ROW_BYTES) / summary_bytes(spec);
+	n = (s->lim.row_bytes - row_bytes(spec)) / summary_bytes(spec);
 	return CLAMP(n, 1, ROUNDS_OPEN_MAX);
 }
 
@@ -165,6 +176,8 @@
 				"ended_ms", (json_int_t)job->ended_wall_ms);
 
 	json_object_set_new(row, "queue", json_string(job->spec->queue));
+	if (*job->spec->org)
+		json_object_set_new(row, "org", json_string(job->spec->org));
 	if (sched_job_has_ended(job)) {
 		json_decref(rounds);
 		return row;
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -152,9 +152,15 @@
 		talloc_free(catalog);
 		return;
 	}
-	log_event(LOG_CONFIG_APPLIED, "version=%lld queues=%d pools=%d",
-		  (long long)catalog->version, catalog->n_queues,
-		  catalog->n_pools);
+	if (catalog->has_orgs)
+		log_event(LOG_CONFIG_APPLIED,
+			  "version=%lld queues=%d pools=%d orgs=%d",
+			  (long long)catalog->version, catalog->n_queues,
+			  catalog->n_pools, catalog->n_orgs);
+	else
+		log_event(LOG_CONFIG_APPLIED, "version=%lld queues=%d pools=%d",
+			  (long long)catalog->version, catalog->n_queues,
+			  catalog->n_pools);
 	f->catalog = talloc_steal(f->ev, catalog);
 	configure_all(f);
 	talloc_free((void *)old);
@@ -163,12 +169,23 @@
 void fleet_config_synced(struct fleet *f)
 {
 	f->config_synced_ms = clk_mono_ms(f->clk);
+	f->config_confirmed_ms = f->config_synced_ms;
+}
+
+void fleet_config_confirmed(struct fleet *f, int64_t sent_ms)
+{
+	f->config_confirmed_ms = sent_ms;
 }
 
 bool fleet_config_is_current(const struct fleet *f)
 {
-	return f->catalog &&
-	       clk_mono_ms(f->clk) - f->config_synced_ms < CONFIG_AGE_MAX_MS;
+	int64_t max = CONFIG_AGE_MAX_MS;
+
+	if (!f->catalog)
+		return false;
+	if (f->catalog->has_orgs && f->set.apply_ms)
+		max = MIN(max, f->set.apply_ms);
+	return clk_mono_ms(f->clk) - f->config_synced_ms < max;
 }
 
 void fleet_set_domain_out(struct fleet *f, const char *domain, bool out)
@@ -348,6 +365,17 @@
 			  relay_server_dropped(f->relay_server));
 }
 
+static char *add_access_metrics(char *text, const struct fleet *f)
+{
+	for (int i = 0; i < ACCESS_CALLS; i++)
+		text = talloc_asprintf_append(
+			text, "gd_key_denied_%s_total %lld\n",
+			access_call_name(i), (long long)f->access.denied[i]);
+	text = add_metric(text, "gd_id_taken_total",
+			  job_api_counts(f->job_api)->id_taken);
+	return add_metric(text, "gd_organisations", f->catalog->n_orgs);
+}
+
 char *fleet_metrics(struct fleet *f, void *ctx)
 {
 	const struct job_api_counts *c = job_api_counts(f->job_api);
@@ -364,6 +392,8 @@
 	text = add_metric(text, "gd_pending_refused_total", c->count_refused);
 	text = add_metric(text, "gd_accept_us_p50", hist_quantile_us(h, 0.5));
 	text = add_metric(text, "gd_accept_us_p99", hist_quantile_us(h, 0.99));
+	if (f->catalog && f->catalog->has_orgs)
+		text = add_access_metrics(text, f);
 	if (f->relay_client)
 		text = add_relay_metrics(text, f);
 	for (int32_t i = 0; i < f->set.shards; i++)
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -11,6 +11,7 @@
 
 #include "base/clk.h"
 #include "coordination/sched.h"
+#include "fleet/access.h"
 #include "fleet/relay_table.h"
 #include "fleet/vms.h"
 #include "fleet/wkr.h"
@@ -37,6 +38,14 @@
 	/* A new owner sends no upkeep command for this long, since the
 	 * platform may not tell its commands from its predecessor's. */
 	int64_t upkeep_holdoff_ms;
+	/* Bounds on changes of callers' keys; they apply only if there are
+	 * organisations. A call is handled by a version that is in the store
+	 * for `apply_ms`; 0: no bound. */
+	int64_t apply_ms;
+	/* With `strict_revoke`, no job is stored for a key that was removed
+	 * `revoke_ms` ago, also if the store cannot be reached. */
+	bool strict_revoke;
+	int64_t revoke_ms;
 };
 
 /* An upkeep wave requested by operators. */
@@ -76,6 +85,9 @@
 	GHashTable *waves; /* number to struct fleet_wave */
 	const struct catalog *catalog; /* NULL until the first one is set */
 	int64_t config_synced_ms; /* when all changes of it were last known */
+	/* When the call to the store that confirmed it last was sent. */
+	int64_t config_confirmed_ms;
+	struct access_counts access;
 	GHashTable *domains_out; /* names of domains out of service */
 	struct shard_ctl *shard_ctls[FLEET_SHARDS_MAX];
 	struct job_api *job_api;
@@ -120,6 +132,9 @@
 /* Called when the store has answered that no other change of the configuration
  * is there. */
 void fleet_config_synced(struct fleet *f);
+/* Says that the store's call that confirmed it was sent at this time of the
+ * monotonic clock; call after fleet_config_synced, which assumes now. */
+void fleet_config_confirmed(struct fleet *f, int64_t sent_ms);
 /* Returns true if there is a configuration and the store has confirmed it
  * recently. Calls must not be answered by one that may be outdated. */
 bool fleet_config_is_current(const struct fleet *f);
--- a/src/fleet/job_api.c
+++ b/src/fleet/job_api.c
@@ -27,6 +27,11 @@
 	bool is_cancel;
 	bool cancel_sent; /* the cancel row was sent at least once */
 	bool fresh_connection;
+	struct access who;
+	/* The progress row says `progress`, but no organisation: that is in the
+	 * job's row. */
+	bool has_progress;
+	enum sched_job_state progress;
 	int64_t row_version; /* of the row that the answer is taken from */
 	void (*retry_fn)(struct job_request *rq); /* repeats the last call */
 	job_api_cb done;
@@ -59,8 +64,8 @@
 
 const char *job_api_result_name(enum job_api_result res)
 {
-	static const char *const names[] = { "done", "refused", "unsure",
-					     "absent" };
+	static const char *const names[] = { "done",   "refused", "unsure",
+					     "absent", "denied",  "id_taken" };
 
 	return names[res];
 }
@@ -75,11 +80,12 @@
 
 	log_event(LOG_JOB,
 		  "job=%s what=%s outcome=%s state=%s why=\"%s\" version=%lld "
-		  "took_ms=%lld",
+		  "took_ms=%lld%s%s",
 		  rq->id, rq->is_cancel ? "cancel" : "state",
 		  job_api_result_name(res), sched_job_state_name(state), why,
 		  (long long)rq->row_version,
-		  (long long)(now_ms(api) - rq->received_ms));
+		  (long long)(now_ms(api) - rq->received_ms),
+		  *rq->who.org ? " org=" : "", rq->who.org);
 	api->counts.cancelled += rq->is_cancel && res == JOB_API_OK;
 	api->counts.lookups += !rq->is_cancel;
 	api->active--;
@@ -154,12 +160,28 @@
 		retry_request(rq, ans);
 		return;
 	}
+	/* A progress row without its job's is one about to be removed, or the
+	 * read was of an older version than that of the progress row. */
+	if (rq->has_progress &&
+	    (!ans->n || strcmp(ans->rows[0].key, rq->id) != 0)) {
+		retry_request(rq, ans);
+		return;
+	}
 	/* A cancel row may be left of a job that was removed meanwhile. */
 	if (!ans->n || strcmp(ans->rows[0].key, rq->id) != 0) {
 		answer_request(rq, JOB_API_NOT_FOUND, SCHED_JOB_QUEUED,
 			       "no such job");
 		return;
 	}
+	if (!access_may_use_row(&rq->who, ans->rows[0].value)) {
+		answer_request(rq, JOB_API_NOT_FOUND, SCHED_JOB_QUEUED,
+			       "of another organisation");
+		return;
+	}
+	if (rq->has_progress) {
+		answer_request(rq, JOB_API_OK, rq->progress, "progress");
+		return;
+	}
 	if (admission_parse_refusal(ans->rows[0].value, &refused_ms)) {
 		answer_request(rq, JOB_API_NOT_FOUND, SCHED_JOB_QUEUED,
 			       "refused");
@@ -196,11 +218,8 @@
 
 /* Reads the job state from a progress row; returns false if there is none in
  * it. */
-static bool parse_state(const struct rows_answer *ans,
-			enum sched_job_state *out)
+static bool parse_state(const json_t *j, enum sched_job_state *out)
 {
-	json_t *j = ans->rows[0].value ? json_loads(ans->rows[0].value, 0, NULL)
-				       : NULL;
 	const char *name = json_string_value(json_object_get(j, "state"));
 	bool found = false;
 
@@ -210,26 +229,28 @@
 		*out = (enum sched_job_state)i;
 		found = true;
 	}
-	json_decref(j);
 	return found;
 }
 
-static void on_progress_read(const struct rows_answer *ans, void *priv)
+/* Answers by a progress row, NULL if it isn't JSON. */
+static void answer_progress(struct job_request *rq, const json_t *j)
 {
-	struct job_request *rq = priv;
-	enum sched_job_state state = SCHED_JOB_QUEUED;
+	const json_t *org = json_object_get(j, "org");
+	bool found = parse_state(j, &rq->progress);
 
-	if (ans->result != ROWS_OK) {
-		retry_request(rq, ans);
+	if (!access_may_use(&rq->who, org)) {
+		answer_request(rq, JOB_API_NOT_FOUND, SCHED_JOB_QUEUED,
+			       "of another organisation");
 		return;
 	}
-	if (!ans->n) {
+	if (found && rq->who.has_orgs && !org) {
+		/* An earlier release wrote it, or the job has none. */
+		rq->has_progress = true;
 		read_job(rq);
 		return;
 	}
-	rq->row_version = ans->rows[0].version;
-	if (parse_state(ans, &state)) {
-		answer_request(rq, JOB_API_OK, state, "progress");
+	if (found) {
+		answer_request(rq, JOB_API_OK, rq->progress, "progress");
 		return;
 	}
 	log_event(LOG_ROW_UNUSABLE,
@@ -240,6 +261,25 @@
 		       "unreadable progress");
 }
 
+static void on_progress_read(const struct rows_answer *ans, void *priv)
+{
+	struct job_request *rq = priv;
+	json_t *j;
+
+	if (ans->result != ROWS_OK) {
+		retry_request(rq, ans);
+		return;
+	}
+	if (!ans->n) {
+		read_job(rq);
+		return;
+	}
+	rq->row_version = ans->rows[0].version;
+	j = ans->rows[0].value ? json_loads(ans->rows[0].value, 0, NULL) : NULL;
+	answer_progress(rq, j);
+	json_decref(j);
+}
+
 static void read_progress(struct job_request *rq)
 {
 	char part[SHARD_CTL_NAME_MAX];
@@ -256,6 +296,7 @@
 }
 
 static struct job_request *new_request(struct job_api *api, const char *id,
+				       const struct access *who,
 				       int64_t deadline_ms, job_api_cb done,
 				       void *priv)
 {
@@ -269,25 +310,30 @@
 	rq->shard = fleet_shard_of(api->f, id);
 	rq->received_ms = now_ms(api);
 	rq->deadline_ms = deadline_ms;
+	if (who)
+		rq->who = *who;
 	rq->done = done;
 	rq->priv = priv;
 	api->active++;
 	return rq;
 }
 
-void job_api_cancel(struct job_api *api, const char *id, int64_t deadline_ms,
+void job_api_cancel(struct job_api *api, const char *id,
+		    const struct access *who, int64_t deadline_ms,
 		    job_api_cb done, void *priv)
 {
-	struct job_request *rq = new_request(api, id, deadline_ms, done, priv);
+	struct job_request *rq =
+		new_request(api, id, who, deadline_ms, done, priv);
 
 	rq->is_cancel = true;
 	read_job(rq);
 }
 
-void job_api_state(struct job_api *api, const char *id, int64_t deadline_ms,
+void job_api_state(struct job_api *api, const char *id,
+		   const struct access *who, int64_t deadline_ms,
 		   job_api_cb done, void *priv)
 {
-	read_progress(new_request(api, id, deadline_ms, done, priv));
+	read_progress(new_request(api, id, who, deadline_ms, done, priv));
 }
 
 /* Adds the pending jobs of one shard to `ans`, unless their number is unknown
--- a/src/fleet/job_api.h
+++ b/src/fleet/job_api.h
@@ -12,7 +12,9 @@
 	JOB_API_OK, /* accepted, cancelled, or the state was found */
 	JOB_API_REFUSED, /* had no effect and never will */
 	JOB_API_UNKNOWN, /* may take effect; retry with the same id */
-	JOB_API_NOT_FOUND, /* there is no such job */
+	JOB_API_NOT_FOUND, /* there is no such job, for this caller */
+	JOB_API_DENIED, /* the key is not valid any more; no effect */
+	JOB_API_ID_TAKEN, /* another organisation's job has the id; no effect */
 };
 
 struct job_api_answer {
@@ -27,12 +29,16 @@
 
 struct job_api *job_api_start(struct fleet *f);
 
-/* Takes ownership of `spec`. Deadlines are on the monotonic clock. */
+/* Takes ownership of `spec`, and sets its organisation. Deadlines are on the
+ * monotonic clock. `who` is copied; NULL: keys are not required. */
 void job_api_submit(struct job_api *api, struct jobspec *spec,
-		    int64_t deadline_ms, job_api_cb done, void *priv);
-void job_api_cancel(struct job_api *api, const char *id, int64_t deadline_ms,
+		    const struct access *who, int64_t deadline_ms,
 		    job_api_cb done, void *priv);
-void job_api_state(struct job_api *api, const char *id, int64_t deadline_ms,
+void job_api_cancel(struct job_api *api, const char *id,
+		    const struct access *who, int64_t deadline_ms,
+		    job_api_cb done, void *priv);
+void job_api_state(struct job_api *api, const char *id,
+		   const struct access *who, int64_t deadline_ms,
 		   job_api_cb done, void *priv);
 
 /*
@@ -47,10 +53,11 @@
 
 /* Numbers of calls. `repeated` counts submissions of jobs already stored,
  * `lookups` calls of job_api_state; `counted` and `count_refused` count calls
- * of job_api_pending. */
+ * of job_api_pending; `id_taken` submissions answered JOB_API_ID_TAKEN. */
 struct job_api_counts {
 	int64_t accepted, repeated, refused, unknown, cancelled, lookups;
 	int64_t counted, count_refused;
+	int64_t id_taken;
 };
 
 const struct job_api_counts *job_api_counts(const struct job_api *api);
--- a/src/fleet/job_submit.c
+++ b/src/fleet/job_submit.c
@@ -29,6 +29,8 @@
 	int32_t part;
 	char *row_value; /* of the job, or of its refusal */
 	struct admission admission;
+	struct access who;
+	enum access_verdict verdict; /* of the check before the commit */
 	int64_t row_version; /* of an earlier refusal to replace; 0: none */
 	int64_t received_ms;
 	int64_t received_store_ms; /* the same on the store's clock */
@@ -67,13 +69,15 @@
 
 	log_event(LOG_JOB,
 		  "job=%s queue=%s what=accept outcome=%s why=\"%s\" "
-		  "took_ms=%lld config=%lld",
+		  "took_ms=%lld config=%lld%s%s",
 		  sub->id, sub->queue, job_api_result_name(res), why,
 		  (long long)took,
-		  api->f->catalog ? (long long)api->f->catalog->version : -1LL);
+		  api->f->catalog ? (long long)api->f->catalog->version : -1LL,
+		  *sub->who.org ? " org=" : "", sub->who.org);
 	api->counts.accepted += res == JOB_API_OK;
 	api->counts.refused += res == JOB_API_REFUSED;
 	api->counts.unknown += res == JOB_API_UNKNOWN;
+	api->counts.id_taken += res == JOB_API_ID_TAKEN;
 	hist_record(&api->accept_times, took * 1000);
 	api->active--;
 	sub->done(&ans, sub->priv);
@@ -121,6 +125,11 @@
 {
 	int64_t refused_ms;
 
+	if (!access_may_use_row(&sub->who, row->value)) {
+		answer_submission(sub, JOB_API_ID_TAKEN,
+				  "a job of another organisation has the id");
+		return;
+	}
 	if (!admission_parse_refusal(row->value, &refused_ms)) {
 		/* A repeated submission of a stored job succeeds. */
 		sub->api->counts.repeated++;
@@ -197,6 +206,37 @@
 					    on_submit_retry, sq);
 }
 
+static void answer_disallowed(void *priv)
+{
+	struct submission *sub = priv;
+
+	if (sub->maybe_stored)
+		answer_submission(sub, JOB_API_UNKNOWN,
+				  "the key was not confirmed while it waited");
+	else if (sub->verdict == ACCESS_DENIED)
+		answer_submission(sub, JOB_API_DENIED,
+				  "the key was removed while it waited");
+	else
+		answer_submission(sub, JOB_API_REFUSED, "key not confirmed");
+}
+
+/* Takes the next submission that may still be sent; NULL if there is none. Keys
+ * may have been removed while submissions waited for the store. */
+static struct submission *pop_allowed(struct submit_queue *sq)
+{
+	struct fleet *f = sq->api->f;
+	struct submission *sub;
+
+	while ((sub = g_queue_pop_head(&sq->waiting))) {
+		sub->verdict = access_recheck(f, &sub->who, sub->queue);
+		if (sub->verdict == ACCESS_ALLOWED)
+			return sub;
+		/* Later, since job_api_submit must return before the answer. */
+		tmr_after(f->timers, 0, answer_disallowed, sub);
+	}
+	return NULL;
+}
+
 static void send_batch(struct job_api *api, int32_t shard, int32_t part)
 {
 	struct submit_queue *sq = &api->queues[shard][part];
@@ -213,10 +253,11 @@
 	b->shard = shard;
 	b->part = part;
 	shard_ctl_jobs_table(shard, table);
-	while (b->n < BATCH_MAX && bytes < BATCH_BYTES_MAX &&
-	       sq->waiting.length) {
-		struct submission *sub = g_queue_pop_head(&sq->waiting);
+	while (b->n < BATCH_MAX && bytes < BATCH_BYTES_MAX) {
+		struct submission *sub = pop_allowed(sq);
 
+		if (!sub)
+			break;
 		bytes += strlen(sub->row_value);
 
 		changes[b->n] = (struct rows_change){
@@ -228,6 +269,10 @@
 		};
 		b->jobs[b->n++] = sub;
 	}
+	if (!b->n) {
+		free(b);
+		return;
+	}
 	tx.n = b->n;
 	sq->batches_in_flight++;
 	api->f->rows.ops->commit(api->f->rows.self, &tx, on_batch_committed, b);
@@ -257,12 +302,17 @@
 }
 
 void job_api_submit(struct job_api *api, struct jobspec *spec,
-		    int64_t deadline_ms, job_api_cb done, void *priv)
+		    const struct access *who, int64_t deadline_ms,
+		    job_api_cb done, void *priv)
 {
 	struct submission *sub = calloc(1, sizeof(*sub));
 	json_t *row;
 	bool fits;
 
+	if (who) {
+		sub->who = *who;
+		snprintf(spec->org, sizeof(spec->org), "%s", who->org);
+	}
 	spec->accepted_ms = now_ms(api) + api->f->store_offset_ms;
 	admission_check(api->f, spec, &sub->admission);
 	row = sub->admission.refused ? admission_pack_refusal(spec->accepted_ms)
--- a/src/fleet/shard_ctl_load.c
+++ b/src/fleet/shard_ctl_load.c
@@ -24,13 +24,14 @@
 	return slash && !strcmp(slash, SHARD_CTL_CANCEL_SUFFIX);
 }
 
-/* Returns a spec of just id and queue if the job has ended, else NULL. No more
- * is used of an ended job, which saves parsing most rows. */
+/* Returns a spec of just id, queue and organisation if the job has ended, else
+ * NULL. No more is used of an ended job, which saves parsing most rows. */
 static struct jobspec *ended_spec(struct shard_ctl *sc, const char *id,
 				  const json_t *progress)
 {
 	const char *queue =
 		json_string_value(json_object_get(progress, "queue"));
+	const char *org = json_string_value(json_object_get(progress, "org"));
 	struct jobspec *spec;
 
 	if (!sched_progress_has_ended(progress) || !queue)
@@ -38,6 +39,7 @@
 	spec = jobspec_new(sc->term_ctx, 0);
 	snprintf(spec->id, sizeof(spec->id), "%s", id);
 	snprintf(spec->queue, sizeof(spec->queue), "%s", queue);
+	snprintf(spec->org, sizeof(spec->org), "%s", org ? org : "");
 	return spec;
 }
 
--- a/tests/fuzz_calls.c
+++ b/tests/fuzz_calls.c
@@ -73,6 +73,18 @@
 	return pending.headers[!strcmp(name, "Deadline-Ms")];
 }
 
+/* The text of the deadline is the caller's key, too. */
+int hts_count_headers(struct hts_req *req, const char *name,
+		      struct hts_value *value)
+{
+	(void)req;
+	if (strcmp(name, "Authorization") != 0)
+		return 0;
+	*value = (struct hts_value){ pending.headers[1],
+				     strlen(pending.headers[1]) };
+	return 1;
+}
+
 uint32_t hts_active(const struct hts *s)
 {
 	(void)s;
@@ -165,13 +177,18 @@
 	f.catalog =
 		pf_decode_catalog(ev,
 				  "{\"routes\":[{\"name\":\"r\",\"host\":\"h\""
-				  ",\"prefix\":\"/r/\"}],\"services\":[]}",
+				  ",\"prefix\":\"/r/\",\"public\":true},"
+				  "{\"name\":\"s\",\"host\":\"h\","
+				  "\"prefix\":\"/s/\"}],\"services\":[],"
+				  "\"tenants\":[{\"name\":\"o\","
+				  "\"keys\":[\"k\"]}]}",
 				  &e);
 	g_assert_nonnull(pf_http_start(ev, &f, &boot, never_ready, NULL, &e));
 	return &f;
 }
 
-/* Input: lines with method, host, path and deadline; the rest is the body. */
+/* Input: lines with method, host, path, and deadline or Authorization; the rest
+ * is the body, and the value of all rows that are read. */
 static void run_frontend(const char *text, size_t len)
 {
 	static struct fleet *f;
@@ -184,8 +201,11 @@
 		f = start_frontend();
 	fleet_config_synced(f);
 	/* Skips the path for the number of waiting jobs, which asks owners. */
-	if (g_strv_length(part) < 5 || !strcmp(part[2], "/r/"))
+	if (g_strv_length(part) < 5 || !strcmp(part[2], "/r/") ||
+	    !strcmp(part[2], "/s/"))
 		return;
+	if (strlen(part[2]) > 3)
+		row.key = part[2] + 3;
 	req = (struct hts_req){ .method = part[0],
 				.path = part[2],
 				.body = part[4],
--- a/tests/unit.h
+++ b/tests/unit.h
@@ -2,6 +2,7 @@
 #ifndef UNIT_H
 #define UNIT_H
 
+void unit_add_access(void);
 void unit_add_advice(void);
 void unit_add_answers(void);
 void unit_add_attempts(void);
--- a/tests/unit_admission.c
+++ b/tests/unit_admission.c
@@ -30,7 +30,7 @@
 	int64_t end = clk_mono_ms(&clk_system) + FIXTURE_TIMEOUT_MS;
 
 	memset(o, 0, sizeof(*o));
-	job_api_submit(fx->f.job_api, spec, end, on_answer, o);
+	job_api_submit(fx->f.job_api, spec, NULL, end, on_answer, o);
 	while (!o->answered) {
 		g_assert_cmpint(clk_mono_ms(&clk_system), <, end);
 		tevent_loop_once(fx->f.ev);
@@ -43,7 +43,7 @@
 	int64_t end = clk_mono_ms(&clk_system) + FIXTURE_TIMEOUT_MS;
 	struct outcome o = { 0 };
 
-	job_api_state(fx->f.job_api, id, end, on_answer, &o);
+	job_api_state(fx->f.job_api, id, NULL, end, on_answer, &o);
 	while (!o.answered)
 		tevent_loop_once(fx->f.ev);
 	return o.ans.result;
--- a/tests/unit_job_api.c
+++ b/tests/unit_job_api.c
@@ -71,8 +71,8 @@
 	spec->payload = talloc_strdup(spec, payload);
 	spec->steps[0].tasks = 1;
 	memset(o, 0, sizeof(*o));
-	job_api_submit(fx->f.job_api, spec, clk_mono_ms(&clk_system) + wait_ms,
-		       on_answer, o);
+	job_api_submit(fx->f.job_api, spec, NULL,
+		       clk_mono_ms(&clk_system) + wait_ms, on_answer, o);
 	g_assert_cmpint(o->answered, ==, 0);
 }
 
@@ -186,34 +186,34 @@
 
 	api_fixture_open(&fx);
 	deadline = clk_mono_ms(&clk_system) + 3000;
-	job_api_state(fx.f.job_api, id, deadline, on_answer, &o);
+	job_api_state(fx.f.job_api, id, NULL, deadline, on_answer, &o);
 	await(&fx, &o);
 	g_assert_cmpint(o.ans.result, ==, JOB_API_NOT_FOUND);
 	o.answered = 0;
-	job_api_cancel(fx.f.job_api, id, deadline, on_answer, &o);
+	job_api_cancel(fx.f.job_api, id, NULL, deadline, on_answer, &o);
 	await(&fx, &o);
 	g_assert_cmpint(o.ans.result, ==, JOB_API_NOT_FOUND);
 	submit(&fx, id, "x", 3000, &o);
 	await(&fx, &o);
 	o.answered = 0;
-	job_api_state(fx.f.job_api, id, deadline, on_answer, &o);
+	job_api_state(fx.f.job_api, id, NULL, deadline, on_answer, &o);
 	await(&fx, &o);
 	g_assert_cmpint(o.ans.state, ==, SCHED_JOB_QUEUED);
 	o.answered = 0;
 	fx.store.mode = FAKE_LOSE_ANSWER;
 	fx.store.mode_commits = 1;
-	job_api_cancel(fx.f.job_api, id, deadline, on_answer, &o);
+	job_api_cancel(fx.f.job_api, id, NULL, deadline, on_answer, &o);
 	await(&fx, &o);
 	g_assert_cmpint(o.ans.result, ==, JOB_API_OK);
 	o.answered = 0;
-	job_api_state(fx.f.job_api, id, deadline, on_answer, &o);
+	job_api_state(fx.f.job_api, id, NULL, deadline, on_answer, &o);
 	await(&fx, &o);
 	g_assert_cmpint(o.ans.state, ==, SCHED_JOB_CANCELLED);
 	fake_rows_put(&fx.store, SHARD_CTL_PROGRESS_TABLE,
 		      shard_ctl_state_part(0, part), id,
 		      "{\"state\":\"done\"}");
 	o.answered = 0;
-	job_api_state(fx.f.job_api, id, deadline, on_answer, &o);
+	job_api_state(fx.f.job_api, id, NULL, deadline, on_answer, &o);
 	await(&fx, &o);
 	g_assert_cmpint(o.ans.state, ==, SCHED_JOB_DONE);
 	api_fixture_close(&fx);
@@ -233,7 +233,7 @@
 	fake_rows_put(&fx.store, shard_ctl_jobs_table(0, table),
 		      shard_ctl_job_part(0, shard_ctl_job_part_of(id), part),
 		      "aaaa000000000000" SHARD_CTL_CANCEL_SUFFIX, "{}");
-	job_api_state(fx.f.job_api, id, clk_mono_ms(&clk_system) + 3000,
+	job_api_state(fx.f.job_api, id, NULL, clk_mono_ms(&clk_system) + 3000,
 		      on_answer, &o);
 	await(&fx, &o);
 	g_assert_cmpint(o.ans.result, ==, JOB_API_NOT_FOUND);
@@ -243,7 +243,7 @@
 static void ask_state(struct api_fixture *fx, const char *id, struct outcome *o)
 {
 	memset(o, 0, sizeof(*o));
-	job_api_state(fx->f.job_api, id, clk_mono_ms(&clk_system) + 3000,
+	job_api_state(fx->f.job_api, id, NULL, clk_mono_ms(&clk_system) + 3000,
 		      on_answer, o);
 	await(fx, o);
 }
--- a/tests/unit_tests.c
+++ b/tests/unit_tests.c
@@ -13,6 +13,7 @@
 	g_test_init(&argc, &argv, NULL);
 	/* Hides the decision log, which is longer than the test results. */
 	log_set_level(LOG_LEVEL_ERRORS);
+	unit_add_access();
 	unit_add_advice();
 	unit_add_answers();
 	unit_add_attempts();
