--- a/Makefile
+++ b/Makefile
@@ -83,7 +83,7 @@
 	$(CC) $(SANFLAGS) -fsanitize=fuzzer -o $@ $^ $(LDLIBS)
 $(B)/path-tests: $(B)/tests/path_tests.o $(HARNESS)
 $(B)/fleet-tests: $(call obj,tests/fleet_tests.c tests/fleet_helpers.c \
-	tests/http_tests.c) $(HARNESS)
+	tests/http_tests.c tests/keys_tests.c) $(HARNESS)
 $(B)/relay-tests: $(call obj,tests/relay_tests.c tests/fleet_helpers.c) $(HARNESS)
 $(B)/gd-soak: $(call obj,$(wildcard tests/soak*.c)) $(HARNESS)
 $(B)/gd-matrix: $(call obj,tests/matrix.c tests/cell.c \
--- a/tests/fleet_tests.c
+++ b/tests/fleet_tests.c
@@ -13,6 +13,7 @@
 
 #include "tests/fleet_helpers.h"
 #include "tests/http_tests.h"
+#include "tests/keys_tests.h"
 
 #define VMS 3
 /* After this time an accepted job must be in the number of pending jobs, in
@@ -462,5 +463,6 @@
 	g_test_add_func("/fleet/upkeep-wave", test_upkeep_wave);
 	g_test_add_func("/fleet/odd-entries", test_odd_entries);
 	http_tests_add();
+	keys_tests_add();
 	return g_test_run();
 }
--- a/tests/harness_fleet.c
+++ b/tests/harness_fleet.c
@@ -100,25 +100,51 @@
 			   const char *method, const char *path,
 			   const char *body)
 {
+	return hf_call_with(f, easy, vm, method, path, body, NULL);
+}
+
+/* Fills in `out` with call_headers and up to HF_HEADERS_MAX more. */
+static void add_headers(const char *const *more, const char **out)
+{
+	int n = 0;
+
+	for (int i = 0; call_headers[i]; i++)
+		out[n++] = call_headers[i];
+	for (int i = 0; more && i < HF_HEADERS_MAX && more[i]; i++)
+		out[n++] = more[i];
+	out[n] = NULL;
+}
+
+struct hx_response hf_call_with(const struct hf *f, void *easy, int vm,
+				const char *method, const char *path,
+				const char *body, const char *const *headers)
+{
+	const char *all[G_N_ELEMENTS(call_headers) + HF_HEADERS_MAX];
 	char url[160];
 
+	add_headers(headers, all);
+
 	snprintf(url, sizeof(url), "http://127.0.0.1:%d%s",
 		 f->opt.use_proxy ? f->frontend_ports + vm
 				  : f->vm_ports + vm * HF_VM_PORTS,
 		 path);
-	return easy ? hx_http_on(easy, method, url, call_headers, body,
-				 HF_CALL_MS)
-		    : hx_http(method, url, call_headers, body, HF_CALL_MS);
+	return easy ? hx_http_on(easy, method, url, all, body, HF_CALL_MS)
+		    : hx_http(method, url, all, body, HF_CALL_MS);
 }
 
 struct hx_response hf_get_direct(const struct hf *f, void *easy, int vm,
-				 const char *path, int64_t timeout_ms)
+				 const char *path, const char *auth,
+				 int64_t timeout_ms)
 {
+	const char *const headers[] = { auth, NULL };
+	const char *all[G_N_ELEMENTS(call_headers) + HF_HEADERS_MAX];
 	char url[160];
 
+	add_headers(headers, all);
+
 	snprintf(url, sizeof(url), "http://127.0.0.1:%d%s",
 		 f->vm_ports + vm * HF_VM_PORTS, path);
-	return hx_http_on(easy, "GET", url, call_headers, NULL, timeout_ms);
+	return hx_http_on(easy, "GET", url, all, NULL, timeout_ms);
 }
 
 bool hf_is_ready(const struct hf *f, int vm)
@@ -212,10 +238,32 @@
 	wait_responsive(f->platform_port, "/control/fault");
 }
 
-void hf_start(struct hf *f, const struct hf_options *opt)
+#define ROUTE(name, prefix, more)                                              \
+	"{\"name\":\"" name                                                    \
+	"\",\"host\":\"jobs.example\",\"prefix\":\"" prefix                    \
+	"\",\"service\":\"pool\",\"prio\":0,\"attempts\":3,"                   \
+	"\"slack_factor\":2,\"aim_ms\":600,\"timeout_ms\":3000,"               \
+	"\"kind\":\"mutating\"" more "}"
+
+void hf_configure(const struct hf *f, int version, const char *tenants)
 {
-	char *config;
+	char *config = g_strdup_printf(
+		"{\"version\":%d,\"routes\":[" ROUTE(
+			"q", "/q/", "") "%s],"
+					"\"services\":[{\"name\":\"pool\","
+					"\"enforces_capacity\":%s}],"
+					"\"limits\":{}%s%s}",
+		version,
+		tenants ? "," ROUTE("open", "/open/", ",\"public\":true") : "",
+		f->opt.overcommits ? "false" : "true",
+		tenants ? ",\"tenants\":" : "", tenants ? tenants : "");
+
+	hf_put_row(f, "config", config);
+	g_free(config);
+}
 
+void hf_start(struct hf *f, const struct hf_options *opt)
+{
 	memset(f, 0, sizeof(*f));
 	f->opt = *opt;
 	f->bin = getenv("GD_BIN") ? getenv("GD_BIN") : "build";
@@ -226,16 +274,7 @@
 	if (opt->use_proxy)
 		start_proxy(f);
 	start_platform(f);
-	config = g_strdup_printf(
-		"{\"version\":1,\"routes\":[{\"name\":\"q\",\"host\":"
-		"\"jobs.example\",\"prefix\":\"/q/\",\"service\":\"pool\","
-		"\"prio\":0,\"attempts\":3,\"slack_factor\":2,\"aim_ms\":600,"
-		"\"timeout_ms\":3000,\"kind\":\"mutating\"}],"
-		"\"services\":[{\"name\":\"pool\","
-		"\"enforces_capacity\":%s}],\"limits\":{}}",
-		opt->overcommits ? "false" : "true");
-	hf_put_row(f, "config", config);
-	g_free(config);
+	hf_configure(f, 1, opt->tenants);
 	for (int i = 0; i < opt->vms; i++) {
 		write_settings(f, i);
 		hf_start_vm(f, i);
--- a/tests/harness_fleet.h
+++ b/tests/harness_fleet.h
@@ -23,6 +23,7 @@
 	bool overcommits; /* workers don't guard their capacity */
 	bool relays; /* owners call workers by way of the other VMs */
 	const char *bounds; /* more lines for the VMs' settings */
+	const char *tenants; /* JSON list of the configuration; NULL: none */
 };
 
 struct hf {
@@ -62,15 +63,26 @@
 void hf_control(int port, const char *path, const char *fmt, ...)
 	__attribute__((format(printf, 3, 4)));
 void hf_put_row(const struct hf *f, const char *key, const char *value);
+/* Writes a version of the configuration: jobs at /q/, and with `tenants` also
+ * at /open/, a public route. Returns once it is in the store. */
+void hf_configure(const struct hf *f, int version, const char *tenants);
 
 /* Sends a caller's request. `easy`: see hx_http_on(); NULL: new connection. */
 struct hx_response hf_call(const struct hf *f, void *easy, int vm,
 			   const char *method, const char *path,
 			   const char *body);
 
-/* Same with GET at the VM's own address, which no fault of a link affects. */
+/* Same with further headers, at most HF_HEADERS_MAX, up to a NULL. */
+#define HF_HEADERS_MAX 2
+struct hx_response hf_call_with(const struct hf *f, void *easy, int vm,
+				const char *method, const char *path,
+				const char *body, const char *const *headers);
+
+/* Same with GET at the VM's own address, which no fault of a link affects.
+ * `auth` is a further header, or NULL. */
 struct hx_response hf_get_direct(const struct hf *f, void *easy, int vm,
-				 const char *path, int64_t timeout_ms);
+				 const char *path, const char *auth,
+				 int64_t timeout_ms);
 
 /*
  * Returns the VM whose log says that it gained ownership in `epoch` (0: in the
--- a/tests/soak_counts.c
+++ b/tests/soak_counts.c
@@ -40,7 +40,8 @@
 	struct sk_query q = { .vm = o->vm, .asked_ms = hx_now_ms() };
 	struct hx_response a;
 
-	a = hf_get_direct(&o->k->fleet, o->easy, o->vm, "/q/", TIMEOUT_MS);
+	a = hf_get_direct(&o->k->fleet, o->easy, o->vm, "/q/", NULL,
+			  TIMEOUT_MS);
 	q.answered_ms = hx_now_ms();
 	g_mutex_lock(&o->k->lock);
 	if (a.status == 200)
@@ -58,7 +59,7 @@
 	char path[32];
 
 	snprintf(path, sizeof(path), "/q/ffffffff%08x", g_rand_int(o->rand));
-	a = hf_get_direct(&o->k->fleet, o->easy, o->vm, path, TIMEOUT_MS);
+	a = hf_get_direct(&o->k->fleet, o->easy, o->vm, path, NULL, TIMEOUT_MS);
 	g_mutex_lock(&o->k->lock);
 	if (a.status / 100 == 2)
 		sk_report_violation(o->k, "MIXED", path,
