--- a/tests/unit_platform.c
+++ b/tests/unit_platform.c
@@ -355,7 +355,8 @@
 	"node=edge-1\nzone=z\nregion=r\nlisten.front=10.0.0.1:8161\n"
 	"listen.ready=10.0.0.1:8167\nnew.field=7\n"
 	"platform.addr=10.0.0.9:80\nlimits.cpu_share=0.25\n"
-	"bounds.grace_s=6\nbounds.cross_rack_factor=1.5\n";
+	"bounds.grace_s=6\nbounds.cross_rack_factor=1.5\n"
+	"bounds.strict_revoke=true\nbounds.revoke_ms=6000\n";
 
 static void test_settings(void)
 {
@@ -368,6 +369,9 @@
 	g_assert_cmpint(b.grace_ms, ==, 6000);
 	g_assert_cmpint(b.fleet.sched.off_rack_factor_milli, ==, 1500);
 	g_assert_cmpint(b.control.port, ==, 0);
+	g_assert_true(b.fleet.strict_revoke);
+	g_assert_cmpint(b.fleet.revoke_ms, ==, 6000);
+	g_assert_cmpint(b.fleet.apply_ms, ==, 4000);
 }
 
 /* All errors are reported at once, each with key, value and expected form. */
@@ -378,13 +382,15 @@
 
 	g_assert_false(load_settings("zone=z\nregion=r\nlisten.front=nowhere\n"
 				     "platform.addr=10.0.0.9:99999\n"
-				     "bounds.hold_max_ms=soon\n",
+				     "bounds.hold_max_ms=soon\n"
+				     "bounds.strict_revoke=yes\n",
 				     &b, &e));
 	g_assert_cmpint(e.kind, ==, ERR_SETTING);
 	g_assert_nonnull(strstr(e.text, "node is missing"));
 	g_assert_nonnull(strstr(e.text, "listen.front is nowhere"));
 	g_assert_nonnull(strstr(e.text, "platform.addr is 10.0.0.9:99999"));
 	g_assert_nonnull(strstr(e.text, "bounds.hold_max_ms is soon"));
+	g_assert_nonnull(strstr(e.text, "bounds.strict_revoke is yes"));
 	g_assert_false(pf_settings_load("/nonexistent/x", &b, &e));
 }
 
