--- a/src/coordination/sched.c
+++ b/src/coordination/sched.c
@@ -42,6 +42,7 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	interfere_init(&s->interfere);
 	org_accounts_init(&s->orgs);
+	org_caps_init(&s->caps, epoch > 1);
 	s->queues = g_hash_table_new(g_str_hash, g_str_equal);
 	s->jobs = g_hash_table_new(g_str_hash, g_str_equal);
 	s->queued =
@@ -57,6 +58,7 @@
 static void free_worker(struct sched *s, struct sched_worker *w)
 {
 	sched_roster_mark_dirty(s, w);
+	sched_org_worker_ended(s, w);
 	/* If the worker comes back, it refuses commands with lower tokens. */
 	s->fence_min = MAX(s->fence_min, w->fence);
 	g_hash_table_remove(s->workers, w->row.id);
@@ -82,6 +84,7 @@
 	g_hash_table_destroy(s->workers);
 	g_ptr_array_free(s->worker_list, TRUE);
 	interfere_finish(&s->interfere);
+	org_caps_finish(&s->caps);
 	org_accounts_finish(&s->orgs);
 }
 
@@ -165,6 +168,7 @@
 	w->inherited_runs_known |= w->reconciled;
 	w->reconciled = false;
 	w->foreign_runs = 0;
+	sched_org_worker_restarted(s, w, now_ms);
 	w->seen_seq = 0;
 	w->durable_seq = 0;
 	w->commit_seq = 0;
@@ -299,6 +303,7 @@
 	sched_crash_worker_lost(s, w, now_ms);
 	while (w->runs.head)
 		drop_lost_run(s, w->runs.head->data);
+	sched_org_worker_ended(s, w);
 	w->foreign_runs = 0;
 	w->lease_end_clock_ms = 0;
 }
@@ -359,6 +364,7 @@
 	for (guint i = s->worker_list->len; i > 0; i--)
 		tick_worker(s, g_ptr_array_index(s->worker_list, i - 1),
 			    now_ms);
+	sched_org_check_earlier(s, now_ms);
 	g_hash_table_iter_init(&it, s->jobs);
 	while (g_hash_table_iter_next(&it, NULL, &value)) {
 		struct sched_job *job = value;
--- a/src/coordination/sched.h
+++ b/src/coordination/sched.h
@@ -23,6 +23,11 @@
  */
 void sched_set_prev_owner(struct sched *s, const struct sched_prev_owner *prev);
 
+/* Call right after sched_init(). Reads the grants that the previous owner's row
+ * holds; NULL: it has none. `released`: that owner released the shard. */
+void sched_set_prev_grants(struct sched *s, const json_t *grants,
+			   bool released);
+
 /* Sets the configuration and the names of the failure domains out of service.
  * Borrows both until the next call. */
 void sched_configure(struct sched *s, const struct catalog *catalog,
--- a/src/coordination/sched_demand.c
+++ b/src/coordination/sched_demand.c
@@ -79,6 +79,9 @@
 
 static void add_waiting(struct sched *s)
 {
+	/* What waits for the cap of its organisation asks for no room. */
+	GHashTable *claimed = g_hash_table_new_full(NULL, NULL, NULL, g_free);
+
 	for (GList *i = s->ready_steps.head; i; i = i->next) {
 		const struct sched_step *step = i->data;
 		const struct catalog_queue *q = step->round->job->queue;
@@ -88,12 +91,14 @@
 		if (!q || step->def->best_effort)
 			continue;
 		d = get_demand(s, q->pool);
-		milli = step->def->cpu_milli * count_waiting(step);
+		milli = step->def->cpu_milli *
+			sched_org_claim(s, step, count_waiting(step), claimed);
 		if (step->def->is_long_running)
 			d->lasting_milli += milli;
 		else
 			d->brief_milli += milli;
 	}
+	g_hash_table_destroy(claimed);
 }
 
 void sched_demand_ended(struct sched *s, const struct sched_step *step)
--- a/src/coordination/sched_handover.c
+++ b/src/coordination/sched_handover.c
@@ -112,6 +112,7 @@
 	if (!t || t->done || sched_job_has_ended(t->step->round->job))
 		return;
 	run = sched_run_new(s, t, w, ref->run, now_ms);
+	sched_org_run_found(s, run);
 	run->state = SCHED_RUN_UNCERTAIN;
 	run->fence = 0;
 	run->pace_uncertain = true;
--- a/src/coordination/sched_int.h
+++ b/src/coordination/sched_int.h
@@ -149,6 +149,7 @@
 	SCHED_OBSTACLE_RACK, /* the step waits for another rack */
 	SCHED_OBSTACLE_TICKET, /* the policy service has not answered yet */
 	SCHED_OBSTACLE_DENIED, /* by the policy service */
+	SCHED_OBSTACLE_CAP, /* of the organisation */
 	SCHED_OBSTACLES
 };
 
@@ -334,6 +335,38 @@
 			 const struct sched_run *run, bool failed,
 			 int64_t now_ms);
 
+/* Returns what keeps `n` tasks of the step from starting because of its
+ * organisation. */
+enum org_wait sched_org_wait(struct sched *s, const struct sched_step *step,
+			     int32_t n, int64_t now_ms);
+/* Returns the number of tasks of the step that have to start together. */
+int32_t sched_org_tasks(const struct sched_step *step);
+/* Returns how many of `n` tasks of the step fit under the cap of its
+ * organisation beside the work in `claimed`, which they are added to: a table
+ * of account to struct place_resources. */
+int32_t sched_org_claim(const struct sched *s, const struct sched_step *step,
+			int32_t n, GHashTable *claimed);
+/* The run was started by an earlier owner, and is part of its grant. */
+void sched_org_run_found(struct sched *s, struct sched_run *run);
+/* The run is about to be freed. */
+void sched_org_run_freed(struct sched *s, const struct sched_run *run);
+/* The run is about to be freed although it may be active. */
+void sched_org_run_dropped(struct sched *s, const struct sched_run *run);
+/* The worker reports a run that is not tracked, and is being stopped. */
+void sched_org_run_untracked(struct sched *s, struct sched_worker *w,
+			     const struct sched_ref *ref);
+/* Forgets the untracked runs that the report is about; it lists those that are
+ * active. */
+void sched_org_report_begins(struct sched *s, struct sched_worker *w,
+			     const struct sched_report *report);
+/* The worker's process has restarted. Start commands may take effect later. */
+void sched_org_worker_restarted(struct sched *s, struct sched_worker *w,
+				int64_t now_ms);
+/* Nothing runs at the worker any more. */
+void sched_org_worker_ended(struct sched *s, struct sched_worker *w);
+/* Updates whether earlier owners may have tasks running that are not known. */
+void sched_org_check_earlier(struct sched *s, int64_t now_ms);
+
 struct sched_rank sched_rank_step(const struct sched *s,
 				  struct sched_step *step, int64_t now_ms);
 /* Returns all work of a job by its estimates, in thousandths of a core x ms. */
--- a/src/coordination/sched_job.c
+++ b/src/coordination/sched_job.c
@@ -162,8 +162,10 @@
 		struct sched_step *step = &round->steps[i];
 
 		for (int32_t k = 0; k < step->def->tasks; k++) {
-			while (step->tasks[k].runs)
+			while (step->tasks[k].runs) {
+				sched_org_run_dropped(s, step->tasks[k].runs);
 				sched_run_free(s, step->tasks[k].runs);
+			}
 		}
 	}
 	remove_round_steps(s, round);
--- a/src/coordination/sched_place.c
+++ b/src/coordination/sched_place.c
@@ -153,6 +153,9 @@
 		if (!sched_task_is_ready(s, t, c->now_ms) ||
 		    (is_full && !suspect))
 			continue;
+		/* Room at workers would not help. */
+		if (sched_org_wait(s, step, 1, c->now_ms))
+			return false;
 		w = suspect ? choose_for_suspect(s, r, t, l, c->now_ms)
 			    : choose(c, l, step);
 		if (!w) {
@@ -172,9 +175,12 @@
 {
 	struct sched *s = c->sched;
 	const struct sched_step *step = r->step;
+	int32_t n = 0;
 
 	for (int32_t k = 0; k < step->def->tasks && !pass_is_over(s); k++) {
-		if (sched_task_is_ready(s, &step->tasks[k], c->now_ms) &&
+		if (!sched_task_is_ready(s, &step->tasks[k], c->now_ms))
+			continue;
+		if (sched_org_wait(s, step, ++n, c->now_ms) ||
 		    !sched_reserve_room(s, r, l->workers, l->n, c->now_ms))
 			return;
 	}
@@ -288,6 +294,9 @@
 	bool gang = r->step->def->gang;
 	struct sched_candidate_list l;
 
+	if (sched_org_wait(c->sched, r->step, sched_org_tasks(r->step),
+			   c->now_ms))
+		return;
 	/* If reservations held among overdue tasks, too, room could stay unused
 	 * while one of them waits that fits. */
 	r->step->uses_reserved = r->overdue;
@@ -339,6 +348,7 @@
 
 	for (int32_t i = 0; i < n_ranks; i++) {
 		if (is_starved(s, ranks[i].step, now_ms) &&
+		    !sched_org_wait(s, ranks[i].step, 1, now_ms) &&
 		    (!next || goes_before(ranks[i].step, next->step)))
 			next = &ranks[i];
 	}
--- a/src/coordination/sched_run.c
+++ b/src/coordination/sched_run.c
@@ -134,6 +134,7 @@
 	run->task->step->round->job->n_runs--;
 	s->n_evictable -= has_evictable_cpu(run->task->step->def);
 	sched_isolate_run(run, false);
+	sched_org_run_freed(s, run);
 	adjust_usage(run, -1);
 	while (*at != run)
 		at = &(*at)->next_of_task;
@@ -306,9 +307,13 @@
 	if (!t || t->done || sched_job_has_ended(t->step->round->job) ||
 	    (t->runs && !t->step->def->speculative)) {
 		stop_unknown_run(s, w, &a->ref, "not wanted here");
+		sched_org_run_untracked(s, w, &a->ref);
 		return NULL;
 	}
 	run = sched_run_new(s, t, w, a->ref.run, now_ms);
+	/* This owner starts tasks only where it has learned all. */
+	if (!w->reconciled && !w->inherited_runs_known)
+		sched_org_run_found(s, run);
 	run->pace_uncertain = true;
 	if (t->step->gang_run < a->ref.run)
 		t->step->gang_run = a->ref.run;
@@ -453,6 +458,7 @@
 		process_end(s, w, &report->ends[i], now_ms, wall_ms);
 	}
 	w->foreign_runs = 0;
+	sched_org_report_begins(s, w, report);
 	for (int32_t i = 0; i < report->n_active; i++)
 		w->foreign_runs += !process_active_run(s, w, &report->active[i],
 						       now_ms, wall_ms);
--- a/src/coordination/sched_types.h
+++ b/src/coordination/sched_types.h
@@ -16,6 +16,7 @@
 #include "coordination/interfere.h"
 #include "coordination/place.h"
 #include "org/org_accounts.h"
+#include "org/org_caps.h"
 #include "protocol/jobspec.h"
 
 #define SCHED_ID_MAX 72
@@ -141,6 +142,7 @@
 	/* No other task starts at the worker: workers have crashed under the
 	 * task before, and this run has not shown yet that it is harmless. */
 	bool isolated;
+	bool of_earlier_owner; /* the caps count it so, see sched_org.c */
 	bool stopping; /* a stop was sent and no end is reported yet */
 	int64_t stop_sent_ms;
 };
@@ -277,6 +279,9 @@
 	const struct sched_step *reserved_for; /* latest reservation */
 	int32_t n_reserved; /* tasks of that step */
 	int32_t foreign_runs; /* reported runs that this owner doesn't track */
+	/* Those of organisations, see sched_org.c; NULL: none yet. */
+	GArray *untracked;
+	int32_t n_unattributed; /* foreign runs of which no job is known */
 	int32_t n_isolated; /* runs that keep other tasks from starting here */
 	int32_t n_small; /* small tasks, see sched_is_small() */
 	int32_t n_best_effort; /* best-effort tasks */
@@ -428,6 +433,7 @@
 	const struct catalog *catalog;
 	GHashTable *queues; /* name to struct catalog_queue of `catalog` */
 	struct org_accounts orgs;
+	struct org_caps caps;
 	GHashTable *mean_work; /* queue to double; see sched_rank.c */
 	GHashTable *domains_out; /* names of failure domains out of service */
 	GHashTable *jobs; /* id to struct sched_job */
--- a/src/coordination/sched_wait.c
+++ b/src/coordination/sched_wait.c
@@ -42,16 +42,19 @@
 	[SCHED_OBSTACLE_RACK] = "other_rack",
 	[SCHED_OBSTACLE_TICKET] = "ticket",
 	[SCHED_OBSTACLE_DENIED] = "denied",
+	[SCHED_OBSTACLE_CAP] = "cap",
 };
 
 static enum sched_obstacle find_any_obstacle(const struct sched *s,
 					     const struct sched_step *step,
 					     const struct sched_worker *w,
-					     int64_t now_ms)
+					     bool is_capped, int64_t now_ms)
 {
 	const struct catalog_queue *q = step->round->job->queue;
 	enum sched_obstacle o = sched_find_obstacle(s, step, q, w, now_ms);
 
+	if (is_capped)
+		return SCHED_OBSTACLE_CAP;
 	if (o == SCHED_OBSTACLE_NONE)
 		o = sched_find_shortage(step, w);
 	if (o == SCHED_OBSTACLE_NONE && !sched_is_fast_enough(s, w, step))
@@ -68,8 +71,8 @@
 
 /* Appends the number of workers for each obstacle that occurs. */
 static void describe_workers(const struct sched *s,
-			     const struct sched_step *step, char *text,
-			     size_t size, int64_t now_ms)
+			     const struct sched_step *step, bool is_capped,
+			     char *text, size_t size, int64_t now_ms)
 {
 	int32_t n[SCHED_OBSTACLES] = { 0 };
 	size_t len = 0;
@@ -77,7 +80,7 @@
 	for (guint i = 0; i < s->worker_list->len; i++)
 		n[find_any_obstacle(s, step,
 				    g_ptr_array_index(s->worker_list, i),
-				    now_ms)]++;
+				    is_capped, now_ms)]++;
 	for (int o = 0; o < SCHED_OBSTACLES && len < size; o++) {
 		if (n[o])
 			len += (size_t)snprintf(text + len, size - len,
@@ -117,21 +120,28 @@
 	};
 	struct sched_ref ref;
 	char workers[240] = "";
-	char text[420];
+	char org[ORG_NAME_MAX + 32] = "";
+	char text[520];
+	enum org_wait cap =
+		sched_org_wait(s, step, sched_org_tasks(step), now_ms);
 	int64_t most;
 	int64_t sum = free_milli(s, &most);
 
 	if (job->queue)
-		describe_workers(s, step, workers, sizeof(workers), now_ms);
+		describe_workers(s, step, cap != ORG_WAIT_NONE, workers,
+				 sizeof(workers), now_ms);
+	if (job->org)
+		snprintf(org, sizeof(org), " org=%s cap=%s", job->org->name,
+			 org_wait_name(cap));
 	snprintf(text, sizeof(text),
 		 "waited_ms=%lld cpu_milli=%lld mem_mib=%lld configured=%d "
-		 "trust=%d held=%d free_milli=%lld most_free_milli=%lld "
+		 "trust=%d held=%d free_milli=%lld most_free_milli=%lld%s "
 		 "workers:%s",
 		 (long long)(now_ms - wait->since_ms),
 		 (long long)step->def->cpu_milli, (long long)step->def->mem_mib,
 		 job->queue != NULL, s->ownership,
 		 job->inherited && sched_may_miss_runs(s, now_ms),
-		 (long long)sum, (long long)most, workers);
+		 (long long)sum, (long long)most, org, workers);
 	sched_run_ref(&run, &ref);
 	s->ops->log_decision(s->priv, "waits", &ref, NULL, text);
 }
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -34,6 +34,9 @@
 	struct relay_vm_row relay; /* this VM as a relay; port 0: it is none */
 	int64_t ended_retention_ms; /* how long ended jobs stay known */
 	int64_t row_bytes_max; /* maximum length of a row's value */
+	/* A version of the configuration applies to all that happens this long
+	 * after it was acknowledged, or later; 0: no such bound. */
+	int64_t apply_ms;
 	/* A new owner sends no upkeep command for this long, since the
 	 * platform may not tell its commands from its predecessor's. */
 	int64_t upkeep_holdoff_ms;
--- a/src/fleet/shard_ctl.c
+++ b/src/fleet/shard_ctl.c
@@ -29,6 +29,12 @@
 #define BEHIND_MAX_MILLI 600
 #define BEHIND_WEIGHT_DIVISOR 32
 #define SEEK_INTERVAL_MS 1000
+/* Tasks of organisations with caps start while the configuration was confirmed
+ * within this part of the time after which a newer one applies. The rest covers
+ * the way of the confirmation, and of the start command. */
+#define CONFIG_AGE_PERCENT 75
+
+static const struct sched_ops sched_ops;
 
 const char *shard_ctl_jobs_table(int32_t shard, char buf[SHARD_CTL_NAME_MAX])
 {
@@ -95,6 +101,26 @@
 	sc->sched.start_before_version = owner_version(sc->owner);
 }
 
+/* Holds back organisations with caps while a newer configuration, which may
+ * have a lower cap, may be in force without our knowing. */
+static void update_config_hold(struct shard_ctl *sc)
+{
+	struct org_caps *caps = &sc->sched.caps;
+	int64_t age = mono_ms(sc) - sc->f->config_synced_ms;
+	int64_t apply_ms = sc->f->set.apply_ms;
+	bool held = apply_ms > 0 && age >= apply_ms * CONFIG_AGE_PERCENT / 100;
+	char text[64];
+
+	if (held == caps->config_held)
+		return;
+	caps->config_held = held;
+	if (!sc->f->catalog || !sc->f->catalog->n_orgs)
+		return;
+	snprintf(text, sizeof(text), "%s, config_age_ms=%lld",
+		 held ? "held" : "no longer held", (long long)age);
+	sched_ops.log_decision(sc, "caps", NULL, NULL, text);
+}
+
 static void on_place_due(void *priv)
 {
 	struct shard_ctl *sc = priv;
@@ -104,12 +130,13 @@
 	if (!sc->active || sc->releasing)
 		return;
 	update_ownership(sc);
+	update_config_hold(sc);
 	sc->sched.start_room = wkr_links_start_room(sc->links);
 	if (sc->f->relay_client)
 		sc->sched.relays = relay_client_links(sc->f->relay_client);
 	sched_place(&sc->sched, began);
 	sc->placement_took_ms = mono_ms(sc) - began;
-	if (sc->sched.dirty_jobs.length)
+	if (sc->sched.dirty_jobs.length || sc->sched.caps.wants_commit)
 		owner_request_commit(sc->owner);
 }
 
@@ -323,6 +350,7 @@
 	if (sc->sched.ready_steps.length)
 		shard_ctl_place_soon(sc);
 	if (sc->sched.dirty_jobs.length || sc->sched.roster_dirty ||
+	    sc->sched.caps.wants_commit ||
 	    (sc->upkeep && upkeep_runner_is_dirty(sc->upkeep)))
 		owner_request_commit(sc->owner);
 	shard_ctl_cleanup(sc, now);
@@ -341,8 +369,13 @@
 		.long_leases_until_ms =
 			owner_previous_long_leases_end_ms(sc->owner),
 	};
+	json_t *grants;
 
 	sched_set_prev_owner(&sc->sched, &prev);
+	grants =
+		prev_row->grants ? json_loads(prev_row->grants, 0, NULL) : NULL;
+	sched_set_prev_grants(&sc->sched, grants, prev_row->released);
+	json_decref(grants);
 	sc->handover = NULL;
 	if (prev_row->released && prev_row->handover)
 		sc->handover = json_loads(prev_row->handover, 0, NULL);
--- a/src/fleet/shard_ctl_commit.c
+++ b/src/fleet/shard_ctl_commit.c
@@ -14,11 +14,13 @@
  * as much. */
 #define COMMIT_BYTES_MAX (512 * 1024)
 
-/* Parts of the owner's row that the handover, the job counts and the rooms may
- * take: a row that the store rejects would block all later commits. */
+/* Parts of the owner's row that the handover, the job counts, the rooms and the
+ * grants of organisations may take: a row that the store rejects would block
+ * all later commits. */
 #define HANDOVER_PART 2
 #define PENDING_PART 4
 #define ROOMS_PART 8
+#define GRANTS_PART 16
 /* Estimated size of one run in the handover, by which the number of runs is
  * limited: ids of 16 characters and four numbers. */
 #define HANDOVER_RUN_BYTES 50
@@ -173,6 +175,8 @@
 	gpointer value;
 
 	sched_roster_stored(&sc->sched);
+	if (org_caps_committed(&sc->sched.caps))
+		shard_ctl_place_soon(sc);
 	if (sc->upkeep)
 		upkeep_runner_committed(sc->upkeep);
 	if (!sc->collected_all)
@@ -229,6 +233,23 @@
 	return sched_long_leases_until_ms(&sc->sched);
 }
 
+/* Until tasks are scheduled, the row keeps the grants of the previous owner,
+ * which bound what may be running. */
+static void fill_grants(struct shard_ctl *sc, struct owner_row *row)
+{
+	json_t *grants;
+
+	if (!sc->active)
+		return;
+	grants = org_caps_pack(&sc->sched.caps, &sc->sched.orgs, sc->releasing,
+			       sc->f->set.row_bytes_max / GRANTS_PART,
+			       clk_mono_ms(sc->f->clk));
+	talloc_free(row->grants);
+	row->grants = NULL;
+	if (grants)
+		row->grants = text_if_fits(sc, grants, INT64_MAX);
+}
+
 void shard_ctl_fill_row(struct owner_row *row, void *priv)
 {
 	struct shard_ctl *sc = priv;
@@ -239,6 +260,7 @@
 
 	row->long_leases_ms =
 		MAX(0, long_leases_until_ms(sc) - clk_mono_ms(sc->f->clk));
+	fill_grants(sc, row);
 	/* Until the jobs are loaded, the row keeps the counts of the previous
 	 * owner, and their time. */
 	if (!sc->jobs_loaded)
--- a/src/state/owner.c
+++ b/src/state/owner.c
@@ -281,6 +281,8 @@
 	o->row.pending = talloc_strdup(o, o->previous.pending);
 	if (o->row.pending_ms == OWNER_ROW_UNDATED)
 		o->row.pending_ms = 0;
+	/* Our successor needs them if we are lost before we write our own. */
+	o->row.grants = talloc_strdup(o, o->previous.grants);
 	snprintf(o->row.vm, sizeof(o->row.vm), "%s", o->vm);
 	snprintf(o->row.incarnation, sizeof(o->row.incarnation), "%s",
 		 o->incarnation);
--- a/src/state/owner_row.h
+++ b/src/state/owner_row.h
@@ -36,6 +36,9 @@
 	 * further long-running jobs may take, and how much becomes free in a
 	 * second, in thousandths of a core. NULL: unknown. */
 	char *rooms;
+	/* JSON object of organisation to its grant, see org_caps_pack(); NULL:
+	 * none. A claim keeps those of the row that it replaces. */
+	char *grants;
 	char *handover; /* JSON for the successor, set on release, or NULL */
 };
 
