--- a/src/fleet/admission.c
+++ b/src/fleet/admission.c
@@ -18,6 +18,9 @@
 /* A caller returns at least this long after a refusal, in ms: half of
  * RETRY_AFTER_MIN_MS, since clocks are read with some error. */
 #define RETURN_MIN_MS 1000
+/* Retry-After of jobs that exceed a cap, in ms. Only another configuration can
+ * let them run. */
+#define CAP_RETRY_AFTER_MS 30000
 
 /* Returns the CPU that the job's long-running tasks reserve. */
 static int64_t lasting_milli(const struct jobspec *spec)
@@ -33,20 +36,26 @@
 	return sum;
 }
 
+/* Returns the time, or up to half as much again, by the job. */
+static int64_t spread_ms(const char *id, int64_t ms)
+{
+	int64_t spread = ms * SPREAD_PERCENT / 100;
+
+	return ms +
+	       (int64_t)(XXH64(id, strlen(id), 0) % (uint64_t)(spread + 1));
+}
+
 /* Returns when a job that lacks `lacks_milli` should come back, at a rate at
  * which room becomes free. */
 static int64_t retry_after_ms(const char *id, int64_t lacks_milli,
 			      int64_t freed_milli_s)
 {
 	int64_t ms = RETRY_AFTER_MAX_MS;
-	int64_t spread;
 
 	if (freed_milli_s > 0)
 		ms = CLAMP(lacks_milli * 1000 / freed_milli_s,
 			   RETRY_AFTER_MIN_MS, RETRY_AFTER_MAX_MS);
-	spread = ms * SPREAD_PERCENT / 100;
-	return ms +
-	       (int64_t)(XXH64(id, strlen(id), 0) % (uint64_t)(spread + 1));
+	return spread_ms(id, ms);
 }
 
 /* Reads the pool's entry of the owner's row. Returns false if there is none. */
@@ -90,6 +99,40 @@
 		  (long long)row->seq);
 }
 
+void admission_check_cap(const struct catalog *c, const struct jobspec *spec,
+			 struct admission *out)
+{
+	const struct org *org =
+		c && *spec->org ? catalog_find_org(c, spec->org) : NULL;
+	const struct jobspec_step *step = spec->steps;
+	int32_t i = 0;
+
+	*out = (struct admission){ 0 };
+	while (org && i < spec->n_steps &&
+	       org_cap_allows(&org->cap,
+			      &(struct place_resources){ step[i].cpu_milli,
+							 step[i].mem_mib,
+							 step[i].accelerators },
+			      step[i].gang ? step[i].tasks : 1))
+		i++;
+	if (!org || i == spec->n_steps)
+		return;
+	out->refused = true;
+	out->over_cap = true;
+	out->retry_after_ms = spread_ms(spec->id, CAP_RETRY_AFTER_MS);
+	log_event(LOG_JOB,
+		  "job=%s queue=%s what=admission outcome=refused org=%s "
+		  "step=%d tasks=%d gang=%d cpu_milli=%lld mem_mib=%lld "
+		  "accelerators=%lld cap_cpu_milli=%lld cap_mem_mib=%lld "
+		  "cap_accelerators=%lld retry_after_ms=%lld config=%lld",
+		  spec->id, spec->queue, org->name, i, step[i].tasks,
+		  step[i].gang, (long long)step[i].cpu_milli,
+		  (long long)step[i].mem_mib, (long long)step[i].accelerators,
+		  (long long)org->cap.cpu_milli, (long long)org->cap.mem_mib,
+		  (long long)org->cap.accelerators,
+		  (long long)out->retry_after_ms, (long long)c->version);
+}
+
 void admission_check(const struct fleet *f, const struct jobspec *spec,
 		     struct admission *out)
 {
@@ -99,7 +142,9 @@
 	const struct owner_row *row;
 	int64_t changed_ms;
 
-	*out = (struct admission){ 0 };
+	admission_check_cap(f->catalog, spec, out);
+	if (out->refused)
+		return;
 	sc = f->shard_ctls[fleet_shard_of(f, spec->id)];
 	if (!q || !sc)
 		return;
--- a/src/fleet/admission.h
+++ b/src/fleet/admission.h
@@ -10,18 +10,28 @@
 
 struct admission {
 	bool refused;
+	bool over_cap; /* refused since it fits no cap of its organisation */
 	int64_t retry_after_ms; /* valid if refused */
 };
 
 /*
- * Refuses a job with long-running tasks for which the pool has no room, since
- * they would keep others from running for as long as they last. Accepts it if
- * the room is not known, or what is known is older than 2 s.
+ * Refuses a job that exceeds a cap, see admission_check_cap(), and one with
+ * long-running tasks for which the pool has no room, since they would keep
+ * others from running for as long as they last. Accepts the latter if the room
+ * is not known, or what is known is older than 2 s.
  */
 void admission_check(const struct fleet *f, const struct jobspec *spec,
 		     struct admission *out);
 
-/* The same by an owner's row of this age; -1: unknown. `row` may be NULL. */
+/*
+ * Refuses a job with a task, or a gang as a whole, that exceeds the cap of its
+ * organisation: it could never start. `c` may be NULL.
+ */
+void admission_check_cap(const struct catalog *c, const struct jobspec *spec,
+			 struct admission *out);
+
+/* What admission_check() does by an owner's row of this age; -1: unknown. `row`
+ * may be NULL. */
 void admission_decide(const struct owner_row *row, int64_t age_ms,
 		      const char *pool, const struct jobspec *spec,
 		      struct admission *out);
--- a/src/fleet/job_api.h
+++ b/src/fleet/job_api.h
@@ -13,11 +13,14 @@
 	JOB_API_REFUSED, /* had no effect and never will */
 	JOB_API_UNKNOWN, /* may take effect; retry with the same id */
 	JOB_API_NOT_FOUND, /* there is no such job */
+	/* As JOB_API_REFUSED: it fits no cap of its organisation. */
+	JOB_API_OVER_CAP,
 };
 
 struct job_api_answer {
 	enum job_api_result result;
-	int64_t retry_after_ms; /* valid for JOB_API_REFUSED */
+	/* Valid for JOB_API_REFUSED and JOB_API_OVER_CAP. */
+	int64_t retry_after_ms;
 	enum sched_job_state state; /* valid for job_api_state, JOB_API_OK */
 	int64_t pending; /* valid for job_api_pending, JOB_API_OK */
 };
@@ -51,6 +54,7 @@
 struct job_api_counts {
 	int64_t accepted, repeated, refused, unknown, cancelled, lookups;
 	int64_t counted, count_refused;
+	int64_t over_cap; /* part of `refused` */
 };
 
 const struct job_api_counts *job_api_counts(const struct job_api *api);
--- a/src/fleet/job_submit.c
+++ b/src/fleet/job_submit.c
@@ -72,7 +72,9 @@
 		  (long long)took,
 		  api->f->catalog ? (long long)api->f->catalog->version : -1LL);
 	api->counts.accepted += res == JOB_API_OK;
-	api->counts.refused += res == JOB_API_REFUSED;
+	api->counts.refused +=
+		res == JOB_API_REFUSED || res == JOB_API_OVER_CAP;
+	api->counts.over_cap += res == JOB_API_OVER_CAP;
 	api->counts.unknown += res == JOB_API_UNKNOWN;
 	hist_record(&api->accept_times, took * 1000);
 	api->active--;
@@ -81,6 +83,15 @@
 	free(sub);
 }
 
+/* Answers a submission whose refusal is stored. */
+static void answer_refused(struct submission *sub, const char *why)
+{
+	answer_submission(sub,
+			  sub->admission.over_cap ? JOB_API_OVER_CAP
+						  : JOB_API_REFUSED,
+			  why);
+}
+
 /* Queues the submission again. Answers it instead if the store is unavailable,
  * the deadline is near, or it is not stored and another VM may do better. */
 static void retry_submission(struct submission *sub, const char *why)
@@ -129,7 +140,7 @@
 	}
 	if (sub->admission.refused ||
 	    admission_covers(refused_ms, sub->received_store_ms)) {
-		answer_submission(sub, JOB_API_REFUSED, "refused before");
+		answer_refused(sub, "refused before");
 		return;
 	}
 	sub->row_version = row->version;
@@ -144,8 +155,11 @@
 
 	if (ans->result == ROWS_OK) {
 		if (sub->admission.refused)
-			answer_submission(sub, JOB_API_REFUSED,
-					  "no room for long-running tasks");
+			answer_refused(sub,
+				       sub->admission.over_cap
+					       ? "exceeds a cap"
+					       : "no room for long-running "
+						 "tasks");
 		else
 			answer_submission(sub, JOB_API_OK, "stored");
 		return;
