--- a/tests/unit_tests.c
+++ b/tests/unit_tests.c
@@ -57,6 +57,7 @@
 	unit_add_crash();
 	unit_add_crash_count();
 	unit_add_crash_apart();
+	unit_add_caps();
 	unit_add_caps_play();
 	return g_test_run();
 }
