--- a/src/fleet/shard_ctl.c
+++ b/src/fleet/shard_ctl.c
@@ -342,6 +342,7 @@
 	if (sc->f->relay_client)
 		relay_client_update(sc->f->relay_client, &sc->sched);
 	update_ownership(sc);
+	update_config_hold(sc);
 	sched_tick(&sc->sched, now, wall_ms(sc));
 	if (sc->upkeep)
 		upkeep_runner_step(sc->upkeep,
--- a/tests/unit.h
+++ b/tests/unit.h
@@ -47,6 +47,7 @@
 void unit_add_crash_count(void);
 void unit_add_crash_apart(void);
 void unit_add_caps(void);
+void unit_add_caps_ctl(void);
 void unit_add_caps_play(void);
 
 #endif
--- a/tests/unit_tests.c
+++ b/tests/unit_tests.c
@@ -58,6 +58,7 @@
 	unit_add_crash_count();
 	unit_add_crash_apart();
 	unit_add_caps();
+	unit_add_caps_ctl();
 	unit_add_caps_play();
 	return g_test_run();
 }
