--- a/src/coordination/sched.h
+++ b/src/coordination/sched.h
@@ -24,9 +24,8 @@
 void sched_set_prev_owner(struct sched *s, const struct sched_prev_owner *prev);
 
 /* Call right after sched_init(). Reads the grants that the previous owner's row
- * holds; NULL: it has none. `released`: that owner released the shard. */
-void sched_set_prev_grants(struct sched *s, const json_t *grants,
-			   bool released);
+ * holds; NULL: it has none. `ended`: no earlier owner starts tasks. */
+void sched_set_prev_grants(struct sched *s, const json_t *grants, bool ended);
 
 /* Sets the configuration and the names of the failure domains out of service.
  * Borrows both until the next call. */
--- a/src/coordination/sched_org.c
+++ b/src/coordination/sched_org.c
@@ -24,9 +24,9 @@
 					 def->accelerators };
 }
 
-void sched_set_prev_grants(struct sched *s, const json_t *grants, bool released)
+void sched_set_prev_grants(struct sched *s, const json_t *grants, bool ended)
 {
-	org_caps_set_earlier(&s->caps, grants, released);
+	org_caps_set_earlier(&s->caps, grants, ended);
 }
 
 int32_t sched_org_tasks(const struct sched_step *step)
--- a/src/fleet/shard_ctl.c
+++ b/src/fleet/shard_ctl.c
@@ -375,7 +375,10 @@
 	sched_set_prev_owner(&sc->sched, &prev);
 	grants =
 		prev_row->grants ? json_loads(prev_row->grants, 0, NULL) : NULL;
-	sched_set_prev_grants(&sc->sched, grants, prev_row->released);
+	/* An owner before the one that released may be in doubt still. */
+	sched_set_prev_grants(&sc->sched, grants,
+			      prev_row->released &&
+				      !prev_row->previous_renews_ms);
 	json_decref(grants);
 	sc->handover = NULL;
 	if (prev_row->released && prev_row->handover)
--- a/src/org/org_caps.c
+++ b/src/org/org_caps.c
@@ -103,15 +103,14 @@
 	return grant;
 }
 
-void org_caps_set_earlier(struct org_caps *c, const json_t *grants,
-			  bool released)
+void org_caps_set_earlier(struct org_caps *c, const json_t *grants, bool ended)
 {
 	const char *name;
 	json_t *entry;
 
 	if (c->earlier_over)
 		return;
-	c->earlier_ended = released;
+	c->earlier_ended = ended;
 	json_object_foreach((json_t *)grants, name, entry)
 	{
 		struct org_book *b;
--- a/src/org/org_caps.h
+++ b/src/org/org_caps.h
@@ -32,7 +32,8 @@
 	 * of. */
 	bool earlier;
 	bool earlier_over; /* that can't become true any more */
-	/* The previous owner released the shard, so that its tasks only end. */
+	/* Earlier owners have released the shard, or ended long ago, so
+	 * that their tasks only end. */
 	bool earlier_ended;
 	bool config_held; /* see ORG_WAIT_CONFIG */
 	bool wants_commit; /* some grant should be raised */
@@ -44,9 +45,8 @@
 void org_caps_finish(struct org_caps *c);
 
 /* Reads the grants of the row that this owner replaced; NULL: it has none.
- * `released` says whether the previous owner released the shard. */
-void org_caps_set_earlier(struct org_caps *c, const json_t *grants,
-			  bool released);
+ * `ended`: no earlier owner starts tasks any more. */
+void org_caps_set_earlier(struct org_caps *c, const json_t *grants, bool ended);
 /* Says whether earlier owners may have tasks running that are in no account,
  * and with `over` that this can't become true any more. Returns whether the
  * former has changed. */
--- a/tests/unit_caps.c
+++ b/tests/unit_caps.c
@@ -313,6 +313,41 @@
 	fixture_close(&p);
 }
 
+/* Guards against room of a gang's member given out while it runs on, though its
+ * round is complete and freed. */
+static void test_dropped_run(void)
+{
+	struct jobspec *spec = owned_spec("j1", "short", 2);
+	struct sched_fixture p;
+	struct sched_active a;
+	struct sched_end e;
+
+	spec->steps[0].gang = true;
+	spec->rounds = 2;
+	spec->first_due_ms = 1000000;
+	spec->interval_ms = 1000000;
+	spec->steps[0].spread_max = 1;
+	open_capped(&p, 8000);
+	fixture_add_job(&p, spec);
+	fixture_pass_time(&p, 100, 100);
+	g_assert_cmpuint(p.starts->len, ==, 2);
+	fixture_started(&p, fixture_start(&p, 0), 150);
+	fixture_started(&p, fixture_start(&p, 1), 150);
+	e = fixture_end(fixture_start(&p, 0), 1, SCHED_END_DONE);
+	fixture_poll(&p, fixture_start(&p, 0)->worker, NULL, 0, &e, 1, 200);
+	fixture_add_job(&p, owned_spec("j2", "short", 2));
+	fixture_pass_time(&p, 300, 300);
+	g_assert_cmpuint(p.starts->len, ==, 3);
+	a = fixture_active(fixture_start(&p, 1), 0);
+	fixture_poll(&p, fixture_start(&p, 1)->worker, &a, 1, NULL, 0, 400);
+	fixture_pass_time(&p, 500, 500);
+	g_assert_cmpuint(p.starts->len, ==, 3);
+	fixture_poll(&p, fixture_start(&p, 1)->worker, NULL, 0, NULL, 0, 600);
+	fixture_pass_time(&p, 700, 700);
+	g_assert_cmpuint(p.starts->len, ==, 4);
+	fixture_close(&p);
+}
+
 /* Guards against jobs that are accepted though they can never start, and
  * against refusals of jobs that can. */
 static void test_admission(void)
@@ -358,5 +393,6 @@
 	g_test_add_func("/caps/gang", test_gang);
 	g_test_add_func("/caps/no-eviction", test_no_eviction);
 	g_test_add_func("/caps/untracked-run", test_untracked_run);
+	g_test_add_func("/caps/dropped-run", test_dropped_run);
 	g_test_add_func("/caps/admission", test_admission);
 }
--- a/tests/unit_caps_play.c
+++ b/tests/unit_caps_play.c
@@ -68,7 +68,7 @@
 	json_t *roster[SCHED_ROSTER_ROWS];
 	json_t *grants;
 	int64_t written_ms;
-	int64_t renews_ms;
+	int64_t renew_end_ms; /* of all owners before the present one */
 	int64_t version;
 	int64_t cap;
 	int64_t old_cap; /* in force until cap_ms + what starts may take */
@@ -221,7 +221,7 @@
 	struct party *o = &x->parties[0];
 	int64_t claimed = ++x->version;
 	struct sched_prev_owner prev = {
-		.renews_until_ms = now + x->renews_ms,
+		.renews_until_ms = MAX(now, x->renew_end_ms),
 		.lease_ms = FIXTURE_LEASE_MS,
 		/* The row is taken to mark all workers. */
 		.long_leases_until_ms =
@@ -254,7 +254,8 @@
 	o->p.s.lim.call_max_ms = LATE_MS;
 	o->p.s.taken_over_ms = now;
 	sched_set_prev_owner(&o->p.s, &prev);
-	sched_set_prev_grants(&o->p.s, x->grants, x->released);
+	sched_set_prev_grants(&o->p.s, x->grants,
+			      x->released && x->renew_end_ms <= now);
 	set_cap(x, o);
 	TRACE(x, "%lld: owner %d begins", (long long)now, o->number);
 	for (int i = 0; i < SCHED_ROSTER_ROWS; i++) {
@@ -268,7 +269,7 @@
 	json_decref(x->handover);
 	x->handover = NULL;
 	x->released = false;
-	x->renews_ms = MAX(0, prev.renews_until_ms - now);
+	x->renew_end_ms = prev.renews_until_ms;
 }
 
 static void write_commit(struct caps_play *x, struct party *o, int64_t now)
@@ -371,7 +372,6 @@
 		write_commit(x, o, now);
 		x->handover = sched_handover_pack(&o->p.s, 100, now);
 		x->released = true;
-		x->renews_ms = 0;
 	}
 	close_party(o);
 }
