--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -10,6 +10,7 @@
 #include "base/hist.h"
 #include "base/log.h"
 #include "fleet/job_api.h"
+#include "fleet/org_metrics.h"
 #include "fleet/relay_client.h"
 #include "fleet/relay_server.h"
 #include "fleet/shard_ctl.h"
@@ -327,6 +328,7 @@
 	text = add_metric(text, "gd_evicted_total", s->counts.evicted);
 	text = add_metric(text, "gd_crashes_total", s->counts.crashes);
 	text = add_metric(text, "gd_given_up_total", s->counts.given_up);
+	text = org_metrics_add_caps(text, s);
 	text = add_metric(text, "gd_looks_total", links->polls);
 	text = add_metric(text, "gd_looks_failed_total", links->polls_failed);
 	return add_metric(text, "gd_orders_total", links->commands);
@@ -357,6 +359,9 @@
 	text = add_metric(text, "gd_accepted_total", c->accepted);
 	text = add_metric(text, "gd_repeated_total", c->repeated);
 	text = add_metric(text, "gd_refused_total", c->refused);
+	if (f->catalog && f->catalog->has_orgs)
+		text = add_metric(text, "gd_refused_over_cap_total",
+				  c->over_cap);
 	text = add_metric(text, "gd_unsure_answers_total", c->unknown);
 	text = add_metric(text, "gd_cancelled_total", c->cancelled);
 	text = add_metric(text, "gd_state_asked_total", c->lookups);
--- a/tests/unit_caps_ctl.c
+++ b/tests/unit_caps_ctl.c
@@ -74,15 +74,22 @@
 	ctl_fixture_close();
 }
 
-/* Guards against rows that change though no organisation has a cap. */
+/* Guards against rows and metrics that change though there is no organisation.
+ */
 static void test_no_caps(void)
 {
+	char *text;
+
 	ctl_fixture_open();
 	ctl_fixture_start();
 	await_active();
 	run_loop_ms(4 * FIXTURE_HEARTBEAT_MS);
 	g_assert_true(row_has("\"vm\":\"a\""));
 	g_assert_false(row_has("grants"));
+	text = fleet_metrics(&fx->f, NULL);
+	g_assert_null(strstr(text, "org"));
+	g_assert_null(strstr(text, "cap"));
+	talloc_free(text);
 	ctl_fixture_close();
 }
 
@@ -141,6 +148,7 @@
 	char part[SHARD_CTL_NAME_MAX];
 	struct job_api_answer ans;
 	const struct sched *s;
+	char *text;
 
 	ctl_fixture_open();
 	ctl_fixture_start();
@@ -161,6 +169,13 @@
 	run_loop_ms(200);
 	g_assert_null(g_hash_table_lookup(s->jobs, ID));
 	g_assert_cmpint(job_api_counts(fx->f.job_api)->over_cap, ==, 1);
+	text = fleet_metrics(&fx->f, NULL);
+	g_assert_nonnull(strstr(text, "gd_refused_over_cap_total 1\n"));
+	g_assert_nonnull(
+		strstr(text, "gd_org_cap_cpu_milli{org=\"o\"} 4000\n"));
+	g_assert_nonnull(
+		strstr(text, "gd_org_counted_cpu_milli{org=\"o\"} 0\n"));
+	talloc_free(text);
 	ctl_fixture_close();
 }
 
