--- a/src/fleet/job_api.c
+++ b/src/fleet/job_api.c
@@ -65,7 +65,8 @@
 const char *job_api_result_name(enum job_api_result res)
 {
 	static const char *const names[] = { "done",   "refused", "unsure",
-					     "absent", "denied",  "id_taken" };
+					     "absent", "denied",  "id_taken",
+					     "refused" };
 
 	return names[res];
 }
