--- a/src/coordination/sched.c
+++ b/src/coordination/sched.c
@@ -34,14 +34,14 @@
 	s->start_before_version = INT64_MAX;
 	s->renew_until_ms = INT64_MAX;
 	s->start_room = (struct sched_start_room){ INT64_MAX, INT64_MAX };
-	s->rank_policy = &sched_rank_by_weight;
+	s->rank_policy = &sched_rank_by_share;
 	s->sweep = 1;
 	s->mean_work =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	s->demands =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	interfere_init(&s->interfere);
-	org_accounts_init(&s->orgs);
+	sched_org_init(s);
 	s->queues = g_hash_table_new(g_str_hash, g_str_equal);
 	s->jobs = g_hash_table_new(g_str_hash, g_str_equal);
 	s->queued =
@@ -82,7 +82,7 @@
 	g_hash_table_destroy(s->workers);
 	g_ptr_array_free(s->worker_list, TRUE);
 	interfere_finish(&s->interfere);
-	org_accounts_finish(&s->orgs);
+	sched_org_finish(s);
 }
 
 static void index_queues(struct sched *s)
--- a/src/coordination/sched.h
+++ b/src/coordination/sched.h
@@ -175,6 +175,34 @@
  */
 void sched_place(struct sched *s, int64_t now_ms);
 
+/*
+ * Returns which pools are full, and of how many jobs in excess organisations
+ * wait that still exceed their rate at `store_ms` (store's clock): an object of
+ * "full", a list of pools, and "orgs", organisation to number. Returns NULL if
+ * there is no full pool or no such organisation. The caller owns the reference.
+ */
+json_t *sched_org_pack_overload(const struct sched *s, int64_t now_ms,
+				int64_t store_ms);
+/* Returns whether work has been waiting for room in the pool for a while. Known
+ * only if organisations are configured. */
+bool sched_org_pool_is_full(const struct sched *s, const char *pool,
+			    int64_t now_ms);
+
+/* What an organisation has, for metrics. */
+struct sched_org_figures {
+	const char *name;
+	struct place_resources used;
+	double dominant; /* see org_share_dominant() */
+	double entitlement;
+	int32_t waiting; /* jobs of which nothing has started */
+	int32_t excess; /* part of `waiting` */
+};
+/* Calls `add` for each organisation that is configured and has had jobs. */
+void sched_org_list_figures(const struct sched *s,
+			    void (*add)(const struct sched_org_figures *f,
+					void *priv),
+			    void *priv);
+
 /* Returns how much CPU further long-running jobs may take, in thousandths of a
  * core; negative if they have too much. */
 int64_t sched_lasting_room(const struct sched_pool_demand *d);
--- a/src/coordination/sched_evict.c
+++ b/src/coordination/sched_evict.c
@@ -11,20 +11,23 @@
 	return def->checkpoints && !def->gang && !def->is_long_running;
 }
 
-/* Returns whether the run may be stopped for a task of this priority. */
-static bool is_evictable(const struct sched_run *run, int32_t priority)
+/* Returns whether the run may be stopped for a task of the ranked step. */
+static bool is_evictable(const struct sched *s, const struct sched_run *run,
+			 const struct sched_rank *r)
 {
 	const struct catalog_queue *q = run->task->step->round->job->queue;
 	const struct jobspec_step *def = run->task->step->def;
 
-	return q && q->priority > priority && sched_is_evictable(def) &&
-	       run->state == SCHED_RUN_ACTIVE;
+	return q && q->priority > r->priority && sched_is_evictable(def) &&
+	       run->state == SCHED_RUN_ACTIVE &&
+	       sched_org_may_evict(s, r->step, run);
 }
 
-static bool has_evictable_cpu(const struct sched_run *run, int32_t priority)
+static bool has_evictable_cpu(const struct sched *s,
+			      const struct sched_run *run,
+			      const struct sched_rank *r)
 {
-	return !run->task->step->def->best_effort &&
-	       is_evictable(run, priority);
+	return !run->task->step->def->best_effort && is_evictable(s, run, r);
 }
 
 /* Returns whether evictions for the step have had time to take effect. */
@@ -85,7 +88,8 @@
 
 /* Returns whether evicting runs that have CPU of their own makes room for the
  * task. Where no CPU is lacking, nothing is evicted. */
-static bool can_make_room(const struct sched_worker *w, int32_t priority,
+static bool can_make_room(const struct sched *s, const struct sched_worker *w,
+			  const struct sched_rank *r,
 			  struct place_resources lacks)
 {
 	if (lacks.cpu_milli <= 0 || w->n_isolated)
@@ -94,7 +98,7 @@
 	for (const GList *i = w->runs.head; i; i = i->next) {
 		const struct sched_run *run = i->data;
 
-		if (!run->stopping && has_evictable_cpu(run, priority))
+		if (!run->stopping && has_evictable_cpu(s, run, r))
 			subtract(&lacks, run);
 	}
 	return !is_lacking(&lacks);
@@ -114,7 +118,7 @@
 		struct place_resources here = shortage_at(def, list[i]);
 
 		if ((best && here.cpu_milli >= lacks.cpu_milli) ||
-		    !can_make_room(list[i], r->priority, here))
+		    !can_make_room(s, list[i], r, here))
 			continue;
 		best = list[i];
 		lacks = here;
@@ -126,7 +130,7 @@
 	for (GList *i = best->runs.tail; i && is_lacking(&lacks); i = i->prev) {
 		struct sched_run *run = i->data;
 
-		if (run->stopping || !has_evictable_cpu(run, r->priority))
+		if (run->stopping || !has_evictable_cpu(s, run, r))
 			continue;
 		subtract(&lacks, run);
 		s->counts.evicted++;
@@ -190,16 +194,16 @@
 }
 
 /*
- * Returns how long the run is likely to go on if a task of this priority needs
- * its room. Estimates are rough: a run past its estimate is taken to need a
- * part of the time that it has had.
+ * Returns how long the run is likely to go on if a task of the ranked step
+ * needs its room. Estimates are rough: a run past its estimate is taken to need
+ * a part of the time that it has had.
  */
 static int64_t time_left_ms(const struct sched *s, const struct sched_run *run,
-			    int32_t priority, int64_t now_ms)
+			    const struct sched_rank *r, int64_t now_ms)
 {
 	int64_t elapsed_ms = now_ms - run->started_ms;
 
-	if (run->stopping || is_evictable(run, priority))
+	if (run->stopping || is_evictable(s, run, r))
 		return s->lim.stop_ms;
 	if (!run->pace)
 		return INT64_MAX;
@@ -228,7 +232,7 @@
 
 		if (run->task->step->def->is_long_running && !run->stopping)
 			continue;
-		left_ms = time_left_ms(s, run, r->priority, now_ms);
+		left_ms = time_left_ms(s, run, r, now_ms);
 		for (size_t k = 0; k < WAIT_CLASSES; k++) {
 			if (left_ms <= wait_classes_ms[k])
 				subtract(&after[k], run);
@@ -281,7 +285,7 @@
 	for (const GList *i = w->runs.head; i; i = i->next) {
 		const struct sched_run *run = i->data;
 
-		if (!run->stopping && is_evictable(run, r->priority))
+		if (!run->stopping && is_evictable(s, run, r))
 			subtract(&after, run);
 	}
 	if (is_lacking(&after))
@@ -291,7 +295,7 @@
 		bool helps =
 			!run->task->step->def->best_effort || lacks.mem_mib > 0;
 
-		if (run->stopping || !helps || !is_evictable(run, r->priority))
+		if (run->stopping || !helps || !is_evictable(s, run, r))
 			continue;
 		subtract(&lacks, run);
 		s->counts.evicted++;
--- a/src/coordination/sched_int.h
+++ b/src/coordination/sched_int.h
@@ -18,6 +18,8 @@
 	int64_t latest_ms; /* latest start to meet the response-time target */
 	double weight; /* of its job, see job_weight() in sched_rank.c */
 	double work_left; /* of its round, in thousandths of a core x ms */
+	enum org_standing standing; /* of its organisation */
+	bool excess; /* see struct sched_job */
 };
 
 /* Returns NULL if the job, its round or the task is unknown. */
@@ -118,6 +120,27 @@
  * refuses all commands sent before. */
 void sched_raise_fence(struct sched *s, struct sched_worker *w);
 
+void sched_org_init(struct sched *s);
+void sched_org_finish(struct sched *s);
+void sched_org_job_added(struct sched *s, struct sched_job *job);
+void sched_org_job_removed(struct sched *s, struct sched_job *job);
+/* Decides whether the next new job of an organisation is in excess. Returns the
+ * job, or NULL if there are no more. */
+struct sched_job *sched_org_rate_next(struct sched *s, int64_t now_ms);
+/* Determines which organisations share the workers in this pass. */
+void sched_org_begin_pass(struct sched *s);
+/* Returns whether the step's organisation was below its entitlement when the
+ * step was ranked and has reached it by starts since. */
+bool sched_org_has_reached_share(const struct sched *s,
+				 const struct sched_rank *r);
+/* Returns whether the shares let the step evict the run. */
+bool sched_org_may_evict(const struct sched *s, const struct sched_step *by,
+			 const struct sched_run *victim);
+/* A task of the step, which may run at these workers, finds no room. */
+void sched_org_note_shortage(struct sched *s, const struct sched_step *step,
+			     struct sched_worker **list, int32_t n,
+			     int64_t now_ms);
+
 /* Returns the number of runs of the step at the worker. */
 int32_t sched_count_tasks_at(const struct sched_step *step,
 			     const struct sched_worker *w);
@@ -334,6 +357,10 @@
 			 const struct sched_run *run, bool failed,
 			 int64_t now_ms);
 
+/* Returns whether nothing that comes before the shares of organisations decides
+ * between the two. */
+bool sched_rank_same_service(const struct sched_rank *x,
+			     const struct sched_rank *y);
 struct sched_rank sched_rank_step(const struct sched *s,
 				  struct sched_step *step, int64_t now_ms);
 /* Returns all work of a job by its estimates, in thousandths of a core x ms. */
--- a/src/coordination/sched_job.c
+++ b/src/coordination/sched_job.c
@@ -304,6 +304,7 @@
 	}
 	if (!sched_job_has_ended(job))
 		sched_create_due_rounds(s, job, now_ms, wall_ms);
+	sched_org_job_added(s, job);
 	return job;
 }
 
@@ -334,6 +335,7 @@
 		free_round(s, job->rounds);
 	if (job->dirty)
 		g_queue_unlink(&s->dirty_jobs, &job->dirty_link);
+	sched_org_job_removed(s, job);
 	sched_count_removed(s, job);
 	g_hash_table_remove(s->jobs, id);
 	talloc_free(job);
--- a/src/coordination/sched_place.c
+++ b/src/coordination/sched_place.c
@@ -153,6 +153,8 @@
 		if (!sched_task_is_ready(s, t, c->now_ms) ||
 		    (is_full && !suspect))
 			continue;
+		if (sched_org_has_reached_share(s, r))
+			break;
 		w = suspect ? choose_for_suspect(s, r, t, l, c->now_ms)
 			    : choose(c, l, step);
 		if (!w) {
@@ -185,9 +187,13 @@
 {
 	if (!start_fitting(c, r, l))
 		return;
+	/* A step that waits for a rack or a ticket may have room elsewhere. */
+	if (!l->is_filtered)
+		sched_org_note_shortage(c->sched, r->step, l->workers, l->n,
+					c->now_ms);
 	if (r->overdue)
 		reserve_for_step(c, r, l);
-	else if (r->tier == SCHED_TIER_IN_TIME)
+	else if (r->tier == SCHED_TIER_IN_TIME && !r->excess)
 		sched_evict_for_step(c->sched, r, l->workers, l->n, c->now_ms);
 }
 
@@ -249,6 +255,59 @@
 	return false;
 }
 
+/* The steps that a pass places. Those before `reached` had their turn, except
+ * that the last `n_deferred` of them get another one: their organisations have
+ * reached their entitlements, and others go first that have not. */
+struct pass_order {
+	const struct sched *s;
+	struct sched_rank *ranks;
+	int32_t n;
+	int32_t reached;
+	int32_t n_deferred;
+};
+
+/* Returns whether the turn of the deferred steps has come: none is left whose
+ * organisation was below its entitlement. */
+static bool deferred_are_due(const struct pass_order *o)
+{
+	const struct sched_rank *next = &o->ranks[o->reached];
+
+	return o->n_deferred &&
+	       (o->reached == o->n || next->standing != ORG_BELOW ||
+		!sched_rank_same_service(next, next - 1));
+}
+
+/* Returns the next step, or NULL if all had their turns. Valid until the next
+ * call. */
+static struct sched_rank *next_rank(struct pass_order *o)
+{
+	struct sched_rank *r;
+	struct sched_rank tmp;
+
+	if (deferred_are_due(o)) {
+		o->reached -= o->n_deferred;
+		o->n_deferred = 0;
+		qsort(&o->ranks[o->reached], (size_t)(o->n - o->reached),
+		      sizeof(*o->ranks), o->s->rank_policy->compare);
+	}
+	if (o->reached == o->n)
+		return NULL;
+	/* Keeps the deferred steps next to those that were not reached. */
+	r = &o->ranks[o->reached - o->n_deferred];
+	tmp = *r;
+	*r = o->ranks[o->reached];
+	o->ranks[o->reached++] = tmp;
+	return r;
+}
+
+/* Gives the step that next_rank() returned another turn in this pass. */
+static void defer(struct pass_order *o, struct sched_rank *r)
+{
+	r->standing = ORG_AT_SHARE;
+	r->step->sweep = 0;
+	o->n_deferred++;
+}
+
 /* Fills `ranks` with the steps that the pass should place, in order. Returns
  * their number. */
 static int32_t rank_steps(struct sched *s, struct sched_rank *ranks,
@@ -338,7 +397,7 @@
 	struct sched_worker *w;
 
 	for (int32_t i = 0; i < n_ranks; i++) {
-		if (is_starved(s, ranks[i].step, now_ms) &&
+		if (!ranks[i].excess && is_starved(s, ranks[i].step, now_ms) &&
 		    (!next || goes_before(ranks[i].step, next->step)))
 			next = &ranks[i];
 	}
@@ -380,13 +439,24 @@
 	s->reservations_old = true;
 }
 
+/* Marks those new jobs that are in excess; the marks are stored, so that
+ * successors know them. */
+static void rate_new_jobs(struct sched *s, int64_t now_ms)
+{
+	struct sched_job *job;
+
+	while ((job = sched_org_rate_next(s, now_ms))) {
+		if (job->excess)
+			sched_mark_dirty(s, job);
+	}
+}
+
 void sched_place(struct sched *s, int64_t now_ms)
 {
 	struct sched_candidates c;
-	struct sched_rank *ranks;
+	struct pass_order o = { .s = s };
+	struct sched_rank *last = NULL;
 	int64_t best_effort_work = 0;
-	int32_t reached = 0;
-	int32_t n;
 
 	s->placement_ms = now_ms;
 	s->pass_work = 0;
@@ -395,28 +465,33 @@
 		return;
 	if (s->reservations_old)
 		sched_clear_reservations(s);
-	ranks = talloc_array(NULL, struct sched_rank, s->ready_steps.length);
+	rate_new_jobs(s, now_ms);
+	sched_org_begin_pass(s);
+	o.ranks = talloc_array(NULL, struct sched_rank, s->ready_steps.length);
 	sched_candidates_init(&c, s, now_ms);
-	n = rank_steps(s, ranks, now_ms);
-	while (reached < n && !pass_is_over(s)) {
-		const struct sched_rank *r = &ranks[reached++];
+	o.n = rank_steps(s, o.ranks, now_ms);
+	while (!pass_is_over(s) && (last = next_rank(&o))) {
 		int64_t work_before = search_work(s);
 
-		r->step->sweep = s->sweep;
-		place_step(&c, r);
-		if (r->step->def->best_effort)
+		last->step->sweep = s->sweep;
+		if (!sched_org_has_reached_share(s, last))
+			place_step(&c, last);
+		if (last->step->def->best_effort)
 			best_effort_work += search_work(s) - work_before;
+		if (sched_org_has_reached_share(s, last) &&
+		    has_ready_task(s, last->step, now_ms))
+			defer(&o, last);
 	}
 	if (!pass_is_over(s))
 		s->best_effort_due_ms =
 			now_ms + best_effort_work / BEST_EFFORT_WORK_PER_MS;
 	s->starts_held = !has_start_room(s);
 	/* The step that ran out of room goes on in its turn. */
-	if (s->starts_held && reached)
-		ranks[reached - 1].step->sweep = 0;
+	if (s->starts_held && last)
+		last->step->sweep = 0;
 	if (!s->starts_held)
-		place_starved(&c, ranks, n);
-	end_sweep(s, reached == n, now_ms);
+		place_starved(&c, o.ranks, o.n);
+	end_sweep(s, o.reached == o.n && !o.n_deferred, now_ms);
 	sched_candidates_finish(&c);
-	talloc_free(ranks);
+	talloc_free(o.ranks);
 }
--- a/src/coordination/sched_progress.c
+++ b/src/coordination/sched_progress.c
@@ -165,6 +165,8 @@
 				"ended_ms", (json_int_t)job->ended_wall_ms);
 
 	json_object_set_new(row, "queue", json_string(job->spec->queue));
+	if (job->excess)
+		json_object_set_new(row, "excess", json_true());
 	if (sched_job_has_ended(job)) {
 		json_decref(rounds);
 		return row;
@@ -316,6 +318,7 @@
 		json_integer_value(json_object_get(row, "ended_ms"));
 	if (sched_job_has_ended(job))
 		return;
+	job->excess = json_is_true(json_object_get(row, "excess"));
 	json_array_foreach(rounds, i, r)
 	{
 		struct sched_round *round;
--- a/src/coordination/sched_rank.c
+++ b/src/coordination/sched_rank.c
@@ -107,11 +107,16 @@
 		.started = job->state == SCHED_JOB_RUNNING,
 		.latest_ms = step->round->due_ms + target - step->remaining_ms,
 		.weight = job_weight(s, job),
+		.standing = org_share_standing(&s->shares, job->org),
+		.excess = s->shares.on && job->excess,
 	};
 
 	if (step->def->is_long_running) {
 		r.idle_since_ms = idle_since_ms(s, step, now_ms);
-		r.overdue = now_ms - r.idle_since_ms >= OVERDUE_MS;
+		/* Nothing is guaranteed to a job in excess until it has begun.
+		 */
+		r.overdue = now_ms - r.idle_since_ms >= OVERDUE_MS &&
+			    (r.started || !r.excess);
 		return r;
 	}
 	r.work_left = work_left(step->round);
@@ -167,6 +172,38 @@
 	return compare_job_ids(x, y);
 }
 
+/* Returns what comes before shares in the order; lower goes first. Jobs in
+ * excess have no guarantee, and very late jobs have no value any more. */
+static int service_class(const struct sched_rank *r)
+{
+	if (r->overdue)
+		return 0;
+	return 1 + r->excess + 2 * (r->tier == SCHED_TIER_VERY_LATE);
+}
+
+bool sched_rank_same_service(const struct sched_rank *x,
+			     const struct sched_rank *y)
+{
+	return service_class(x) == service_class(y);
+}
+
+/*
+ * Shares come before priorities: callers choose the priority by the queue, so
+ * that an organisation which uses the first queue alone could take all workers
+ * otherwise. Without organisations this is the order by weight.
+ */
+static int compare_by_share(const void *a, const void *b)
+{
+	const struct sched_rank *x = a;
+	const struct sched_rank *y = b;
+
+	if (!sched_rank_same_service(x, y))
+		return service_class(x) - service_class(y);
+	if (!x->overdue && x->standing != y->standing)
+		return x->standing < y->standing ? -1 : 1;
+	return compare_by_weight(a, b);
+}
+
 /* Orders started jobs first, then by the latest start that is in time. */
 static int compare_by_latest_start(const void *a, const void *b)
 {
@@ -188,8 +225,11 @@
 	return compare_job_ids(x, y);
 }
 
+const struct sched_rank_policy sched_rank_by_share = { "share",
+						       compare_by_share, true };
 const struct sched_rank_policy sched_rank_by_weight = { "weight",
-							compare_by_weight };
+							compare_by_weight,
+							false };
 const struct sched_rank_policy sched_rank_by_latest_start = {
-	"latest-start", compare_by_latest_start
+	"latest-start", compare_by_latest_start, false
 };
--- a/src/coordination/sched_types.h
+++ b/src/coordination/sched_types.h
@@ -15,7 +15,8 @@
 #include "coordination/catalog.h"
 #include "coordination/interfere.h"
 #include "coordination/place.h"
-#include "org/org_accounts.h"
+#include "org/org_rate.h"
+#include "org/org_share.h"
 #include "protocol/jobspec.h"
 
 #define SCHED_ID_MAX 72
@@ -211,6 +212,10 @@
 	struct jobspec *spec;
 	const struct catalog_queue *queue; /* NULL if not configured now */
 	struct org_account *org; /* NULL: it belongs to no organisation */
+	/* Its organisation submitted it beyond its rate; see org_rate.h. */
+	bool excess;
+	bool unrated; /* that is not decided yet; in sched.unrated */
+	GList unrated_link;
 	int64_t critical_path_ms; /* estimate of the longest chain of steps */
 	double work; /* see sched_estimate_work() */
 	enum sched_job_state state; /* set by sched_set_job_state() */
@@ -413,9 +418,14 @@
 	const char *name;
 	/* Compares two struct sched_rank, for qsort(). */
 	int (*compare)(const void *a, const void *b);
+	/* Work of organisations below their entitlement goes first. */
+	bool by_share;
 };
 
-/* The default: highest weight per remaining work first. */
+/* The default: organisations by their shares, jobs in excess last, and then by
+ * weight. */
+extern const struct sched_rank_policy sched_rank_by_share;
+/* Highest weight per remaining work first. */
 extern const struct sched_rank_policy sched_rank_by_weight;
 /* The baseline: started jobs, then the earliest latest start time. */
 extern const struct sched_rank_policy sched_rank_by_latest_start;
@@ -428,6 +438,14 @@
 	const struct catalog *catalog;
 	GHashTable *queues; /* name to struct catalog_queue of `catalog` */
 	struct org_accounts orgs;
+	struct org_shares shares; /* as of the last pass */
+	struct org_rates rates;
+	/* Jobs of organisations that are new, in the order in which they were
+	 * accepted. */
+	GQueue unrated;
+	int64_t excess_logged_ms; /* when a job in excess was last logged */
+	int64_t excess_unlogged; /* jobs in excess since then */
+	GHashTable *shortages; /* pool to struct shortage, see sched_org.c */
 	GHashTable *mean_work; /* queue to double; see sched_rank.c */
 	GHashTable *domains_out; /* names of failure domains out of service */
 	GHashTable *jobs; /* id to struct sched_job */
--- a/src/org/org_accounts.h
+++ b/src/org/org_accounts.h
@@ -7,6 +7,7 @@
 #define ORG_ACCOUNTS_H
 
 #include <glib.h>
+#include <stdbool.h>
 
 #include "org/org.h"
 
@@ -16,6 +17,7 @@
 	/* NULL: the organisation is not configured (any more). */
 	const struct org *def;
 	struct place_resources used; /* by all runs, best-effort ones too */
+	bool active; /* it takes part in the shares; set by org_share.c */
 };
 
 struct org_accounts {
