--- a/src/fleet/admission.c
+++ b/src/fleet/admission.c
@@ -33,17 +33,16 @@
 	return sum;
 }
 
-/* Returns when a job that lacks `lacks_milli` should come back, at a rate at
- * which room becomes free. */
-static int64_t retry_after_ms(const char *id, int64_t lacks_milli,
-			      int64_t freed_milli_s)
+/* Returns when a job that lacks so much should come back, if `freed_s` of it
+ * becomes free in a second. */
+static int64_t retry_after_ms(const char *id, int64_t lacks, int64_t freed_s)
 {
 	int64_t ms = RETRY_AFTER_MAX_MS;
 	int64_t spread;
 
-	if (freed_milli_s > 0)
-		ms = CLAMP(lacks_milli * 1000 / freed_milli_s,
-			   RETRY_AFTER_MIN_MS, RETRY_AFTER_MAX_MS);
+	if (freed_s > 0)
+		ms = CLAMP(lacks * 1000 / freed_s, RETRY_AFTER_MIN_MS,
+			   RETRY_AFTER_MAX_MS);
 	spread = ms * SPREAD_PERCENT / 100;
 	return ms +
 	       (int64_t)(XXH64(id, strlen(id), 0) % (uint64_t)(spread + 1));
@@ -78,6 +77,7 @@
 	    !read_room(row, pool, &room, &freed))
 		return;
 	out->refused = room < wanted;
+	out->why = "no room for long-running tasks";
 	out->retry_after_ms = retry_after_ms(spec->id, wanted - room, freed);
 	log_event(LOG_JOB,
 		  "job=%s queue=%s what=admission outcome=%s wanted_milli=%lld "
@@ -90,6 +90,62 @@
 		  (long long)row->seq);
 }
 
+static bool contains_text(const json_t *list, const char *text)
+{
+	const json_t *entry;
+	size_t i;
+
+	json_array_foreach(list, i, entry)
+	{
+		if (json_is_string(entry) &&
+		    !strcmp(json_string_value(entry), text))
+			return true;
+	}
+	return false;
+}
+
+/* Returns how many jobs of the organisation wait in excess, by the row; 0 if
+ * the pool is not full, or the row doesn't tell. */
+static int64_t read_excess(const struct owner_row *row, const char *pool,
+			   const char *org)
+{
+	json_t *j = row && row->overload ? json_loads(row->overload, 0, NULL)
+					 : NULL;
+	int64_t excess = 0;
+
+	if (!contains_text(json_object_get(j, "full"), pool) ||
+	    !num_integer(json_object_get(json_object_get(j, "orgs"), org), 0,
+			 NUM_MAX / 1000, &excess))
+		excess = 0;
+	json_decref(j);
+	return excess;
+}
+
+void admission_decide_overload(const struct owner_row *row, int64_t age_ms,
+			       const char *pool, const struct org *org,
+			       const struct jobspec *spec,
+			       struct admission *out)
+{
+	int64_t excess;
+
+	if (!org || age_ms < 0 || age_ms > ROOM_AGE_MAX_MS)
+		return;
+	excess = read_excess(row, pool, org->name);
+	if (!excess)
+		return;
+	out->refused = true;
+	out->why = "organisation over its rate and pool full";
+	out->retry_after_ms = retry_after_ms(spec->id, excess, org->weight);
+	log_event(LOG_JOB,
+		  "job=%s queue=%s what=overload outcome=refused org=%s "
+		  "excess=%lld weight=%lld retry_after_ms=%lld age_ms=%lld "
+		  "owner=%s epoch=%lld seq=%lld",
+		  spec->id, spec->queue, org->name, (long long)excess,
+		  (long long)org->weight, (long long)out->retry_after_ms,
+		  (long long)age_ms, row->vm, (long long)row->epoch,
+		  (long long)row->seq);
+}
+
 void admission_check(const struct fleet *f, const struct jobspec *spec,
 		     struct admission *out)
 {
@@ -105,6 +161,10 @@
 		return;
 	row = shard_ctl_owner_row(sc, &changed_ms);
 	admission_decide(row, shard_ctl_pending_age_ms(sc), q->pool, spec, out);
+	if (!out->refused && *spec->org)
+		admission_decide_overload(
+			row, shard_ctl_pending_age_ms(sc), q->pool,
+			catalog_find_org(f->catalog, spec->org), spec, out);
 }
 
 json_t *admission_pack_refusal(int64_t at_ms)
--- a/src/fleet/admission.h
+++ b/src/fleet/admission.h
@@ -11,12 +11,14 @@
 struct admission {
 	bool refused;
 	int64_t retry_after_ms; /* valid if refused */
+	const char *why; /* static text, valid if refused */
 };
 
 /*
  * Refuses a job with long-running tasks for which the pool has no room, since
  * they would keep others from running for as long as they last. Accepts it if
- * the room is not known, or what is known is older than 2 s.
+ * the room is not known, or what is known is older than 2 s. Then does what
+ * admission_decide_overload() does.
  */
 void admission_check(const struct fleet *f, const struct jobspec *spec,
 		     struct admission *out);
@@ -26,6 +28,18 @@
 		      const char *pool, const struct jobspec *spec,
 		      struct admission *out);
 
+/*
+ * Refuses a job of an organisation that exceeds its rate, while its jobs in
+ * excess wait and the pool is full, by an owner's row of this age. The caller
+ * is told to return when those are worked off at the organisation's rate. Does
+ * nothing if the job belongs to no organisation (`org` NULL), or if the row
+ * (NULL: none) doesn't tell or is older than 2 s.
+ */
+void admission_decide_overload(const struct owner_row *row, int64_t age_ms,
+			       const char *pool, const struct org *org,
+			       const struct jobspec *spec,
+			       struct admission *out);
+
 /* Returns the row of a refusal made at this time of the store's clock; the
  * caller owns the reference. */
 json_t *admission_pack_refusal(int64_t at_ms);
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -10,6 +10,7 @@
 #include "base/hist.h"
 #include "base/log.h"
 #include "fleet/job_api.h"
+#include "fleet/org_metrics.h"
 #include "fleet/relay_client.h"
 #include "fleet/relay_server.h"
 #include "fleet/shard_ctl.h"
@@ -329,7 +330,8 @@
 	text = add_metric(text, "gd_given_up_total", s->counts.given_up);
 	text = add_metric(text, "gd_looks_total", links->polls);
 	text = add_metric(text, "gd_looks_failed_total", links->polls_failed);
-	return add_metric(text, "gd_orders_total", links->commands);
+	text = add_metric(text, "gd_orders_total", links->commands);
+	return org_metrics_add_sched(text, s);
 }
 
 static char *add_relay_metrics(char *text, const struct fleet *f)
@@ -366,6 +368,7 @@
 	text = add_metric(text, "gd_accept_us_p99", hist_quantile_us(h, 0.99));
 	if (f->relay_client)
 		text = add_relay_metrics(text, f);
+	text = org_metrics_add_refusals(text, job_api_org_refusals(f->job_api));
 	for (int32_t i = 0; i < f->set.shards; i++)
 		text = add_shard_metrics(text, f->shard_ctls[i],
 					 clk_mono_ms(f->clk));
--- a/src/fleet/job_api.c
+++ b/src/fleet/job_api.c
@@ -33,12 +33,21 @@
 	void *priv;
 };
 
+static int free_refusals(struct job_api *api)
+{
+	g_hash_table_destroy(api->org_refusals);
+	return 0;
+}
+
 struct job_api *job_api_start(struct fleet *f)
 {
 	struct job_api *api = talloc_zero(f->ev, struct job_api);
 
 	api->f = f;
 	hist_init(&api->accept_times);
+	api->org_refusals =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	talloc_set_destructor(api, free_refusals);
 	for (int i = 0; i < FLEET_SHARDS_MAX; i++) {
 		for (int k = 0; k < SHARD_CTL_JOB_PARTS; k++) {
 			struct submit_queue *sq = &api->queues[i][k];
@@ -344,6 +353,11 @@
 	return &api->counts;
 }
 
+GHashTable *job_api_org_refusals(const struct job_api *api)
+{
+	return api->org_refusals;
+}
+
 const struct hist *job_api_accept_times(const struct job_api *api)
 {
 	return &api->accept_times;
--- a/src/fleet/job_api.h
+++ b/src/fleet/job_api.h
@@ -54,6 +54,8 @@
 };
 
 const struct job_api_counts *job_api_counts(const struct job_api *api);
+/* Returns organisation to number of refused submissions; see org_metrics.h. */
+GHashTable *job_api_org_refusals(const struct job_api *api);
 /* Returns the durations of submissions, in us. */
 const struct hist *job_api_accept_times(const struct job_api *api);
 
--- a/src/fleet/job_api_int.h
+++ b/src/fleet/job_api_int.h
@@ -31,6 +31,7 @@
 	int32_t active;
 	struct job_api_counts counts;
 	struct hist accept_times;
+	GHashTable *org_refusals; /* see org_metrics.h */
 };
 
 /* Name of a result in the log. */
--- a/src/fleet/job_submit.c
+++ b/src/fleet/job_submit.c
@@ -8,6 +8,7 @@
 #include "base/log.h"
 #include "fleet/admission.h"
 #include "fleet/job_api_int.h"
+#include "fleet/org_metrics.h"
 
 /* Maximum number of jobs in a transaction, and of bytes of their values. The
  * store allows five times the number and twice the bytes. */
@@ -25,6 +26,7 @@
 	struct job_api *api;
 	char id[JOBSPEC_ID_MAX];
 	char queue[JOBSPEC_NAME_MAX];
+	char org[ORG_NAME_MAX]; /* "": none */
 	int32_t shard;
 	int32_t part;
 	char *row_value; /* of the job, or of its refusal */
@@ -74,6 +76,8 @@
 	api->counts.accepted += res == JOB_API_OK;
 	api->counts.refused += res == JOB_API_REFUSED;
 	api->counts.unknown += res == JOB_API_UNKNOWN;
+	if (res == JOB_API_REFUSED && *sub->org)
+		org_metrics_count_refusal(api->org_refusals, sub->org);
 	hist_record(&api->accept_times, took * 1000);
 	api->active--;
 	sub->done(&ans, sub->priv);
@@ -145,7 +149,7 @@
 	if (ans->result == ROWS_OK) {
 		if (sub->admission.refused)
 			answer_submission(sub, JOB_API_REFUSED,
-					  "no room for long-running tasks");
+					  sub->admission.why);
 		else
 			answer_submission(sub, JOB_API_OK, "stored");
 		return;
@@ -269,6 +273,7 @@
 				     : jobspec_pack(spec);
 	snprintf(sub->id, sizeof(sub->id), "%s", spec->id);
 	snprintf(sub->queue, sizeof(sub->queue), "%s", spec->queue);
+	snprintf(sub->org, sizeof(sub->org), "%s", spec->org);
 	sub->api = api;
 	sub->shard = fleet_shard_of(api->f, spec->id);
 	sub->part = shard_ctl_job_part_of(spec->id);
--- a/src/fleet/shard_ctl_commit.c
+++ b/src/fleet/shard_ctl_commit.c
@@ -14,11 +14,13 @@
  * as much. */
 #define COMMIT_BYTES_MAX (512 * 1024)
 
-/* Parts of the owner's row that the handover, the job counts and the rooms may
- * take: a row that the store rejects would block all later commits. */
+/* Parts of the owner's row that the handover, the job counts, the rooms and the
+ * overload may take: a row that the store rejects would block all later
+ * commits. */
 #define HANDOVER_PART 2
 #define PENDING_PART 4
 #define ROOMS_PART 8
+#define OVERLOAD_PART 16
 /* Estimated size of one run in the handover, by which the number of runs is
  * limited: ids of 16 characters and four numbers. */
 #define HANDOVER_RUN_BYTES 50
@@ -235,6 +237,7 @@
 	GHashTableIter it;
 	gpointer queue;
 	gpointer n;
+	json_t *overload;
 	json_t *pending;
 
 	row->long_leases_ms =
@@ -259,6 +262,14 @@
 	talloc_free(row->rooms);
 	row->rooms = text_if_fits(sc, pack_rooms(&sc->sched),
 				  sc->f->set.row_bytes_max / ROOMS_PART);
+	talloc_free(row->overload);
+	overload = sched_org_pack_overload(&sc->sched, clk_mono_ms(sc->f->clk),
+					   sc->jobs_store_ms);
+	row->overload =
+		overload
+			? text_if_fits(sc, overload,
+				       sc->f->set.row_bytes_max / OVERLOAD_PART)
+			: NULL;
 }
 
 char *shard_ctl_handover(void *ctx, void *priv)
--- a/src/fleet/shard_ctl_load.c
+++ b/src/fleet/shard_ctl_load.c
@@ -73,6 +73,10 @@
 	}
 	if (sc->f->store_clock_known && spec->accepted_ms)
 		age = now + sc->f->store_offset_ms - spec->accepted_ms;
+	/* A time ahead of the store's clock would make the organisation's next
+	 * jobs late ones for its rate. */
+	if (age < 0)
+		spec->accepted_ms += age;
 	job = sched_job_add(&sc->sched, spec, progress, row->version,
 			    row->version < sc->acquired_version, now,
 			    clk_wall_ms(sc->f->clk));
--- a/src/state/owner_row.c
+++ b/src/state/owner_row.c
@@ -20,6 +20,7 @@
 {
 	talloc_free(row->pending);
 	talloc_free(row->rooms);
+	talloc_free(row->overload);
 	talloc_free(row->handover);
 	memset(row, 0, sizeof(*row));
 }
@@ -87,6 +88,8 @@
 	}
 	if (is_rooms(json_object_get(j, "rooms")))
 		out->rooms = text_of(ctx, json_object_get(j, "rooms"));
+	if (json_is_object(json_object_get(j, "overload")))
+		out->overload = text_of(ctx, json_object_get(j, "overload"));
 	out->pending_version =
 		json_integer_value(json_object_get(j, "pending_version"));
 	copy_text(out->successor, sizeof(out->successor), j, "successor");
@@ -134,6 +137,9 @@
 	if (row->rooms)
 		json_object_set_new(j, "rooms",
 				    json_loads(row->rooms, 0, NULL));
+	if (row->overload)
+		json_object_set_new(j, "overload",
+				    json_loads(row->overload, 0, NULL));
 	if (row->handover)
 		json_object_set_new(j, "handed",
 				    json_loads(row->handover, 0, NULL));
--- a/src/state/owner_row.h
+++ b/src/state/owner_row.h
@@ -36,6 +36,10 @@
 	 * further long-running jobs may take, and how much becomes free in a
 	 * second, in thousandths of a core. NULL: unknown. */
 	char *rooms;
+	/* JSON object of full pools and of organisations that exceed their
+	 * rates, of the same time; see sched_org_pack_overload(). NULL: none,
+	 * or unknown. */
+	char *overload;
 	char *handover; /* JSON for the successor, set on release, or NULL */
 };
 
