--- a/tests/unit.h
+++ b/tests/unit.h
@@ -46,5 +46,7 @@
 void unit_add_crash(void);
 void unit_add_crash_count(void);
 void unit_add_crash_apart(void);
+void unit_add_org_rate(void);
+void unit_add_org_share(void);
 
 #endif
--- a/tests/unit_tests.c
+++ b/tests/unit_tests.c
@@ -57,5 +57,7 @@
 	unit_add_crash();
 	unit_add_crash_count();
 	unit_add_crash_apart();
+	unit_add_org_rate();
+	unit_add_org_share();
 	return g_test_run();
 }
