--- a/tests/unit_org_rate.c
+++ b/tests/unit_org_rate.c
@@ -53,12 +53,14 @@
 	return (x->at_ms > y->at_ms) - (x->at_ms < y->at_ms);
 }
 
-static void draw_jobs(GRand *rand, struct drawn_job *jobs, int32_t late_max_ms)
+/* A successor sees `kept` of 8 jobs. */
+static void draw_jobs(GRand *rand, struct drawn_job *jobs, int32_t late_max_ms,
+		      int32_t kept)
 {
 	int64_t at_ms = 1000000;
 
 	for (int i = 0; i < DRAWN; i++) {
-		int32_t gap_ms = g_rand_int_range(rand, 0, 10)
+		int32_t gap_ms = g_rand_int_range(rand, 0, 40)
 					 ? g_rand_int_range(rand, 0, 150)
 					 : g_rand_int_range(rand, 0, 4000);
 
@@ -67,7 +69,7 @@
 			.at_ms = at_ms,
 			.seen_ms = at_ms +
 				   g_rand_int_range(rand, 0, late_max_ms + 1),
-			.kept = g_rand_boolean(rand),
+			.kept = g_rand_int_range(rand, 0, 8) < kept,
 		};
 	}
 }
@@ -85,7 +87,7 @@
 		struct org_rates r;
 
 		org_rates_init(&r);
-		draw_jobs(rand, jobs, 0);
+		draw_jobs(rand, jobs, 0, 0);
 		for (int i = 0; i < DRAWN; i++) {
 			int64_t from_ms = jobs[i ? i - 1 : 0].at_ms;
 
@@ -117,7 +119,7 @@
 		int n_excess = 0;
 
 		org_rates_init(&r);
-		draw_jobs(rand, jobs, 1000);
+		draw_jobs(rand, jobs, 1000, 5 + (int32_t)seed % 4);
 		qsort(jobs, DRAWN, sizeof(*jobs), by_seen);
 		for (int i = 0; i < DRAWN; i++) {
 			jobs[i].excess =
--- a/tests/unit_org_share.c
+++ b/tests/unit_org_share.c
@@ -97,6 +97,7 @@
 		struct org set[ORGS] = { 0 };
 		int64_t used[ORGS][3];
 		int64_t total[3];
+		bool waits[ORGS];
 		bool active[ORGS];
 		int64_t sum = 0;
 
@@ -106,11 +107,12 @@
 		for (int i = 0; i < ORGS; i++) {
 			set[i].weight = g_rand_int_range(rand, 0, 8);
 			g_snprintf(set[i].name, sizeof(set[i].name), "o%d", i);
-			active[i] = g_rand_boolean(rand);
+			waits[i] = g_rand_boolean(rand);
+			active[i] = waits[i];
 			for (int r = 0; r < 3; r++) {
 				used[i][r] = g_rand_int_range(rand, 0, 30);
-				if (!active[i])
-					used[i][r] = 0;
+				used[i][r] *= g_rand_boolean(rand);
+				active[i] |= used[i][r] > 0;
 			}
 			org_account_adjust(
 				org_accounts_get(&a, set[i].name),
@@ -124,7 +126,7 @@
 				 &(struct place_resources){ total[0], total[1],
 							    total[2] });
 		for (int i = 0; i < ORGS; i++) {
-			if (active[i])
+			if (waits[i])
 				org_shares_add_waiting(
 					&sh, org_accounts_get(&a, set[i].name));
 		}
