--- a/tests/unit_admission.c
+++ b/tests/unit_admission.c
@@ -1,6 +1,7 @@
 /* Admission: long-running jobs leave room for short ones, and a refusal is
  * true. */
 #include <glib.h>
+#include <stdlib.h>
 #include <string.h>
 #include <talloc.h>
 
@@ -270,6 +271,90 @@
 	fixture_close(&p);
 }
 
+/* Adds the organisation "a" to the configuration. */
+static void configure_org(void)
+{
+	const struct catalog *old = fx->f.catalog;
+	struct catalog *c = talloc_memdup(NULL, old, sizeof(*old));
+
+	c->version++;
+	c->queues = talloc_memdup(c, old->queues,
+				  sizeof(*c->queues) * (size_t)c->n_queues);
+	c->pools = talloc_memdup(c, old->pools,
+				 sizeof(*c->pools) * (size_t)c->n_pools);
+	c->has_orgs = true;
+	c->n_orgs = 1;
+	c->orgs = talloc_zero(c, struct org);
+	c->orgs->weight = 2;
+	g_strlcpy(c->orgs->name, "a", sizeof(c->orgs->name));
+	fleet_set_catalog(&fx->f, c);
+}
+
+/* Submits a job while the owner's row says that the pool is full and 10 jobs of
+ * "a" wait in excess. */
+static enum job_api_result submit_overloaded(const char *id, const char *org,
+					     struct outcome *o)
+{
+	struct jobspec *spec = fixture_spec(id, "short", 1, 1);
+	struct owner_row *row;
+	int64_t changed_ms;
+
+	g_strlcpy(spec->org, org, sizeof(spec->org));
+	row = (struct owner_row *)shard_ctl_owner_row(fx->f.shard_ctls[0],
+						      &changed_ms);
+	g_assert_null(row->overload);
+	row->overload =
+		talloc_strdup(NULL, "{\"full\":[\"p\"],\"orgs\":{\"a\":10}}");
+	return submit(spec, o);
+}
+
+/* Guards against a refusal for overload that isn't true, or that also strikes
+ * others; the owner's next row, without overload, ends it. */
+static void test_over_rate_is_refused(void)
+{
+	const int64_t *refusals;
+	struct outcome o;
+	int64_t refused_ms;
+
+	open_owner();
+	configure_org();
+	run_loop_ms(MEASURED_MS);
+	g_assert_cmpint(submit_overloaded(ID, "a", &o), ==, JOB_API_REFUSED);
+	g_assert_cmpint(o.ans.retry_after_ms, >=, 5000);
+	g_assert_cmpint(o.ans.retry_after_ms, <=, 7500);
+	g_assert_true(admission_parse_refusal(stored_row(), &refused_ms));
+	g_assert_cmpint(look_up(ID), ==, JOB_API_NOT_FOUND);
+	refusals =
+		g_hash_table_lookup(job_api_org_refusals(fx->f.job_api), "a");
+	g_assert_cmpint(*refusals, ==, 1);
+	run_loop_ms(MEASURED_MS);
+	g_assert_cmpint(submit_overloaded("bbbb000000000000", "", &o), ==,
+			JOB_API_OK);
+	run_loop_ms(MEASURED_MS);
+	g_assert_cmpint(submit_overloaded("cccc000000000000", "b", &o), ==,
+			JOB_API_OK);
+	ctl_fixture_close();
+}
+
+/* The figures survive the row's text, and are absent if there are none. */
+static void test_overload_in_row(void)
+{
+	struct owner_row row = { .overload = (char *)"{\"full\":[\"p\"]}" };
+	struct owner_row back = { 0 };
+	char *text = owner_row_text(&row);
+
+	owner_row_parse(NULL, text, &back);
+	g_assert_cmpstr(back.overload, ==, row.overload);
+	free(text);
+	row.overload = NULL;
+	text = owner_row_text(&row);
+	g_assert_null(strstr(text, "overload"));
+	owner_row_parse(NULL, text, &back);
+	g_assert_null(back.overload);
+	owner_row_clear(&back);
+	free(text);
+}
+
 void unit_add_admission(void)
 {
 	g_test_add_func("/admission/long-running-leave-room",
@@ -282,6 +367,9 @@
 			test_return_with_lost_answer);
 	g_test_add_func("/admission/unknown-room", test_unknown_room);
 	g_test_add_func("/admission/retry-after", test_retry_after);
+	g_test_add_func("/admission/over-rate-is-refused",
+			test_over_rate_is_refused);
+	g_test_add_func("/admission/overload-in-row", test_overload_in_row);
 	g_test_add_func("/admission/headroom", test_headroom);
 	g_test_add_func("/admission/demand", test_demand);
 }
