--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -348,7 +348,8 @@
 	text = org_metrics_add_caps(text, s);
 	text = add_metric(text, "gd_looks_total", links->polls);
 	text = add_metric(text, "gd_looks_failed_total", links->polls_failed);
-	return add_metric(text, "gd_orders_total", links->commands);
+	text = add_metric(text, "gd_orders_total", links->commands);
+	return org_metrics_add_sched(text, s);
 }
 
 static char *add_relay_metrics(char *text, const struct fleet *f)
@@ -401,6 +402,7 @@
 		text = add_access_metrics(text, f);
 	if (f->relay_client)
 		text = add_relay_metrics(text, f);
+	text = org_metrics_add_refusals(text, job_api_org_refusals(f->job_api));
 	for (int32_t i = 0; i < f->set.shards; i++)
 		text = add_shard_metrics(text, f->shard_ctls[i],
 					 clk_mono_ms(f->clk));
--- a/src/fleet/job_submit.c
+++ b/src/fleet/job_submit.c
@@ -8,6 +8,7 @@
 #include "base/log.h"
 #include "fleet/admission.h"
 #include "fleet/job_api_int.h"
+#include "fleet/org_metrics.h"
 
 /* Maximum number of jobs in a transaction, and of bytes of their values. The
  * store allows five times the number and twice the bytes. */
@@ -80,6 +81,9 @@
 	api->counts.over_cap += res == JOB_API_OVER_CAP;
 	api->counts.unknown += res == JOB_API_UNKNOWN;
 	api->counts.id_taken += res == JOB_API_ID_TAKEN;
+	if ((res == JOB_API_REFUSED || res == JOB_API_OVER_CAP) &&
+	    *sub->who.org)
+		org_metrics_count_refusal(api->org_refusals, sub->who.org);
 	hist_record(&api->accept_times, took * 1000);
 	api->active--;
 	sub->done(&ans, sub->priv);
@@ -164,11 +168,7 @@
 
 	if (ans->result == ROWS_OK) {
 		if (sub->admission.refused)
-			answer_refused(sub,
-				       sub->admission.over_cap
-					       ? "exceeds a cap"
-					       : "no room for long-running "
-						 "tasks");
+			answer_refused(sub, sub->admission.why);
 		else
 			answer_submission(sub, JOB_API_OK, "stored");
 		return;
--- a/src/fleet/org_metrics.c
+++ b/src/fleet/org_metrics.c
@@ -1,14 +1,66 @@
-/* Metrics of the organisations. */
+/* Metrics by organisation. */
 #include "fleet/org_metrics.h"
 
 #include <talloc.h>
 
+void org_metrics_count_refusal(GHashTable *refusals, const char *org)
+{
+	int64_t *n = g_hash_table_lookup(refusals, org);
+
+	if (!n) {
+		n = g_new0(int64_t, 1);
+		g_hash_table_insert(refusals, g_strdup(org), n);
+	}
+	++*n;
+}
+
+/* Names are the operators' and may hold any character; quotes, backslashes and
+ * control characters would end the label or the line. */
 static char *add(char *text, const char *name, const char *org, int64_t value)
 {
-	g_autofree char *label = g_strescape(org, NULL);
+	char *label = g_strdup(org);
 
-	return talloc_asprintf_append(text, "%s{org=\"%s\"} %lld\n", name,
+	for (char *c = label; *c; c++) {
+		if (*c == '"' || *c == '\\' || (unsigned char)*c < ' ')
+			*c = '_';
+	}
+	text = talloc_asprintf_append(text, "%s{org=\"%s\"} %lld\n", name,
 				      label, (long long)value);
+	g_free(label);
+	return text;
+}
+
+char *org_metrics_add_refusals(char *text, GHashTable *refusals)
+{
+	GHashTableIter it;
+	gpointer org;
+	gpointer n;
+
+	g_hash_table_iter_init(&it, refusals);
+	while (g_hash_table_iter_next(&it, &org, &n))
+		text = add(text, "gd_org_refused_total", org,
+			   *(const int64_t *)n);
+	return text;
+}
+
+static void add_figures(const struct sched_org_figures *f, void *priv)
+{
+	char **text = priv;
+
+	*text = add(*text, "gd_org_running_cpu_milli", f->name,
+		    f->used.cpu_milli);
+	*text = add(*text, "gd_org_share_permille", f->name,
+		    (int64_t)(f->dominant * 1000));
+	*text = add(*text, "gd_org_entitlement_permille", f->name,
+		    (int64_t)(f->entitlement * 1000));
+	*text = add(*text, "gd_org_waiting_jobs", f->name, f->waiting);
+	*text = add(*text, "gd_org_excess_jobs", f->name, f->excess);
+}
+
+char *org_metrics_add_sched(char *text, const struct sched *s)
+{
+	sched_org_list_figures(s, add_figures, &text);
+	return text;
 }
 
 static char *add_cap(char *text, const struct sched *s,
@@ -36,8 +88,6 @@
 	while (g_hash_table_iter_next(&it, NULL, &value)) {
 		const struct org_account *acc = value;
 
-		text = add(text, "gd_org_running_cpu_milli", acc->name,
-			   acc->used.cpu_milli);
 		if (acc->def && org_cap_is_set(&acc->def->cap))
 			text = add_cap(text, s, acc);
 	}
--- a/src/state/owner_row.h
+++ b/src/state/owner_row.h
@@ -39,6 +39,10 @@
 	/* JSON object of organisation to its grant, see org_caps_pack(); NULL:
 	 * none. A claim keeps those of the row that it replaces. */
 	char *grants;
+	/* JSON object of full pools and of organisations that exceed their
+	 * rates, of the same time; see sched_org_pack_overload(). NULL: none,
+	 * or unknown. */
+	char *overload;
 	char *handover; /* JSON for the successor, set on release, or NULL */
 };
 
--- a/tests/unit.h
+++ b/tests/unit.h
@@ -50,5 +50,7 @@
 void unit_add_caps(void);
 void unit_add_caps_ctl(void);
 void unit_add_caps_play(void);
+void unit_add_org_rate(void);
+void unit_add_org_share(void);
 
 #endif
--- a/tests/unit_caps_ctl.c
+++ b/tests/unit_caps_ctl.c
@@ -134,7 +134,7 @@
 
 	spec->steps[0].cpu_milli = cpu_milli;
 	g_strlcpy(spec->org, "o", sizeof(spec->org));
-	job_api_submit(fx->f.job_api, spec, now + FIXTURE_TIMEOUT_MS,
+	job_api_submit(fx->f.job_api, spec, NULL, now + FIXTURE_TIMEOUT_MS,
 		       note_result, &ans);
 	while (job_api_active(fx->f.job_api))
 		tevent_loop_once(fx->f.ev);
--- a/tests/unit_tests.c
+++ b/tests/unit_tests.c
@@ -61,5 +61,7 @@
 	unit_add_caps();
 	unit_add_caps_ctl();
 	unit_add_caps_play();
+	unit_add_org_rate();
+	unit_add_org_share();
 	return g_test_run();
 }
