--- a/src/coordination/sched.c
+++ b/src/coordination/sched.c
@@ -41,6 +41,7 @@
 	s->demands =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	interfere_init(&s->interfere);
+	run_times_init(&s->run_times);
 	org_accounts_init(&s->orgs);
 	s->queues = g_hash_table_new(g_str_hash, g_str_equal);
 	s->jobs = g_hash_table_new(g_str_hash, g_str_equal);
@@ -82,6 +83,7 @@
 	g_hash_table_destroy(s->workers);
 	g_ptr_array_free(s->worker_list, TRUE);
 	interfere_finish(&s->interfere);
+	run_times_finish(&s->run_times);
 	org_accounts_finish(&s->orgs);
 }
 
--- a/src/coordination/sched_candidates.c
+++ b/src/coordination/sched_candidates.c
@@ -18,6 +18,7 @@
 	/* Of a best-effort task that fits somewhere but would be too slow
 	 * there; ANY_IMAGE: it fits nowhere. */
 	int32_t image;
+	double speed_min; /* of such a task */
 	struct place_resources size;
 };
 
@@ -258,6 +259,7 @@
 		.best_effort = def->best_effort,
 		.uses_reserved = step->uses_reserved,
 		.image = def->best_effort ? step->image : ANY_IMAGE,
+		.speed_min = sched_speed_min(step),
 		.size = { def->cpu_milli, def->mem_mib, def->accelerators },
 	};
 }
@@ -266,7 +268,8 @@
 static bool implies(const struct misfit *a, const struct misfit *b)
 {
 	return a->best_effort == b->best_effort &&
-	       (a->image == ANY_IMAGE || a->image == b->image) &&
+	       (a->image == ANY_IMAGE ||
+		(a->image == b->image && a->speed_min <= b->speed_min)) &&
 	       (a->uses_reserved || !b->uses_reserved) &&
 	       a->size.cpu_milli <= b->size.cpu_milli &&
 	       a->size.mem_mib <= b->size.mem_mib &&
--- a/src/coordination/sched_choose.c
+++ b/src/coordination/sched_choose.c
@@ -4,8 +4,6 @@
 
 #include "coordination/sched_int.h"
 
-/* A best-effort task is not started where its speed would be below this. */
-#define COLOCATED_SPEED_MIN 0.9
 /* Tasks that ask for less than this, in thousandths of a core and in MiB, and
  * for no accelerator, are small. */
 #define SMALL_MILLI 10
@@ -219,7 +217,12 @@
 			  const struct sched_step *step)
 {
 	return !step->def->best_effort ||
-	       sched_colocated_speed(s, w, step) >= COLOCATED_SPEED_MIN;
+	       sched_colocated_speed(s, w, step) >= sched_speed_min(step);
+}
+
+double sched_speed_min(const struct sched_step *step)
+{
+	return step->speed_min > 0 ? step->speed_min : WAIT_VALUE_FULL_SPEED;
 }
 
 /* A worker for which the speed may be computed. */
@@ -310,11 +313,12 @@
 			speed * FULL_SPEED_POINTS + (double)score(step, w);
 
 		s->pass_work += speed_work(w);
-		if (speed < COLOCATED_SPEED_MIN ||
+		if (speed < sched_speed_min(step) ||
 		    (best && points <= best_points))
 			continue;
 		best = w;
 		best_points = points;
+		s->chosen_speed = speed;
 	}
 	return best;
 }
@@ -384,6 +388,7 @@
 			continue;
 		best = list[i];
 		best_speed = speed;
+		s->chosen_speed = speed;
 	}
 	return best;
 }
--- a/src/coordination/sched_int.h
+++ b/src/coordination/sched_int.h
@@ -205,6 +205,8 @@
  * the serving tasks at the worker. */
 bool sched_is_fast_enough(const struct sched *s, const struct sched_worker *w,
 			  const struct sched_step *step);
+/* Returns the lowest speed at which a best-effort task of the step starts. */
+double sched_speed_min(const struct sched_step *step);
 /* Returns whether one more task of the step fits on the worker. */
 bool sched_fits(const struct sched_step *step, const struct sched_worker *w);
 /* Returns how many more tasks of the step fit on the worker. */
@@ -334,6 +336,13 @@
 			 const struct sched_run *run, bool failed,
 			 int64_t now_ms);
 
+/* Learns from a run that is done, if it had full speed all the time. */
+void sched_record_run_time(struct sched *s, const struct sched_run *run,
+			   int64_t now_ms);
+/* Returns the time in ms that a task of the step probably runs. */
+int64_t sched_expected_run_ms(const struct sched *s,
+			      const struct sched_step *step);
+
 struct sched_rank sched_rank_step(const struct sched *s,
 				  struct sched_step *step, int64_t now_ms);
 /* Returns all work of a job by its estimates, in thousandths of a core x ms. */
--- a/src/coordination/sched_place.c
+++ b/src/coordination/sched_place.c
@@ -1,4 +1,5 @@
 /* The placement pass: starts ready tasks in order of rank. */
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 #include <talloc.h>
@@ -50,23 +51,53 @@
 	return RELAYED_OVERHEAD_BYTES + payload;
 }
 
+static void count_speed(struct sched *s, int64_t now_ms)
+{
+	if (s->chosen_speed >= WAIT_VALUE_FULL_SPEED)
+		wait_rate_add(&s->full_speed_starts, now_ms);
+	else
+		s->counts.slow_starts++;
+}
+
+/* Describes the start for the log. */
+static const char *describe_start(const struct sched *s,
+				  const struct sched_task *t, char *text,
+				  size_t size, int64_t now_ms)
+{
+	const char *how = t->checkpoint ? "resumes" : "afresh";
+
+	if (!t->step->def->best_effort ||
+	    s->chosen_speed >= WAIT_VALUE_FULL_SPEED)
+		return how;
+	snprintf(text, size,
+		 "%s at speed %.2f, %.2f is enough after %lld ms with %lld "
+		 "tasks ahead",
+		 how, s->chosen_speed, sched_speed_min(t->step),
+		 (long long)(now_ms - t->step->ready_ms),
+		 (long long)s->best_effort_waiting);
+	return text;
+}
+
 static void start_task(struct sched *s, struct sched_task *t,
 		       struct sched_worker *w, int32_t number, int64_t now_ms)
 {
 	struct sched_run *run = sched_run_new(s, t, w, number, now_ms);
 	struct sched_ref ref;
+	char how[120];
 
 	if (sched_is_suspect(t))
 		sched_isolate_run(run, true);
-	if (t->step->def->best_effort)
+	if (t->step->def->best_effort) {
 		sched_record_exploration(s, run, now_ms);
+		count_speed(s, now_ms);
+	}
 
 	t->step->placed_ms = now_ms;
 	s->counts.starts++;
 	s->counts.resumes += t->checkpoint != NULL;
 	sched_run_ref(run, &ref);
 	s->ops->log_decision(s->priv, "start", &ref, w,
-			     t->checkpoint ? "resumes" : "afresh");
+			     describe_start(s, t, how, sizeof(how), now_ms));
 	s->start_room.bytes -= sched_start_bytes(s, t->step);
 	s->start_room.commands--;
 	s->ops->start(s->priv, run, &ref);
@@ -283,6 +314,33 @@
 	return n;
 }
 
+/* Sets the lowest speed at which best-effort tasks of the step start. */
+static void set_speed_min(struct sched *s, const struct sched_rank *r,
+			  int64_t now_ms)
+{
+	struct sched_step *step = r->step;
+	int64_t run_ms = sched_expected_run_ms(s, step);
+	struct wait_facts facts = {
+		.run_ms = run_ms,
+		.waited_ms = now_ms - step->ready_ms,
+		.expected_wait_ms = wait_rate_time_ms(
+			&s->full_speed_starts, s->best_effort_waiting, now_ms),
+		.left_ms = r->latest_ms + run_ms - now_ms,
+	};
+
+	step->speed_min = wait_value_speed_min(&facts);
+}
+
+static int32_t count_ready_tasks(const struct sched *s,
+				 const struct sched_step *step, int64_t now_ms)
+{
+	int32_t n = 0;
+
+	for (int32_t k = 0; k < step->def->tasks; k++)
+		n += sched_task_is_ready(s, &step->tasks[k], now_ms);
+	return n;
+}
+
 static void place_step(struct sched_candidates *c, const struct sched_rank *r)
 {
 	bool gang = r->step->def->gang;
@@ -291,6 +349,8 @@
 	/* If reservations held among overdue tasks, too, room could stay unused
 	 * while one of them waits that fits. */
 	r->step->uses_reserved = r->overdue;
+	if (r->step->def->best_effort)
+		set_speed_min(c->sched, r, c->now_ms);
 	/* The members of a gang start at sound and quarantined workers, or not
 	 * at all. */
 	l = sched_candidates_find(c, r, gang && r->overdue);
@@ -307,6 +367,9 @@
 			start_fitting(c, r, &l);
 	}
 	r->step->uses_reserved = false;
+	if (r->step->def->best_effort)
+		c->sched->best_effort_waiting +=
+			count_ready_tasks(c->sched, r->step, c->now_ms);
 }
 
 static bool is_starved(const struct sched *s, const struct sched_step *step,
@@ -390,6 +453,7 @@
 
 	s->placement_ms = now_ms;
 	s->pass_work = 0;
+	s->best_effort_waiting = 0;
 	if (!s->ready_steps.length || !s->catalog || !s->worker_list->len ||
 	    s->ownership == SCHED_OWNER_LOST)
 		return;
--- a/src/coordination/sched_rack.c
+++ b/src/coordination/sched_rack.c
@@ -20,22 +20,30 @@
 /* Returns how much longer a task takes outside the rack. */
 static int64_t extra_ms(const struct sched *s, const struct sched_step *step)
 {
-	return step->def->expected_ms * (s->lim.off_rack_factor_milli - 1000) /
-	       1000;
+	return sched_expected_run_ms(s, step) *
+	       (s->lim.off_rack_factor_milli - 1000) / 1000;
 }
 
 /* Returns whether the step still waits for a rack: for as long as it saves by
- * that. */
+ * that. `left_ms` is the time left for a task to be in time, 0 if that doesn't
+ * count. */
 static bool may_wait(const struct sched *s, const struct sched_rank *r,
-		     int64_t since_ms, bool half_used, int64_t now_ms)
+		     int64_t since_ms, int64_t left_ms, bool half_used,
+		     int64_t now_ms)
 {
-	int64_t max_ms = extra_ms(s, r->step);
+	struct wait_facts facts = {
+		.run_ms = sched_expected_run_ms(s, r->step),
+		.waited_ms = now_ms - since_ms,
+		.expected_wait_ms = -1,
+		.left_ms = left_ms,
+	};
 
 	if (r->overdue)
 		return false;
-	if (!half_used && !r->step->round->job->n_runs)
-		max_ms = MIN(max_ms, IDLE_JOB_WAIT_MAX_MS);
-	return now_ms - since_ms < max_ms;
+	if (!half_used && !r->step->round->job->n_runs &&
+	    facts.waited_ms >= IDLE_JOB_WAIT_MAX_MS)
+		return false;
+	return wait_value_pays(&facts, extra_ms(s, r->step));
 }
 
 /* Tasks start outside the rack of their data only if they can still be in time,
@@ -44,8 +52,10 @@
 				const struct sched_rank *r, bool half_used,
 				int64_t now_ms)
 {
-	return may_wait(s, r, r->step->ready_ms, half_used, now_ms) &&
-	       now_ms + extra_ms(s, r->step) > r->latest_ms;
+	int64_t left_ms =
+		r->latest_ms + sched_expected_run_ms(s, r->step) - now_ms;
+
+	return may_wait(s, r, r->step->ready_ms, left_ms, half_used, now_ms);
 }
 
 /* Returns whether a task would fit at the worker if nothing else ran there. */
@@ -177,7 +187,7 @@
 	const char *name = NULL;
 
 	if (rack && (rack->fitting >= needed ||
-		     may_wait(s, r, since_ms, half_used, now_ms)))
+		     may_wait(s, r, since_ms, 0, half_used, now_ms)))
 		name = rack->name;
 	g_array_free(racks, TRUE);
 	return name;
--- a/src/coordination/sched_rank.c
+++ b/src/coordination/sched_rank.c
@@ -50,6 +50,29 @@
 	g_hash_table_insert(s->mean_work, g_strdup(spec->queue), mean);
 }
 
+/* Time within which half of the runs are done; the rest is far apart. */
+#define RUN_TIME_QUANTILE 0.5
+
+void sched_record_run_time(struct sched *s, const struct sched_run *run,
+			   int64_t now_ms)
+{
+	const struct sched_step *step = run->task->step;
+
+	/* Members of a gang wait for each other. */
+	if (run->was_slowed || run->resumed || step->def->gang)
+		return;
+	run_times_record(&s->run_times, step->round->job->spec->queue,
+			 step->def->expected_ms, now_ms - run->created_ms);
+}
+
+int64_t sched_expected_run_ms(const struct sched *s,
+			      const struct sched_step *step)
+{
+	return run_times_quantile_ms(&s->run_times,
+				     step->round->job->spec->queue,
+				     step->def->expected_ms, RUN_TIME_QUANTILE);
+}
+
 static double job_weight(const struct sched *s, const struct sched_job *job)
 {
 	const double *mean =
--- a/src/coordination/sched_run.c
+++ b/src/coordination/sched_run.c
@@ -82,6 +82,7 @@
 {
 	adjust_usage(run, -1);
 	run->pace = pace;
+	run->was_slowed |= pace < 100;
 	adjust_usage(run, 1);
 }
 
@@ -111,6 +112,7 @@
 	run->started_ms = now_ms;
 	run->progressed_ms = now_ms;
 	run->pace = 100;
+	run->resumed = t->checkpoint != NULL;
 	run->base_slack = interfere_base_slack(&s->interfere, t->step->image);
 	run->unused_milli = sched_unused_milli(s, run);
 	run->fence = w->fence;
@@ -255,6 +257,8 @@
 				    e->reason == SCHED_END_FAILED, now_ms);
 	if (!t)
 		return;
+	if (run && e->reason == SCHED_END_DONE)
+		sched_record_run_time(s, run, now_ms);
 	if (run && t->step->def->best_effort)
 		sched_mark_tails_stale(s, w, t->step, run->gauge, now_ms);
 	if (run)
--- a/src/coordination/sched_types.h
+++ b/src/coordination/sched_types.h
@@ -15,6 +15,8 @@
 #include "coordination/catalog.h"
 #include "coordination/interfere.h"
 #include "coordination/place.h"
+#include "coordination/run_times.h"
+#include "coordination/wait_value.h"
 #include "org/org_accounts.h"
 #include "protocol/jobspec.h"
 
@@ -126,6 +128,8 @@
 	int64_t progressed_ms; /* when `percent` last increased */
 	int32_t percent;
 	int32_t pace; /* speed last commanded, percent of full speed */
+	bool was_slowed; /* `pace` was below 100 at some time */
+	bool resumed; /* from a checkpoint */
 	int64_t paused_since_ms; /* pace is 0 since then; 0: not paused */
 	/* `pace` may not be in force: a previous owner set it, or the command
 	 * got no answer. */
@@ -194,6 +198,9 @@
 	 * the policy service refused the step. */
 	GHashTable *denials;
 	uint32_t speed_next; /* candidate whose speed is computed next */
+	/* Lowest speed at which its best-effort tasks start in this pass; 0:
+	 * only at full speed. */
+	double speed_min;
 	int64_t advice_sent_ms; /* 0: no answer is awaited */
 };
 
@@ -382,6 +389,7 @@
 	int64_t done, failed, stopped, lease_expired, gang_broken,
 		gang_incomplete, evicted, moved;
 	int64_t jobs_done, jobs_failed, jobs_cancelled;
+	int64_t slow_starts; /* of best-effort tasks below full speed */
 	int64_t crashes; /* of workers, while tasks ran there */
 	int64_t given_up; /* tasks under which workers crashed */
 };
@@ -466,6 +474,12 @@
 	int32_t relays; /* that send the commands; 0: they are sent directly */
 	bool starts_held; /* the last pass ended early for that */
 	struct interfere interfere;
+	struct run_times run_times; /* by queue */
+	/* Starts of best-effort tasks at full speed, and how many such tasks
+	 * the pass has left waiting so far. */
+	struct wait_rate full_speed_starts;
+	int64_t best_effort_waiting;
+	double chosen_speed; /* at the worker chosen last; best-effort tasks */
 	/* Workers that fell silent with runs (struct lost_worker); whether they
 	 * crashed is known once their VM has a new worker. */
 	GQueue lost_workers;
--- a/tests/unit.h
+++ b/tests/unit.h
@@ -41,6 +41,7 @@
 void unit_add_state(void);
 void unit_add_upkeep(void);
 void unit_add_wait(void);
+void unit_add_wait_value(void);
 void unit_add_reserve(void);
 void unit_add_suspect(void);
 void unit_add_crash(void);
--- a/tests/unit_tests.c
+++ b/tests/unit_tests.c
@@ -52,6 +52,7 @@
 	unit_add_restart();
 	unit_add_upkeep();
 	unit_add_wait();
+	unit_add_wait_value();
 	unit_add_reserve();
 	unit_add_suspect();
 	unit_add_crash();
