--- a/src/coordination/sched_place.c
+++ b/src/coordination/sched_place.c
@@ -5,6 +5,7 @@
 #include <talloc.h>
 
 #include "coordination/sched_candidates.h"
+#include "coordination/sched_copies.h"
 
 /* A pass ends early once it has done this much work, so that it doesn't hold up
  * the owner's ticks. The unit is one worker or run that was looked at. */
@@ -66,6 +67,9 @@
 {
 	const char *how = t->checkpoint ? "resumes" : "afresh";
 
+	if (t->runs->next_of_task)
+		how = "second copy";
+
 	if (!t->step->def->best_effort ||
 	    s->chosen_speed >= WAIT_VALUE_FULL_SPEED)
 		return how;
@@ -421,6 +425,35 @@
 	}
 }
 
+/* Starts second copies of tasks that take unusually long. Called when no other
+ * task waits, so that copies take no room from others. */
+static void place_copies(struct sched_candidates *c)
+{
+	struct sched *s = c->sched;
+	struct sched_copy_search search;
+	struct sched_task *t;
+	struct sched_worker *w;
+
+	sched_copies_begin(s, &search);
+	while (!pass_is_over(s) && sched_copies_next(c, &search, &t, &w)) {
+		s->counts.copies++;
+		start_task(s, t, w, t->last_run + 1, c->now_ms);
+	}
+}
+
+/* Returns whether a task other than a best-effort one waits. */
+static bool has_waiting_task(const struct sched *s,
+			     const struct sched_rank *ranks, int32_t n,
+			     int64_t now_ms)
+{
+	for (int32_t i = 0; i < n; i++) {
+		if (!ranks[i].step->def->best_effort &&
+		    has_ready_task(s, ranks[i].step, now_ms))
+			return true;
+	}
+	return false;
+}
+
 /* Returns the work of the pass without its starts, up to a constant. */
 static int64_t search_work(const struct sched *s)
 {
@@ -480,6 +513,8 @@
 		ranks[reached - 1].step->sweep = 0;
 	if (!s->starts_held)
 		place_starved(&c, ranks, n);
+	if (!pass_is_over(s) && !has_waiting_task(s, ranks, n, now_ms))
+		place_copies(&c);
 	end_sweep(s, reached == n, now_ms);
 	sched_candidates_finish(&c);
 	talloc_free(ranks);
--- a/src/coordination/sched_rank.c
+++ b/src/coordination/sched_rank.c
@@ -56,13 +56,16 @@
 void sched_record_run_time(struct sched *s, const struct sched_run *run,
 			   int64_t now_ms)
 {
-	const struct sched_step *step = run->task->step;
+	struct sched_step *step = run->task->step;
+	int64_t ran_ms = now_ms - run->created_ms;
 
 	/* Members of a gang wait for each other. */
 	if (run->was_slowed || run->resumed || step->def->gang)
 		return;
+	step->timed_runs++;
+	step->timed_ms += ran_ms;
 	run_times_record(&s->run_times, step->round->job->spec->queue,
-			 step->def->expected_ms, now_ms - run->created_ms);
+			 step->def->expected_ms, ran_ms);
 }
 
 int64_t sched_expected_run_ms(const struct sched *s,
--- a/src/coordination/sched_types.h
+++ b/src/coordination/sched_types.h
@@ -197,6 +197,9 @@
 	/* Worker id to the born_ms, an int64_t, of the incarnation for which
 	 * the policy service refused the step. */
 	GHashTable *denials;
+	/* Runs that were done at full speed, and their time in all. */
+	int32_t timed_runs;
+	int64_t timed_ms;
 	uint32_t speed_next; /* candidate whose speed is computed next */
 	/* Lowest speed at which its best-effort tasks start in this pass; 0:
 	 * only at full speed. */
@@ -389,6 +392,7 @@
 	int64_t done, failed, stopped, lease_expired, gang_broken,
 		gang_incomplete, evicted, moved;
 	int64_t jobs_done, jobs_failed, jobs_cancelled;
+	int64_t copies; /* second copies of tasks that were started */
 	int64_t slow_starts; /* of best-effort tasks below full speed */
 	int64_t crashes; /* of workers, while tasks ran there */
 	int64_t given_up; /* tasks under which workers crashed */
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -325,6 +325,7 @@
 	text = add_metric(text, "gd_failed_total", s->counts.failed);
 	text = add_metric(text, "gd_lapsed_total", s->counts.lease_expired);
 	text = add_metric(text, "gd_evicted_total", s->counts.evicted);
+	text = add_metric(text, "gd_copies_total", s->counts.copies);
 	text = add_metric(text, "gd_slow_starts_total", s->counts.slow_starts);
 	text = add_metric(text, "gd_crashes_total", s->counts.crashes);
 	text = add_metric(text, "gd_given_up_total", s->counts.given_up);
--- a/tests/unit.h
+++ b/tests/unit.h
@@ -6,6 +6,7 @@
 void unit_add_answers(void);
 void unit_add_attempts(void);
 void unit_add_coordination(void);
+void unit_add_copies(void);
 void unit_add_count(void);
 void unit_add_log(void);
 void unit_add_progress(void);
--- a/tests/unit_tests.c
+++ b/tests/unit_tests.c
@@ -17,6 +17,7 @@
 	unit_add_answers();
 	unit_add_attempts();
 	unit_add_coordination();
+	unit_add_copies();
 	unit_add_count();
 	unit_add_log();
 	unit_add_progress();
