--- a/src/coordination/sched.c
+++ b/src/coordination/sched.c
@@ -43,6 +43,7 @@
 	interfere_init(&s->interfere);
 	sched_org_init(s);
 	org_caps_init(&s->caps, epoch > 1);
+	run_times_init(&s->run_times);
 	s->queues = g_hash_table_new(g_str_hash, g_str_equal);
 	s->jobs = g_hash_table_new(g_str_hash, g_str_equal);
 	s->queued =
@@ -86,6 +87,7 @@
 	interfere_finish(&s->interfere);
 	org_caps_finish(&s->caps);
 	sched_org_finish(s);
+	run_times_finish(&s->run_times);
 }
 
 static void index_queues(struct sched *s)
--- a/tests/unit_tests.c
+++ b/tests/unit_tests.c
@@ -18,6 +18,7 @@
 	unit_add_answers();
 	unit_add_attempts();
 	unit_add_coordination();
+	unit_add_copies();
 	unit_add_count();
 	unit_add_log();
 	unit_add_progress();
@@ -53,6 +54,7 @@
 	unit_add_restart();
 	unit_add_upkeep();
 	unit_add_wait();
+	unit_add_wait_value();
 	unit_add_reserve();
 	unit_add_suspect();
 	unit_add_crash();
