--- a/tests/unit_admission.c
+++ b/tests/unit_admission.c
@@ -26,12 +26,13 @@
 	o->ans = *ans;
 }
 
-static enum job_api_result submit(struct jobspec *spec, struct outcome *o)
+static enum job_api_result
+submit_as(struct jobspec *spec, const struct access *who, struct outcome *o)
 {
 	int64_t end = clk_mono_ms(&clk_system) + FIXTURE_TIMEOUT_MS;
 
 	memset(o, 0, sizeof(*o));
-	job_api_submit(fx->f.job_api, spec, NULL, end, on_answer, o);
+	job_api_submit(fx->f.job_api, spec, who, end, on_answer, o);
 	while (!o->answered) {
 		g_assert_cmpint(clk_mono_ms(&clk_system), <, end);
 		tevent_loop_once(fx->f.ev);
@@ -39,6 +40,11 @@
 	return o->ans.result;
 }
 
+static enum job_api_result submit(struct jobspec *spec, struct outcome *o)
+{
+	return submit_as(spec, NULL, o);
+}
+
 static enum job_api_result look_up(const char *id)
 {
 	int64_t end = clk_mono_ms(&clk_system) + FIXTURE_TIMEOUT_MS;
@@ -271,8 +277,9 @@
 	fixture_close(&p);
 }
 
-/* Adds the organisation "a" to the configuration. */
-static void configure_org(void)
+/* Adds the organisations "a" and "b", whose keys are their names, to the
+ * configuration, and makes its queues public. */
+static void configure_orgs(void)
 {
 	const struct catalog *old = fx->f.catalog;
 	struct catalog *c = talloc_memdup(NULL, old, sizeof(*old));
@@ -282,12 +289,23 @@
 				  sizeof(*c->queues) * (size_t)c->n_queues);
 	c->pools = talloc_memdup(c, old->pools,
 				 sizeof(*c->pools) * (size_t)c->n_pools);
+	for (int32_t i = 0; i < c->n_queues; i++)
+		c->queues[i].is_public = true;
 	c->has_orgs = true;
-	c->n_orgs = 1;
-	c->orgs = talloc_zero(c, struct org);
-	c->orgs->weight = 2;
-	g_strlcpy(c->orgs->name, "a", sizeof(c->orgs->name));
+	c->n_orgs = 2;
+	c->orgs = talloc_zero_array(c, struct org, 2);
+	c->org_keys = org_keys_new(c);
+	for (int32_t i = 0; i < c->n_orgs; i++) {
+		const char *name = i ? "b" : "a";
+		struct org_key key;
+
+		c->orgs[i].weight = 2;
+		g_strlcpy(c->orgs[i].name, name, sizeof(c->orgs[i].name));
+		org_key_init(&key, name, 1);
+		org_keys_add(c->org_keys, &key, &c->orgs[i]);
+	}
 	fleet_set_catalog(&fx->f, c);
+	fleet_config_synced(&fx->f);
 }
 
 /* Submits a job while the owner's row says that the pool is full and 10 jobs of
@@ -296,16 +314,18 @@
 					     struct outcome *o)
 {
 	struct jobspec *spec = fixture_spec(id, "short", 1, 1);
+	struct access who = { .has_orgs = true, .has_key = *org != '\0' };
 	struct owner_row *row;
 	int64_t changed_ms;
 
-	g_strlcpy(spec->org, org, sizeof(spec->org));
+	g_strlcpy(who.org, org, sizeof(who.org));
+	org_key_init(&who.key, org, strlen(org));
 	row = (struct owner_row *)shard_ctl_owner_row(fx->f.shard_ctls[0],
 						      &changed_ms);
 	g_assert_null(row->overload);
 	row->overload =
 		talloc_strdup(NULL, "{\"full\":[\"p\"],\"orgs\":{\"a\":10}}");
-	return submit(spec, o);
+	return submit_as(spec, &who, o);
 }
 
 /* Guards against a refusal for overload that isn't true, or that also strikes
@@ -317,7 +337,7 @@
 	int64_t refused_ms;
 
 	open_owner();
-	configure_org();
+	configure_orgs();
 	run_loop_ms(MEASURED_MS);
 	g_assert_cmpint(submit_overloaded(ID, "a", &o), ==, JOB_API_REFUSED);
 	g_assert_cmpint(o.ans.retry_after_ms, >=, 5000);
