--- a/src/fleet/access.c
+++ b/src/fleet/access.c
@@ -91,7 +91,7 @@
 				   const char *queue)
 {
 	const struct catalog *c = f->catalog;
-	const struct catalog_queue *q = catalog_find_queue(c, queue);
+	const struct catalog_queue *q;
 	const struct org *org;
 	enum access_verdict verdict;
 
@@ -99,6 +99,7 @@
 		return ACCESS_ALLOWED;
 	if (!fleet_config_is_current(f))
 		return ACCESS_UNCONFIRMED;
+	q = catalog_find_queue(c, queue);
 	if (!c->has_orgs || (!*who->org && (!q || q->is_public)))
 		return ACCESS_ALLOWED;
 	verdict = check_key(f, queue, ACCESS_SUBMIT, who, &org);
