--- a/tests/soak.c
+++ b/tests/soak.c
@@ -15,7 +15,8 @@
 #define BOUNDS                                                                 \
 	"bounds.grace_s=6\nbounds.lease_ms=3000\nbounds.hold_max_ms=10000\n"   \
 	"bounds.stop_timeout_ms=200\nbounds.cross_rack_factor=1.5\n"           \
-	"bounds.impact_ms=4000\nbounds.status_s=120\n"
+	"bounds.impact_ms=4000\nbounds.status_s=120\n"                         \
+	"bounds.apply_ms=4000\nbounds.revoke_ms=5000\n"
 
 #define CI_PARALLEL 2
 #define TASKS_BLOCKED                                                          \
@@ -50,6 +51,8 @@
 	{ 1009, COUNTS_OLD "; three owners", false },
 	{ 3001, "none: calls by way of relays that are killed and frozen",
 	  false },
+	{ 5000, "none: organisations whose keys change", false },
+	{ 5001, "none: the same with strict revocation", false },
 };
 
 static void free_job(gpointer data)
@@ -79,6 +82,7 @@
 static void sk_finish(struct sk *k)
 {
 	fclose(k->site_log);
+	sk_keys_finish(k);
 	g_hash_table_destroy(k->reported);
 	g_array_free(k->disruptions, TRUE);
 	g_array_free(k->capacities, TRUE);
@@ -99,14 +103,20 @@
 static void open_fleet(struct sk *k)
 {
 	char path[128];
+	g_autofree char *tenants =
+		sk_uses_keys(k->seed) ? sk_keys_tenants(k) : NULL;
 	struct hf_options opt = {
 		.vms = g_rand_int_range(k->rand, 3, HF_VMS_MAX + 1),
 		.workers = g_rand_int_range(k->rand, 4, 10),
 		.use_proxy = true,
 		.lease_max_ms = SK_LEASE_MAX_MS,
 		.overcommits = sk_shrinks_workers(k->seed) && k->seed % 4,
-		.relays = k->seed >= SK_FIRST_RELAY_SEED,
-		.bounds = BOUNDS,
+		.relays = k->seed >= SK_FIRST_RELAY_SEED &&
+			  !sk_uses_keys(k->seed),
+		.bounds = sk_is_strict(k->seed) ? BOUNDS
+				  "bounds.strict_revoke=true\n"
+						: BOUNDS,
+		.tenants = tenants,
 	};
 
 	k->fleet.opt = opt;
@@ -114,6 +124,9 @@
 	printf("seed %u: %d VMs, %d workers%s%s\n", k->seed, opt.vms,
 	       opt.workers, opt.overcommits ? " without limits" : "",
 	       opt.relays ? " by way of relays" : "");
+	if (sk_uses_keys(k->seed))
+		printf("organisations, %s revocation\n",
+		       sk_is_strict(k->seed) ? "strict" : "no strict");
 	sk_print_schedule(k);
 	fflush(stdout);
 	hf_start(&k->fleet, &opt);
@@ -142,6 +155,7 @@
 	sk_clients_start(k, threads);
 	sk_counts_start(k, threads + SK_CLIENTS);
 	while (!all_over) {
+		sk_keys_step(k);
 		all_over = sk_faults_step(k) &&
 			   hx_now_ms() > k->begin_ms + WINDOW_MS;
 		run_checks(k);
@@ -206,6 +220,7 @@
 					    "never reported as ended");
 	}
 	sk_check_end(k);
+	sk_check_void_jobs(k);
 	g_mutex_unlock(&k->lock);
 	curl_easy_cleanup(easy);
 }
@@ -217,6 +232,7 @@
 	int32_t accepted = 0;
 
 	sk_init(&k, seed);
+	sk_keys_init(&k);
 	open_fleet(&k);
 	run_traffic_and_faults(&k);
 	wait_for_job_ends(&k);
@@ -225,6 +241,11 @@
 		accepted += ((struct sk_job *)g_ptr_array_index(k.jobs, i))
 				    ->accepted_ms > 0;
 	n_violations = k.n_violations;
+	if (sk_uses_keys(seed))
+		printf("seed %u: %d versions, %d answers by keys, %d refused, "
+		       "%d by void keys, %d refused as foreign\n",
+		       seed, k.config_version, k.n_key_answers,
+		       k.n_key_refusals, k.n_void_keys, k.n_foreign);
 	printf("seed %u: %s, %d rules broken, %u jobs, %d accepted, %d starts, "
 	       "%d counts answered, %d of them checked, %d refused, %lld s, "
 	       "logs in %s\n",
--- a/tests/soak.h
+++ b/tests/soak.h
@@ -49,6 +49,26 @@
 /* From this seed on, owners call workers by way of relays, instead. */
 #define SK_FIRST_RELAY_SEED 3000
 
+/* Seeds from this on, up to the next, have organisations instead, whose keys
+ * change. Revocation is strict in the odd ones. */
+#define SK_FIRST_KEY_SEED 5000
+#define SK_LAST_KEY_SEED 5999
+#define SK_ORGS 3
+/* Rule KEY: after a new version of the configuration, how long connected VMs
+ * may handle calls by the one before, and all VMs if revocation is strict. */
+#define SK_APPLY_MS 4000
+#define SK_REVOKE_MS 5000
+
+static inline bool sk_uses_keys(uint32_t seed)
+{
+	return seed >= SK_FIRST_KEY_SEED && seed <= SK_LAST_KEY_SEED;
+}
+
+static inline bool sk_is_strict(uint32_t seed)
+{
+	return sk_uses_keys(seed) && seed % 2;
+}
+
 static inline bool sk_shrinks_workers(uint32_t seed)
 {
 	return seed >= SK_FIRST_CAPACITY_SEED && seed < SK_FIRST_RELAY_SEED;
@@ -76,8 +96,27 @@
 	bool crashed_worker;
 };
 
+/* A key of an organisation. */
+struct sk_key {
+	char text[24];
+	int32_t org;
+	int64_t added_ms; /* in the store by then; 0: not yet */
+	int64_t remove_sent_ms; /* 0: it stays */
+	int64_t removed_ms; /* no more in the store from then on; 0: not yet */
+};
+
+/* The key of one call. */
+struct sk_use {
+	const struct sk_key *key; /* NULL if unknown or without keys */
+	bool is_unknown; /* no configuration has it */
+	char header[64];
+	const char *headers[2]; /* for hf_call_with() */
+};
+
 struct sk_job {
 	char id[20];
+	int32_t org; /* valid if the seed has organisations */
+	bool may_run; /* some attempt had a key that was not void */
 	enum sk_job_kind kind;
 	int32_t steps;
 	int32_t count; /* tasks of each step */
@@ -148,6 +187,15 @@
 	int32_t n_counts; /* of pending jobs, answered */
 	int32_t n_counts_checked; /* by a connected VM while jobs waited */
 	int32_t n_counts_refused;
+	GPtrArray *keys; /* struct sk_key; the first SK_ORGS are steady */
+	int32_t n_key_answers;
+	int32_t n_key_refusals;
+	int32_t n_void_keys; /* calls whose key had to be refused */
+	int32_t n_foreign; /* calls for others' jobs, refused */
+	/* Of the main thread only. */
+	GRand *key_rand;
+	int32_t config_version;
+	int64_t next_keys_ms;
 };
 
 /* A request to a VM. */
@@ -163,7 +211,8 @@
 	SK_STREAM_SERIES,
 	SK_STREAM_COUNTS,
 	SK_STREAM_CAPACITY,
-	SK_STREAM_DEADLY
+	SK_STREAM_DEADLY,
+	SK_STREAM_KEYS
 };
 GRand *sk_rand_new(const struct sk *k, enum sk_stream stream, int number);
 
@@ -226,6 +275,31 @@
 /* Queries a job's state at a VM and checks the response. */
 void sk_query_job(struct sk *k, void *easy, int vm, struct sk_job *j);
 
+/* soak_keys.c. Without organisations, no call has a key and nothing is checked.
+ */
+void sk_keys_init(struct sk *k);
+void sk_keys_finish(struct sk *k);
+/* Returns the list of organisations of the configuration; g_free it. */
+char *sk_keys_tenants(const struct sk *k);
+/* Writes a new version of the configuration if one is due. */
+void sk_keys_step(struct sk *k);
+/* Uses the key of the organisation that is never removed. */
+void sk_use_steady(struct sk *k, int32_t org, struct sk_use *u);
+/* Draws whether a job is submitted with bad keys only. */
+bool sk_draw_bad(const struct sk *k, GRand *rand);
+/* Uses any key of the organisation, or a removed or unknown one. */
+void sk_use_draw(struct sk *k, GRand *rand, int32_t org, bool bad,
+		 struct sk_use *u);
+/* Checks the status of an answer by the call's key, with the lock held. Returns
+ * whether the call may have an effect. */
+bool sk_check_key(struct sk *k, const struct sk_use *u,
+		  const struct sk_query *q, long status);
+/* Calls for an accepted job with a key of another organisation. */
+void sk_probe_foreign(struct sk *k, void *easy, int vm, GRand *rand,
+		      const struct sk_job *j, const char *body);
+/* Checks that no job without a valid key ran, with the lock held. */
+void sk_check_void_jobs(struct sk *k);
+
 /* soak_counts.c: starts a thread for each VM, which asks it for counts of
  * pending jobs. They end when traffic_on is false. */
 void sk_counts_start(struct sk *k, GThread **threads);
--- a/tests/soak_clients.c
+++ b/tests/soak_clients.c
@@ -21,6 +21,7 @@
 	CURL *easy;
 	GRand *rand;
 	GRand *deadly_rand; /* which jobs are deadly */
+	GRand *key_rand; /* which keys are used */
 	int number;
 	int vm;
 	GPtrArray *accepted_jobs; /* struct sk_job */
@@ -60,6 +61,7 @@
 
 	j->kind =
 		(enum sk_job_kind)weights[draw_below(c, G_N_ELEMENTS(weights))];
+	j->org = c->number % SK_ORGS;
 	j->steps = j->kind == SK_TWO_STEPS ? 2 : 1;
 	j->count = 1 + draw_below(c, SK_TASKS_MAX / SK_STEPS_MAX);
 	snprintf(j->id, sizeof(j->id), "%08x%08x", c->number + 1,
@@ -107,23 +109,33 @@
 
 /* Makes one attempt; returns whether it was accepted. If not, the caller
  * retries at another VM. */
-static bool try_submit(struct client *c, struct sk_job *j, const char *body)
+static bool try_submit(struct client *c, struct sk_job *j, const char *body,
+		       bool bad_key)
 {
+	struct sk_query q = { .vm = c->vm };
+	struct sk_use u;
 	char path[32];
 	struct hx_response a;
 
+	sk_use_draw(c->k, c->key_rand, j->org, bad_key, &u);
+
 	snprintf(path, sizeof(path), "/q/%s", j->id);
 	/* Counted before it is sent, since it may take effect at once. */
 	g_mutex_lock(&c->k->lock);
 	j->attempts++;
 	g_mutex_unlock(&c->k->lock);
-	a = hf_call(&c->k->fleet, c->easy, c->vm, "POST", path, body);
+	q.asked_ms = hx_now_ms();
+	a = hf_call_with(&c->k->fleet, c->easy, c->vm, "POST", path, body,
+			 u.headers);
+	q.answered_ms = hx_now_ms();
 	g_mutex_lock(&c->k->lock);
-	j->n_rejected += a.status == 429 || a.status == 503;
+	j->may_run |= sk_check_key(c->k, &u, &q, a.status);
+	j->n_rejected += a.status == 429 || a.status == 503 || a.status == 401;
 	if (a.status / 100 == 2 && !j->accepted_ms)
 		j->accepted_ms = hx_now_ms();
 	else if (a.status && a.status / 100 != 2 && a.status != 429 &&
-		 a.status != 502 && a.status != 503 && a.status != 504)
+		 a.status != 502 && a.status != 503 && a.status != 504 &&
+		 (a.status != 401 || !sk_uses_keys(c->k->seed)))
 		sk_report_violation(c->k, "ANSWER", j->id,
 				    "vm %d answers a POST with %ld", c->vm,
 				    a.status);
@@ -135,12 +147,13 @@
 static void submit(struct client *c, struct sk_job *j)
 {
 	char *body = make_body(j);
-	bool accepted = try_submit(c, j, body);
+	bool bad_key = sk_draw_bad(c->k, c->key_rand);
+	bool accepted = try_submit(c, j, body, bad_key);
 
 	for (int i = 0; i < RETRIES && !accepted; i++) {
 		next_vm(c);
 		hx_sleep_ms(RETRY_MS);
-		accepted = try_submit(c, j, body);
+		accepted = try_submit(c, j, body, bad_key);
 	}
 	if (accepted)
 		g_ptr_array_add(c->accepted_jobs, j);
@@ -153,9 +166,11 @@
 	const char *state;
 	char path[32];
 	struct hx_response a;
+	struct sk_use u;
 
+	sk_use_steady(k, j->org, &u);
 	snprintf(path, sizeof(path), "/q/%s", j->id);
-	a = hf_call(&k->fleet, easy, vm, "GET", path, NULL);
+	a = hf_call_with(&k->fleet, easy, vm, "GET", path, NULL, u.headers);
 	q.answered_ms = hx_now_ms();
 	state = json_string_value(json_object_get(a.json, "state"));
 	g_mutex_lock(&k->lock);
@@ -169,12 +184,15 @@
 {
 	char path[32];
 	struct hx_response a;
+	struct sk_use u;
 
+	sk_use_steady(c->k, j->org, &u);
 	snprintf(path, sizeof(path), "/q/%s", j->id);
 	g_mutex_lock(&c->k->lock);
 	j->cancel_sent = true;
 	g_mutex_unlock(&c->k->lock);
-	a = hf_call(&c->k->fleet, c->easy, c->vm, "DELETE", path, NULL);
+	a = hf_call_with(&c->k->fleet, c->easy, c->vm, "DELETE", path, NULL,
+			 u.headers);
 	g_mutex_lock(&c->k->lock);
 	if ((a.status / 100 == 2 || a.status == 410) && !j->cancelled_ms)
 		j->cancelled_ms = hx_now_ms();
@@ -201,7 +219,11 @@
 	} else if (action < 18) {
 		char *body = make_body(j);
 
-		try_submit(c, j, body);
+		if (sk_uses_keys(c->k->seed) && g_rand_boolean(c->key_rand))
+			sk_probe_foreign(c->k, c->easy, c->vm, c->key_rand, j,
+					 body);
+		else
+			try_submit(c, j, body, false);
 		g_free(body);
 	} else {
 		cancel(c, j);
@@ -229,6 +251,7 @@
 	curl_easy_cleanup(c->easy);
 	g_rand_free(c->rand);
 	g_rand_free(c->deadly_rand);
+	g_rand_free(c->key_rand);
 	g_ptr_array_free(c->accepted_jobs, TRUE);
 	g_free(c);
 	return NULL;
@@ -245,6 +268,7 @@
 		c->easy = curl_easy_init();
 		c->rand =
 			g_rand_new_with_seed(k->seed * SK_CLIENTS + (guint32)i);
+		c->key_rand = sk_rand_new(k, SK_STREAM_KEYS, i);
 		c->deadly_rand = sk_rand_new(k, SK_STREAM_DEADLY, i);
 		c->accepted_jobs = g_ptr_array_new();
 		threads[i] = g_thread_new("client", client_main, c);
--- a/tests/soak_counts.c
+++ b/tests/soak_counts.c
@@ -39,8 +39,10 @@
 {
 	struct sk_query q = { .vm = o->vm, .asked_ms = hx_now_ms() };
 	struct hx_response a;
+	struct sk_use u;
 
-	a = hf_get_direct(&o->k->fleet, o->easy, o->vm, "/q/", NULL,
+	sk_use_steady(o->k, 0, &u);
+	a = hf_get_direct(&o->k->fleet, o->easy, o->vm, "/q/", u.headers[0],
 			  TIMEOUT_MS);
 	q.answered_ms = hx_now_ms();
 	g_mutex_lock(&o->k->lock);
@@ -57,9 +59,12 @@
 {
 	struct hx_response a;
 	char path[32];
+	struct sk_use u;
 
+	sk_use_steady(o->k, 0, &u);
 	snprintf(path, sizeof(path), "/q/ffffffff%08x", g_rand_int(o->rand));
-	a = hf_get_direct(&o->k->fleet, o->easy, o->vm, path, NULL, TIMEOUT_MS);
+	a = hf_get_direct(&o->k->fleet, o->easy, o->vm, path, u.headers[0],
+			  TIMEOUT_MS);
 	g_mutex_lock(&o->k->lock);
 	if (a.status / 100 == 2)
 		sk_report_violation(o->k, "MIXED", path,
