--- a/tests/unit_access.c
+++ b/tests/unit_access.c
@@ -177,6 +177,7 @@
 		"{\"name\":\"c\",\"keys\":\"k4\"},{\"keys\":[\"k5\"]},"
 		"{\"name\":\"d\",\"weight\":\"2\",\"keys\":[\"k6\"]},"
 		"{\"name\":\"e\",\"cap\":{\"cpu\":[]},\"keys\":[\"k7\"]},"
+		"{\"name\":\"x\\n\",\"keys\":[\"k3\"]},"
 		"{\"name\":\"f\",\"keys\":[\"k8\"],\"weight\":3}]");
 
 	g_assert_cmpint(c->n_orgs, ==, 4);
--- a/tests/unit_progress.c
+++ b/tests/unit_progress.c
@@ -187,8 +187,46 @@
 	ctl_fixture_close();
 }
 
+/*
+ * Guards against progress rows that lose the job's organisation, under the
+ * first owner or the next, and against one that makes them too long.
+ */
+static void test_org_is_kept(void)
+{
+	static const char id[] = "aaaa000000000000";
+	struct sched_fixture p;
+	struct jobspec *spec = fixture_long_running("a", 100, 10);
+	char table[SHARD_CTL_NAME_MAX];
+	char part[SHARD_CTL_NAME_MAX];
+	const struct sched_job *job;
+	json_t *row;
+
+	memset(spec->org, 1, sizeof(spec->org) - 1);
+	job = open_with_ended_runs(&p, spec);
+	row = sched_job_progress(job, SCHED_DETAIL_SUMMARY);
+	g_assert_cmpstr(json_string_value(json_object_get(row, "org")), ==,
+			job->spec->org);
+	g_assert_false(
+		sched_fits_in_row(job->spec, (int64_t)row_length(row) - 1));
+	json_decref(row);
+	fixture_close(&p);
+	ctl_fixture_open();
+	fake_rows_put(&fx->store, shard_ctl_jobs_table(0, table),
+		      shard_ctl_job_part(0, shard_ctl_job_part_of(id), part),
+		      id, "{}");
+	fake_rows_put(&fx->store, SHARD_CTL_PROGRESS_TABLE, "s0", id,
+		      "{\"state\":\"done\",\"ended_ms\":9000000000000,"
+		      "\"queue\":\"short\",\"org\":\"a\"}");
+	ctl_fixture_start();
+	job = g_hash_table_lookup(await_active()->jobs, id);
+	g_assert_nonnull(job);
+	g_assert_cmpstr(job->spec->org, ==, "a");
+	ctl_fixture_close();
+}
+
 void unit_add_progress(void)
 {
+	g_test_add_func("/progress/org-is-kept", test_org_is_kept);
 	g_test_add_func("/progress/largest-job", test_largest_job);
 	g_test_add_func("/progress/summary-keeps-failures",
 			test_summary_keeps_failures);
