--- a/src/fleet/job_submit.c
+++ b/src/fleet/job_submit.c
@@ -237,6 +237,18 @@
 	return NULL;
 }
 
+/* Returns whether the batch has a job of that id for another organisation. In
+ * one transaction neither would fail, and one of them would be lost. */
+static bool has_rival(const struct batch *b, const struct submission *sub)
+{
+	for (int32_t i = 0; i < b->n; i++) {
+		if (!strcmp(b->jobs[i]->id, sub->id) &&
+		    strcmp(b->jobs[i]->who.org, sub->who.org) != 0)
+			return true;
+	}
+	return false;
+}
+
 static void send_batch(struct job_api *api, int32_t shard, int32_t part)
 {
 	struct submit_queue *sq = &api->queues[shard][part];
@@ -258,6 +270,10 @@
 
 		if (!sub)
 			break;
+		if (has_rival(b, sub)) {
+			g_queue_push_head(&sq->waiting, sub);
+			break;
+		}
 		bytes += strlen(sub->row_value);
 
 		changes[b->n] = (struct rows_change){
--- a/tests/unit_access.c
+++ b/tests/unit_access.c
@@ -270,6 +270,30 @@
 	close_fixture(&fx);
 }
 
+/* Guards against two organisations' jobs of one id in one transaction, of which
+ * both were accepted and one was lost. */
+static void test_same_batch(void)
+{
+	struct access_fixture fx;
+	struct outcome a;
+	struct outcome b;
+	bool a_stored;
+
+	open_fixture(&fx);
+	fx.store.mode = FAKE_NO_EFFECT;
+	fx.store.mode_commits = 1;
+	submit(&fx, "ka", &a);
+	submit(&fx, "kb", &b);
+	a_stored = await(&fx, &a) == JOB_API_OK;
+	g_assert_cmpint(await(&fx, &b), ==,
+			a_stored ? JOB_API_ID_TAKEN : JOB_API_OK);
+	g_assert_cmpint(a.ans.result, ==,
+			a_stored ? JOB_API_OK : JOB_API_ID_TAKEN);
+	g_assert_nonnull(strstr(stored_job(&fx),
+				a_stored ? "\"org\":\"a\"" : "\"org\":\"b\""));
+	close_fixture(&fx);
+}
+
 /* Guards against a job without organisation that its callers cannot use any
  * more once there are organisations. */
 static void test_public_job(void)
@@ -329,6 +353,7 @@
 	g_test_add_func("/access/decode", test_decode);
 	g_test_add_func("/access/verdicts", test_verdicts);
 	g_test_add_func("/access/foreign-job", test_foreign_job);
+	g_test_add_func("/access/same-batch", test_same_batch);
 	g_test_add_func("/access/public-job", test_public_job);
 	g_test_add_func("/access/recheck", test_recheck);
 }
