--- a/src/coordination/sched_choose.c
+++ b/src/coordination/sched_choose.c
@@ -68,6 +68,8 @@
 	const struct jobspec_step *def = step->def;
 	int64_t cpu = w->row.total.cpu_milli - w->used.cpu_milli;
 
+	if (w->reconciled_in_doubt && sched_org_has_cap(step))
+		return SCHED_OBSTACLE_UNRECONCILED;
 	if (step->joins_suspects ? !sched_has_group(w) : w->n_isolated > 0)
 		return SCHED_OBSTACLE_ISOLATED;
 	if (sched_is_small(def) && w->n_small >= SMALL_TASKS_MAX)
--- a/src/coordination/sched_int.h
+++ b/src/coordination/sched_int.h
@@ -339,6 +339,8 @@
  * organisation. */
 enum org_wait sched_org_wait(struct sched *s, const struct sched_step *step,
 			     int32_t n, int64_t now_ms);
+/* Returns whether a cap bounds the step's tasks. */
+bool sched_org_has_cap(const struct sched_step *step);
 /* Returns the number of tasks of the step that have to start together. */
 int32_t sched_org_tasks(const struct sched_step *step);
 /* Returns how many of `n` tasks of the step fit under the cap of its
--- a/src/coordination/sched_org.c
+++ b/src/coordination/sched_org.c
@@ -34,6 +34,18 @@
 	return step->def->gang ? step->def->tasks : 1;
 }
 
+/*
+ * While in doubt, tasks with a cap start only at workers that this owner has
+ * known since before: a successor learns what runs there before the worker
+ * restarts, and counts no starts of earlier owners after that.
+ */
+bool sched_org_has_cap(const struct sched_step *step)
+{
+	const struct org_account *acc = step->round->job->org;
+
+	return acc && acc->def && org_cap_is_set(&acc->def->cap);
+}
+
 enum org_wait sched_org_wait(struct sched *s, const struct sched_step *step,
 			     int32_t n, int64_t now_ms)
 {
@@ -176,12 +188,16 @@
 	g_clear_pointer(&w->untracked, g_array_unref);
 }
 
-/* Returns whether earlier owners may have tasks at the worker that this owner
+/*
+ * Returns whether earlier owners may have tasks at the worker that this owner
  * doesn't know of. Runs that a handover lists may not be all: an owner that
- * released the shard without having learned all passes its handover on. */
+ * released the shard without having learned all passes its handover on. A
+ * worker that fell silent may have restarted, and have carried out a late start
+ * since.
+ */
 static bool may_hide_runs(const struct sched_worker *w, int64_t now_ms)
 {
-	if (w->n_unattributed)
+	if (w->n_unattributed || (w->reconciled && w->unreachable))
 		return true;
 	return !w->reconciled &&
 	       now_ms < MAX(w->prev_lease_expiry_ms, w->long_lease_expiry_ms);
@@ -203,6 +219,11 @@
 	bool over = now_ms >= earlier_end_ms(s);
 	bool may_run = !over && now_ms < s->roster_incomplete_until_ms;
 
+	for (guint i = 0;
+	     i < s->worker_list->len && s->ownership == SCHED_OWNER_CERTAIN;
+	     i++)
+		((struct sched_worker *)g_ptr_array_index(s->worker_list, i))
+			->reconciled_in_doubt = false;
 	if (s->caps.earlier_over)
 		return;
 	for (guint i = 0; i < s->worker_list->len && !over && !may_run; i++)
--- a/src/coordination/sched_run.c
+++ b/src/coordination/sched_run.c
@@ -411,6 +411,7 @@
 	if (report->fence != w->fence || w->reconciled)
 		return;
 	w->reconciled = true;
+	w->reconciled_in_doubt = s->ownership != SCHED_OWNER_CERTAIN;
 	/* A previous owner may have granted this lease just before. */
 	if (s->epoch > 1)
 		w->lease_end_clock_ms =
--- a/src/coordination/sched_types.h
+++ b/src/coordination/sched_types.h
@@ -233,6 +233,7 @@
 	int64_t index;
 	bool listed; /* in the list of workers */
 	bool reconciled; /* this incarnation reported under the present fence */
+	bool reconciled_in_doubt; /* it first did while we are in doubt */
 	bool unreachable; /* the last poll or command got no answer */
 	bool row_outdated; /* `row` describes an earlier incarnation */
 	/* `runs` contains all runs that previous owners left there. */
