--- a/src/coordination/sched_org.c
+++ b/src/coordination/sched_org.c
@@ -34,11 +34,6 @@
 	return step->def->gang ? step->def->tasks : 1;
 }
 
-/*
- * While in doubt, tasks with a cap start only at workers that this owner has
- * known since before: a successor learns what runs there before the worker
- * restarts, and counts no starts of earlier owners after that.
- */
 bool sched_org_has_cap(const struct sched_step *step)
 {
 	const struct org_account *acc = step->round->job->org;
@@ -214,16 +209,27 @@
 	       sched_lease_bound_ms(s->lim.lease_max_ms);
 }
 
+/*
+ * While in doubt, tasks with a cap start only at workers that reported before
+ * (reconciled_in_doubt is not set): where a worker has restarted since, a
+ * successor that had learned what ran there before would not count them.
+ */
+static void end_doubt(struct sched *s)
+{
+	for (guint i = 0; i < s->worker_list->len; i++) {
+		struct sched_worker *w = g_ptr_array_index(s->worker_list, i);
+
+		w->reconciled_in_doubt = false;
+	}
+}
+
 void sched_org_check_earlier(struct sched *s, int64_t now_ms)
 {
 	bool over = now_ms >= earlier_end_ms(s);
 	bool may_run = !over && now_ms < s->roster_incomplete_until_ms;
 
-	for (guint i = 0;
-	     i < s->worker_list->len && s->ownership == SCHED_OWNER_CERTAIN;
-	     i++)
-		((struct sched_worker *)g_ptr_array_index(s->worker_list, i))
-			->reconciled_in_doubt = false;
+	if (s->ownership == SCHED_OWNER_CERTAIN)
+		end_doubt(s);
 	if (s->caps.earlier_over)
 		return;
 	for (guint i = 0; i < s->worker_list->len && !over && !may_run; i++)
--- a/src/coordination/sched_place.c
+++ b/src/coordination/sched_place.c
@@ -129,7 +129,10 @@
 	if (sched_candidates_fits_none(c, l, step))
 		return NULL;
 	w = sched_choose_worker(c->sched, l->workers, l->n, step, &fits);
-	if (!w)
+	/* In doubt, fewer workers are open to tasks with a cap than to others
+	 * of their size. */
+	if (!w && (c->sched->ownership == SCHED_OWNER_CERTAIN ||
+		   !sched_org_has_cap(step)))
 		sched_candidates_note_misfit(c, l, step, fits);
 	return w;
 }
--- a/tests/unit_caps.c
+++ b/tests/unit_caps.c
@@ -348,6 +348,30 @@
 	fixture_close(&p);
 }
 
+/* Guards against starts in doubt that a successor doesn't count: the worker has
+ * restarted after the successor had learned what ran there. */
+static void test_restart_in_doubt(void)
+{
+	struct sched_fixture p;
+
+	open_capped(&p, 9000);
+	fixture_worker(&p, "w1")->row.draining = true;
+	fixture_worker(&p, "w2")->row.draining = true;
+	p.s.ownership = SCHED_OWNER_IN_DOUBT;
+	fixture_add_worker(&p, "w3", "r3");
+	fixture_poll(&p, "w3", NULL, 0, NULL, 0, 50);
+	fixture_add_job(&p, owned_spec("j1", "short", 1));
+	fixture_pass_time(&p, 100, 300);
+	g_assert_cmpuint(p.starts->len, ==, 0);
+	fixture_add_job(&p, fixture_spec("j2", "short", 1, 1));
+	fixture_pass_time(&p, 400, 400);
+	g_assert_cmpuint(p.starts->len, ==, 1);
+	p.s.ownership = SCHED_OWNER_CERTAIN;
+	fixture_pass_time(&p, 500, 500);
+	g_assert_cmpuint(p.starts->len, ==, 2);
+	fixture_close(&p);
+}
+
 /* Guards against jobs that are accepted though they can never start, and
  * against refusals of jobs that can. */
 static void test_admission(void)
@@ -394,5 +418,6 @@
 	g_test_add_func("/caps/no-eviction", test_no_eviction);
 	g_test_add_func("/caps/untracked-run", test_untracked_run);
 	g_test_add_func("/caps/dropped-run", test_dropped_run);
+	g_test_add_func("/caps/restart-in-doubt", test_restart_in_doubt);
 	g_test_add_func("/caps/admission", test_admission);
 }
