--- a/src/coordination/sched_org.c
+++ b/src/coordination/sched_org.c
@@ -34,6 +34,13 @@
 	return step->def->gang ? step->def->tasks : 1;
 }
 
+bool sched_org_has_cap(const struct sched_step *step)
+{
+	const struct org_account *acc = step->round->job->org;
+
+	return acc && acc->def && org_cap_is_set(&acc->def->cap);
+}
+
 enum org_wait sched_org_wait(struct sched *s, const struct sched_step *step,
 			     int32_t n, int64_t now_ms)
 {
@@ -176,12 +183,16 @@
 	g_clear_pointer(&w->untracked, g_array_unref);
 }
 
-/* Returns whether earlier owners may have tasks at the worker that this owner
+/*
+ * Returns whether earlier owners may have tasks at the worker that this owner
  * doesn't know of. Runs that a handover lists may not be all: an owner that
- * released the shard without having learned all passes its handover on. */
+ * released the shard without having learned all passes its handover on. A
+ * worker that fell silent may have restarted, and have carried out a late start
+ * since.
+ */
 static bool may_hide_runs(const struct sched_worker *w, int64_t now_ms)
 {
-	if (w->n_unattributed)
+	if (w->n_unattributed || (w->reconciled && w->unreachable))
 		return true;
 	return !w->reconciled &&
 	       now_ms < MAX(w->prev_lease_expiry_ms, w->long_lease_expiry_ms);
@@ -198,11 +209,27 @@
 	       sched_lease_bound_ms(s->lim.lease_max_ms);
 }
 
+/*
+ * While in doubt, tasks with a cap start only at workers that reported before
+ * (reconciled_in_doubt is not set): where a worker has restarted since, a
+ * successor that had learned what ran there before would not count them.
+ */
+static void end_doubt(struct sched *s)
+{
+	for (guint i = 0; i < s->worker_list->len; i++) {
+		struct sched_worker *w = g_ptr_array_index(s->worker_list, i);
+
+		w->reconciled_in_doubt = false;
+	}
+}
+
 void sched_org_check_earlier(struct sched *s, int64_t now_ms)
 {
 	bool over = now_ms >= earlier_end_ms(s);
 	bool may_run = !over && now_ms < s->roster_incomplete_until_ms;
 
+	if (s->ownership == SCHED_OWNER_CERTAIN)
+		end_doubt(s);
 	if (s->caps.earlier_over)
 		return;
 	for (guint i = 0; i < s->worker_list->len && !over && !may_run; i++)
