--- a/src/coordination/run_times.c
+++ b/src/coordination/run_times.c
@@ -33,24 +33,24 @@
 }
 
 void run_times_record(struct run_times *t, const char *kind,
-		      int64_t estimate_ms, int64_t ran_ms)
+		      int64_t expected_ms, int64_t ran_ms)
 {
 	double ratio;
 
-	if (estimate_ms <= 0 || ran_ms < 0)
+	if (expected_ms <= 0 || ran_ms < 0)
 		return;
-	ratio = (double)ran_ms / (double)estimate_ms;
+	ratio = (double)ran_ms / (double)expected_ms;
 	hist_record(get_kind(t, kind),
 		    (int64_t)(MIN(ratio, RATIO_MAX) * RATIO_SCALE));
 }
 
 int64_t run_times_quantile_ms(const struct run_times *t, const char *kind,
-			      int64_t estimate_ms, double q)
+			      int64_t expected_ms, double q)
 {
 	const struct hist *h = g_hash_table_lookup(t->kinds, kind);
 
 	if (!h || h->count < RUN_TIMES_SAMPLES_MIN)
-		return estimate_ms;
-	return (int64_t)((double)estimate_ms * (double)hist_quantile_us(h, q) /
+		return expected_ms;
+	return (int64_t)((double)expected_ms * (double)hist_quantile_us(h, q) /
 			 RATIO_SCALE);
 }
--- a/src/coordination/run_times.h
+++ b/src/coordination/run_times.h
@@ -22,11 +22,11 @@
 
 /* Records a run that was done after `ran_ms` at full speed. */
 void run_times_record(struct run_times *t, const char *kind,
-		      int64_t estimate_ms, int64_t ran_ms);
+		      int64_t expected_ms, int64_t ran_ms);
 
 /* Returns the time in ms within which the share `q` (0 to 1) of the runs of
  * this kind with this estimate is done; the estimate if too little is known. */
 int64_t run_times_quantile_ms(const struct run_times *t, const char *kind,
-			      int64_t estimate_ms, double q);
+			      int64_t expected_ms, double q);
 
 #endif
--- a/src/coordination/sched_copies.c
+++ b/src/coordination/sched_copies.c
@@ -11,7 +11,7 @@
 				struct copy_facts *f)
 {
 	const char *kind = step->round->job->spec->queue;
-	int64_t estimate_ms = step->def->expected_ms;
+	int64_t expected_ms = step->def->expected_ms;
 
 	if (step->timed_runs >= COPIES_SIBLINGS_MIN) {
 		f->typical_ms = step->timed_ms / step->timed_runs;
@@ -24,8 +24,8 @@
 		return;
 	}
 	f->typical_ms =
-		run_times_quantile_ms(&s->run_times, kind, estimate_ms, 0.5);
-	f->long_ms = run_times_quantile_ms(&s->run_times, kind, estimate_ms,
+		run_times_quantile_ms(&s->run_times, kind, expected_ms, 0.5);
+	f->long_ms = run_times_quantile_ms(&s->run_times, kind, expected_ms,
 					   COPIES_LONG_QUANTILE);
 }
 
--- a/tests/ctl_fixture.c
+++ b/tests/ctl_fixture.c
@@ -9,6 +9,30 @@
 
 struct ctl_fixture *fx;
 
+void fixture_set_orgs(struct catalog *c, const char *const *names, int32_t n)
+{
+	c->has_orgs = true;
+	c->n_orgs = n;
+	c->orgs = talloc_zero_array(c, struct org, n);
+	c->org_keys = org_keys_new(c);
+	for (int32_t i = 0; i < n; i++) {
+		struct org_key key;
+
+		g_strlcpy(c->orgs[i].name, names[i], sizeof(c->orgs[i].name));
+		org_key_init(&key, names[i], strlen(names[i]));
+		org_keys_add(c->org_keys, &key, &c->orgs[i]);
+	}
+}
+
+struct access fixture_caller(const char *org)
+{
+	struct access who = { .has_orgs = true, .has_key = *org != '\0' };
+
+	g_strlcpy(who.org, org, sizeof(who.org));
+	org_key_init(&who.key, org, strlen(org));
+	return who;
+}
+
 void list_worker(const char *id)
 {
 	struct sched_worker_row row = { .pool = "p",
--- a/tests/ctl_fixture.h
+++ b/tests/ctl_fixture.h
@@ -28,6 +28,11 @@
 /* Releases the shard, which frees all that belongs to its ownership, and then
  * the fixture. */
 void ctl_fixture_close(void);
+/* Makes `names` the organisations of `c`, each with its name as its only key.
+ */
+void fixture_set_orgs(struct catalog *c, const char *const *names, int32_t n);
+/* Returns a caller with that organisation's key; "": one without a key. */
+struct access fixture_caller(const char *org);
 /* Lists a worker of 8 cores. */
 void list_worker(const char *id);
 void run_loop_ms(int64_t ms);
--- a/tests/unit_admission.c
+++ b/tests/unit_admission.c
@@ -281,6 +281,7 @@
  * configuration, and makes its queues public. */
 static void configure_orgs(void)
 {
+	static const char *const names[] = { "a", "b" };
 	const struct catalog *old = fx->f.catalog;
 	struct catalog *c = talloc_memdup(NULL, old, sizeof(*old));
 
@@ -291,19 +292,9 @@
 				 sizeof(*c->pools) * (size_t)c->n_pools);
 	for (int32_t i = 0; i < c->n_queues; i++)
 		c->queues[i].is_public = true;
-	c->has_orgs = true;
-	c->n_orgs = 2;
-	c->orgs = talloc_zero_array(c, struct org, 2);
-	c->org_keys = org_keys_new(c);
-	for (int32_t i = 0; i < c->n_orgs; i++) {
-		const char *name = i ? "b" : "a";
-		struct org_key key;
-
-		c->orgs[i].weight = 2;
-		g_strlcpy(c->orgs[i].name, name, sizeof(c->orgs[i].name));
-		org_key_init(&key, name, 1);
-		org_keys_add(c->org_keys, &key, &c->orgs[i]);
-	}
+	fixture_set_orgs(c, names, 2);
+	c->orgs[0].weight = 2;
+	c->orgs[1].weight = 2;
 	fleet_set_catalog(&fx->f, c);
 	fleet_config_synced(&fx->f);
 }
@@ -314,12 +305,10 @@
 					     struct outcome *o)
 {
 	struct jobspec *spec = fixture_spec(id, "short", 1, 1);
-	struct access who = { .has_orgs = true, .has_key = *org != '\0' };
+	struct access who = fixture_caller(org);
 	struct owner_row *row;
 	int64_t changed_ms;
 
-	g_strlcpy(who.org, org, sizeof(who.org));
-	org_key_init(&who.key, org, strlen(org));
 	row = (struct owner_row *)shard_ctl_owner_row(fx->f.shard_ctls[0],
 						      &changed_ms);
 	g_assert_null(row->overload);
--- a/tests/unit_caps_ctl.c
+++ b/tests/unit_caps_ctl.c
@@ -12,6 +12,7 @@
 
 static void configure(void)
 {
+	static const char *const names[] = { "o" };
 	struct catalog *c = talloc_zero(fx->f.ev, struct catalog);
 
 	c->version = 2;
@@ -19,12 +20,10 @@
 	c->n_queues = 1;
 	g_strlcpy(c->queues[0].name, "short", sizeof(c->queues[0].name));
 	g_strlcpy(c->queues[0].pool, "p", sizeof(c->queues[0].pool));
-	c->has_orgs = true;
-	c->orgs = talloc_zero_array(c, struct org, 1);
-	c->n_orgs = 1;
-	g_strlcpy(c->orgs[0].name, "o", sizeof(c->orgs[0].name));
+	fixture_set_orgs(c, names, 1);
 	c->orgs[0].cap.cpu_milli = CAP_MILLI;
 	fleet_set_catalog(&fx->f, c);
+	fleet_config_synced(&fx->f);
 }
 
 static void put_previous_row(const char *fields)
@@ -131,10 +130,10 @@
 	struct jobspec *spec = fixture_spec(ID, "short", 1, 1);
 	int64_t now = clk_mono_ms(&clk_system);
 	struct job_api_answer ans = { .retry_after_ms = -1 };
+	struct access who = fixture_caller("o");
 
 	spec->steps[0].cpu_milli = cpu_milli;
-	g_strlcpy(spec->org, "o", sizeof(spec->org));
-	job_api_submit(fx->f.job_api, spec, NULL, now + FIXTURE_TIMEOUT_MS,
+	job_api_submit(fx->f.job_api, spec, &who, now + FIXTURE_TIMEOUT_MS,
 		       note_result, &ans);
 	while (job_api_active(fx->f.job_api))
 		tevent_loop_once(fx->f.ev);
