--- a/Makefile
+++ b/Makefile
@@ -55,7 +55,8 @@
 	$(B)/gd-site
 TESTS = $(B)/unit-tests $(B)/path-tests $(B)/fleet-tests $(B)/relay-tests \
 	$(B)/gd-soak \
-	$(B)/gd-matrix $(B)/gd-demo $(B)/gd-bench $(B)/red-sample
+	$(B)/gd-matrix $(B)/gd-demo $(B)/gd-bench $(B)/gd-bench-starts \
+	$(B)/red-sample
 
 all: $(DAEMONS) $(STANDINS) $(TESTS)
 
@@ -90,6 +91,8 @@
 	$(wildcard tests/cells_*.c)) $(HARNESS)
 $(B)/gd-demo: $(B)/tests/demo.o $(HARNESS)
 $(B)/gd-bench: $(B)/tests/bench.o $(HARNESS)
+$(B)/gd-bench-starts: $(call obj,tests/bench_starts.c tests/fleet_helpers.c) \
+	$(HARNESS)
 $(B)/red-sample: $(B)/tests/red_sample.o
 $(DAEMONS) $(STANDINS) $(TESTS):
 	$(CC) $(SANFLAGS) -o $@ $^ $(LDLIBS)
@@ -152,6 +155,11 @@
 	$(MAKE) all
 	GD_BIN=$(B) $(B)/gd-bench
 
+# Starts per second of one owner; see tests/bench_starts.c for arguments.
+bench-starts: deps
+	$(MAKE) all
+	GD_BIN=$(B) $(B)/gd-bench-starts $(ARGS)
+
 format:
 	clang-format -i $(shell git ls-files '*.c' '*.h')
 
@@ -165,5 +173,5 @@
 clean:
 	rm -rf build build-san build-tsan build-fuzz
 
-.PHONY: all deploy deps deps-present demo test soak tsan fuzz matrix bench format lint clean
+.PHONY: all deploy deps deps-present demo test soak tsan fuzz matrix bench bench-starts format lint clean
 -include $(shell find $(B) -name '*.d' 2>/dev/null)
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -104,6 +104,7 @@
 	f->wkr = interfaces->wkr;
 	f->directory = interfaces->directory;
 	f->vms = interfaces->vms;
+	f->http_traffic = interfaces->http_traffic;
 	f->waves = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
 					 free_wave);
 	f->domains_out =
@@ -342,8 +343,12 @@
 	text = add_metric(text, "gd_relay_links_lost_total", c->links_lost);
 	text = add_metric(text, "gd_relayed_calls_total", c->relayed);
 	text = add_metric(text, "gd_direct_calls_total", c->direct);
+	text = traffic_append_metrics(
+		text, relay_client_traffic(f->relay_client), "relay");
 	if (!f->relay_server)
 		return text;
+	text = traffic_append_metrics(
+		text, relay_server_traffic(f->relay_server), "owner");
 	return add_metric(text, "gd_relay_late_calls_total",
 			  relay_server_dropped(f->relay_server));
 }
@@ -364,6 +369,8 @@
 	text = add_metric(text, "gd_pending_refused_total", c->count_refused);
 	text = add_metric(text, "gd_accept_us_p50", hist_quantile_us(h, 0.5));
 	text = add_metric(text, "gd_accept_us_p99", hist_quantile_us(h, 0.99));
+	if (f->http_traffic)
+		text = traffic_append_metrics(text, f->http_traffic, "http");
 	if (f->relay_client)
 		text = add_relay_metrics(text, f);
 	for (int32_t i = 0; i < f->set.shards; i++)
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -73,6 +73,7 @@
 	struct wkr wkr;
 	struct fleet_directory directory;
 	struct vms vms; /* `ops` is NULL if VMs get no upkeep commands */
+	const struct traffic *http_traffic; /* as in fleet_interfaces */
 	GHashTable *waves; /* number to struct fleet_wave */
 	const struct catalog *catalog; /* NULL until the first one is set */
 	int64_t config_synced_ms; /* when all changes of it were last known */
@@ -102,6 +103,7 @@
 	struct wkr wkr;
 	struct fleet_directory directory;
 	struct vms vms; /* `ops` is NULL if VMs get no upkeep commands */
+	const struct traffic *http_traffic; /* NULL: not in the metrics */
 };
 
 /* The caller keeps `f` until the process ends. */
--- a/src/fleet/relay_client.c
+++ b/src/fleet/relay_client.c
@@ -99,6 +99,9 @@
 	}
 	r->received_ms = now_ms(r->client);
 	call = g_hash_table_lookup(r->calls, &answer.id);
+	traffic_received(&r->client->traffic,
+			 relay_purpose(call ? call->kind : RELAY_PING),
+			 LNK_HEADER_BYTES + len);
 	if (call) {
 		g_hash_table_steal(r->calls, &answer.id);
 		if (call->kind == RELAY_START)
@@ -210,6 +213,8 @@
 
 	/* If the link fails, on_closed() reports the call. */
 	lnk_send(r->link, data, len);
+	traffic_sent(&r->client->traffic, relay_purpose(call->kind),
+		     LNK_HEADER_BYTES + len);
 	talloc_free(data);
 }
 
@@ -499,6 +504,11 @@
 	return &c->counts;
 }
 
+const struct traffic *relay_client_traffic(const struct relay_client *c)
+{
+	return &c->traffic;
+}
+
 int32_t relay_client_links(const struct relay_client *c)
 {
 	return (int32_t)c->open->len;
--- a/src/fleet/relay_client.h
+++ b/src/fleet/relay_client.h
@@ -13,6 +13,7 @@
 #include "fleet/relay_table.h"
 #include "fleet/wkr.h"
 #include "transport/tmr.h"
+#include "transport/traffic.h"
 
 struct relay_client;
 
@@ -40,6 +41,8 @@
 
 const struct relay_client_counts *
 relay_client_counts(const struct relay_client *c);
+/* What was exchanged with relays; valid as long as the client. */
+const struct traffic *relay_client_traffic(const struct relay_client *c);
 /* Returns the number of open links. */
 int32_t relay_client_links(const struct relay_client *c);
 
--- a/src/fleet/relay_int.h
+++ b/src/fleet/relay_int.h
@@ -34,6 +34,7 @@
 	int64_t update_due_ms;
 	uint64_t last_id;
 	struct relay_client_counts counts;
+	struct traffic traffic;
 };
 
 /* Sends the call to a relay. Returns NULL if there is none for the worker. The
--- a/src/fleet/relay_msg.c
+++ b/src/fleet/relay_msg.c
@@ -138,6 +138,22 @@
 	return out;
 }
 
+enum traffic_purpose relay_purpose(enum relay_kind kind)
+{
+	switch (kind) {
+	case RELAY_START:
+		return TRAFFIC_STARTS;
+	case RELAY_STOP:
+	case RELAY_PACE:
+		return TRAFFIC_COMMANDS;
+	case RELAY_POLL:
+		return TRAFFIC_REPORTS;
+	case RELAY_PING:
+		break;
+	}
+	return TRAFFIC_RELAYS;
+}
+
 uint8_t *relay_pack_call(void *ctx, const struct relay_call *call, size_t *len)
 {
 	msgpack_sbuffer buf;
--- a/src/fleet/relay_msg.h
+++ b/src/fleet/relay_msg.h
@@ -7,6 +7,7 @@
 #define RELAY_MSG_H
 
 #include "fleet/wkr.h"
+#include "transport/traffic.h"
 
 /* RELAY_PING is answered at once, without a call. */
 enum relay_kind {
@@ -17,6 +18,9 @@
 	RELAY_PING,
 };
 
+/* As what messages of the kind are counted. */
+enum traffic_purpose relay_purpose(enum relay_kind kind);
+
 /* A call of struct wkr_ops. Strings are valid as long as their message. */
 struct relay_call {
 	uint64_t id; /* echoed in the answer */
--- a/src/fleet/relay_server.c
+++ b/src/fleet/relay_server.c
@@ -22,6 +22,7 @@
 	const struct clk *clk;
 	struct lnk_srv *srv;
 	int64_t dropped;
+	struct traffic traffic;
 };
 
 /* A connected owner. */
@@ -43,14 +44,17 @@
 	struct running *next;
 	struct running **prev_next;
 	uint64_t id;
+	enum relay_kind kind;
 };
 
-static struct running *new_running(struct peer *p, uint64_t id)
+static struct running *new_running(struct peer *p,
+				   const struct relay_call *call)
 {
 	struct running *run = calloc(1, sizeof(*run));
 
 	run->peer = p;
-	run->id = id;
+	run->id = call->id;
+	run->kind = call->kind;
 	run->next = p->running;
 	run->prev_next = &p->running;
 	if (run->next)
@@ -72,6 +76,8 @@
 		answer->id = run->id;
 		data = relay_pack_answer(run->peer, answer, &len);
 		lnk_send(run->peer->link, data, len);
+		traffic_sent(&run->peer->server->traffic,
+			     relay_purpose(run->kind), LNK_HEADER_BYTES + len);
 		talloc_free(data);
 	}
 	free(run);
@@ -148,7 +154,7 @@
 static bool carry_out(struct peer *p, const struct relay_call *call)
 {
 	const struct wkr *wkr = &p->server->wkr;
-	struct running *run = new_running(p, call->id);
+	struct running *run = new_running(p, call);
 
 	if (call->payload)
 		relay_payloads_add(&p->payloads, call->ref.job, call->payload);
@@ -197,6 +203,15 @@
 	lnk_set_user(link, p);
 }
 
+static void close_invalid(struct lnk *link, size_t len)
+{
+	log_event(
+		LOG_BAD_ANSWER,
+		"bytes=%zu why=\"invalid call of an owner; closing its link\"",
+		len);
+	lnk_close(link);
+}
+
 static void on_frame(struct lnk *link, const uint8_t *data, size_t len,
 		     void *priv)
 {
@@ -205,13 +220,15 @@
 	struct relay_call call;
 
 	(void)priv;
-	if (!relay_unpack_call(tmp, data, len, &call) || !carry_out(p, &call)) {
-		log_event(LOG_BAD_ANSWER,
-			  "bytes=%zu why=\"invalid call of an owner; closing "
-			  "its link\"",
-			  len);
-		lnk_close(link);
+	if (!relay_unpack_call(tmp, data, len, &call)) {
+		close_invalid(link, len);
+		talloc_free(tmp);
+		return;
 	}
+	traffic_received(&p->server->traffic, relay_purpose(call.kind),
+			 LNK_HEADER_BYTES + len);
+	if (!carry_out(p, &call))
+		close_invalid(link, len);
 	talloc_free(tmp);
 }
 
@@ -239,6 +256,11 @@
 	return s;
 }
 
+const struct traffic *relay_server_traffic(const struct relay_server *s)
+{
+	return &s->traffic;
+}
+
 int64_t relay_server_dropped(const struct relay_server *s)
 {
 	return s->dropped;
--- a/src/fleet/relay_server.h
+++ b/src/fleet/relay_server.h
@@ -11,6 +11,7 @@
 #include "base/clk.h"
 #include "base/err.h"
 #include "fleet/wkr.h"
+#include "transport/traffic.h"
 
 struct relay_server;
 
@@ -23,5 +24,7 @@
 
 /* Returns the number of calls that were dropped since they were late. */
 int64_t relay_server_dropped(const struct relay_server *s);
+/* What was exchanged with owners; valid as long as the server. */
+const struct traffic *relay_server_traffic(const struct relay_server *s);
 
 #endif
--- a/src/transport/htc.c
+++ b/src/transport/htc.c
@@ -17,12 +17,17 @@
 #define KEEPALIVE_IDLE_S 2L
 #define KEEPALIVE_INTERVAL_S 1L
 #define REQUEST_ID_MAX 128
+/* Versions of libcurl before this one count a body that goes out with the
+ * headers, which are those of less than 64 KiB, in CURLINFO_REQUEST_SIZE. */
+#define VERSION_SIZE_WITHOUT_BODY 0x080700
+#define BODY_WITH_HEADERS_MAX (64 << 10)
 
 struct htc {
 	struct tevent_context *ev;
 	struct tmr_set *timers;
 	struct tmr *timer; /* libcurl's timeout; NULL: none */
 	CURLM *multi;
+	struct traffic traffic;
 	const char *source; /* local address; "": any */
 	CURL *spare_easy[64]; /* handles kept for reuse */
 	int n_spare_easy;
@@ -41,6 +46,7 @@
 	CURL *easy;
 	struct curl_slist *headers;
 	htc_done done;
+	enum traffic_purpose purpose;
 	bool (*may_send)(void *priv);
 	bool sent; /* the first byte may have been sent */
 	void *priv;
@@ -157,6 +163,42 @@
 	c->spare_easy[c->n_spare_easy++] = easy;
 }
 
+static int64_t bytes_sent(CURL *easy)
+{
+	curl_off_t body = 0;
+	long request = 0;
+
+	curl_easy_getinfo(easy, CURLINFO_REQUEST_SIZE, &request);
+	curl_easy_getinfo(easy, CURLINFO_SIZE_UPLOAD_T, &body);
+	if (curl_version_info(CURLVERSION_NOW)->version_num <
+		    VERSION_SIZE_WITHOUT_BODY &&
+	    body < BODY_WITH_HEADERS_MAX)
+		return request;
+	return request + body;
+}
+
+static void count_traffic(const struct transfer *t, CURLcode code)
+{
+	struct traffic *traffic = &t->client->traffic;
+	curl_off_t body = 0;
+	long headers = 0;
+
+	if (!t->sent)
+		return;
+	traffic_sent(traffic, t->purpose, bytes_sent(t->easy));
+	curl_easy_getinfo(t->easy, CURLINFO_HEADER_SIZE, &headers);
+	curl_easy_getinfo(t->easy, CURLINFO_SIZE_DOWNLOAD_T, &body);
+	if (code == CURLE_OK)
+		traffic_received(traffic, t->purpose, headers + body);
+	else
+		traffic_received_part(traffic, t->purpose, headers + body);
+}
+
+const struct traffic *htc_traffic(const struct htc *c)
+{
+	return &c->traffic;
+}
+
 static void finish_transfer(struct transfer *t, CURLcode code)
 {
 	struct htc_response resp = {
@@ -170,6 +212,7 @@
 
 	TALLOC_FREE(t->idle_timer);
 	curl_easy_getinfo(t->easy, CURLINFO_RESPONSE_CODE, &resp.status);
+	count_traffic(t, code);
 	curl_multi_remove_handle(t->client->multi, t->easy);
 	curl_slist_free_all(t->headers);
 	release_easy(t->client, t->easy);
@@ -342,6 +385,7 @@
 	t->client = c;
 	t->easy = easy;
 	t->done = done;
+	t->purpose = req->purpose;
 	t->priv = priv;
 	t->headers = build_headers(req);
 	curl_easy_setopt(easy, CURLOPT_URL, req->url);
--- a/src/transport/htc.h
+++ b/src/transport/htc.h
@@ -7,6 +7,8 @@
 #include <stdint.h>
 #include <tevent.h>
 
+#include "transport/traffic.h"
+
 struct htc;
 
 enum htc_result {
@@ -33,6 +35,7 @@
 	const void *body;
 	size_t body_len;
 	const char *headers[4]; /* "Name: value"; a NULL ends the list */
+	enum traffic_purpose purpose; /* as which its bytes are counted */
 	int64_t timeout_ms;
 	/* > 0: the request is also given up if nothing of the response arrives
 	 * for this long, as by `timeout_ms`. */
@@ -65,4 +68,10 @@
 void htc_send(struct htc *c, const struct htc_request *req, htc_done done,
 	      void *priv);
 
+/*
+ * What requests that ended have sent and received: headers and bodies, without
+ * the framing of chunks, TCP and IP. Valid as long as the client.
+ */
+const struct traffic *htc_traffic(const struct htc *c);
+
 #endif
--- a/src/transport/lnk.c
+++ b/src/transport/lnk.c
@@ -11,7 +11,6 @@
 #include <talloc.h>
 #include <unistd.h>
 
-#define HEADER_BYTES 4
 #define READ_CHUNK_BYTES (64u << 10)
 #define LISTEN_BACKLOG 256
 
@@ -96,20 +95,20 @@
 
 static void deliver_frames(struct lnk *l)
 {
-	while (!l->closing && l->in.end - l->in.start >= HEADER_BYTES) {
+	while (!l->closing && l->in.end - l->in.start >= LNK_HEADER_BYTES) {
 		uint32_t len;
 		const uint8_t *at = l->in.data + l->in.start;
 
-		memcpy(&len, at, HEADER_BYTES);
+		memcpy(&len, at, LNK_HEADER_BYTES);
 		len = ntohl(len);
 		if (len > LNK_FRAME_MAX) {
 			lnk_close(l);
 			return;
 		}
-		if (l->in.end - l->in.start < HEADER_BYTES + len)
+		if (l->in.end - l->in.start < LNK_HEADER_BYTES + len)
 			return;
-		l->in.start += HEADER_BYTES + len;
-		l->ops->frame(l, at + HEADER_BYTES, len, l->priv);
+		l->in.start += LNK_HEADER_BYTES + len;
+		l->ops->frame(l, at + LNK_HEADER_BYTES, len, l->priv);
 	}
 }
 
@@ -317,10 +316,10 @@
 		lnk_close(l);
 		return false;
 	}
-	buf_reserve(l, &l->out, HEADER_BYTES + len);
-	memcpy(l->out.data + l->out.end, &header, HEADER_BYTES);
-	memcpy(l->out.data + l->out.end + HEADER_BYTES, data, len);
-	l->out.end += HEADER_BYTES + len;
+	buf_reserve(l, &l->out, LNK_HEADER_BYTES + len);
+	memcpy(l->out.data + l->out.end, &header, LNK_HEADER_BYTES);
+	memcpy(l->out.data + l->out.end + LNK_HEADER_BYTES, data, len);
+	l->out.end += LNK_HEADER_BYTES + len;
 	if (l->connected && !l->flushing) {
 		l->flushing = true;
 		tevent_schedule_immediate(l->im, l->ev, flush, l);
--- a/src/transport/lnk.h
+++ b/src/transport/lnk.h
@@ -12,6 +12,8 @@
 
 /* Most bytes of payload in a frame, sent or received. */
 #define LNK_FRAME_MAX (4u << 20)
+/* Bytes of a frame beside its payload. */
+#define LNK_HEADER_BYTES 4
 /* A link with more unsent bytes than this is closed. */
 #define LNK_BACKLOG_MAX (32u << 20)
 
--- a/tests/http_tests.c
+++ b/tests/http_tests.c
@@ -14,9 +14,12 @@
 #define PIECES 8
 #define IDLE_MS 300
 
-/* Answers one request: `pieces` pieces of the PIECES announced, `gap_ms` after
- * each other. */
+/* Answers one request with a body of `body_len` bytes: `pieces` pieces of the
+ * PIECES announced, `gap_ms` after each other. */
 struct server {
+	size_t body_len;
+	int64_t received; /* bytes, as the next */
+	int64_t sent;
 	int fd;
 	int port;
 	int pieces;
@@ -24,6 +27,22 @@
 	pthread_t thread;
 };
 
+static void receive(struct server *s, int fd)
+{
+	g_autoptr(GString) all = g_string_new(NULL);
+	char text[4096];
+	const char *end = NULL;
+
+	while (!end || all->len < (size_t)(end + 4 - all->str) + s->body_len) {
+		ssize_t n = read(fd, text, sizeof(text));
+
+		g_assert_cmpint(n, >, 0);
+		g_string_append_len(all, text, n);
+		end = strstr(all->str, "\r\n\r\n");
+	}
+	s->received = (int64_t)all->len;
+}
+
 static void *serve(void *priv)
 {
 	struct server *s = priv;
@@ -31,10 +50,11 @@
 	int fd = accept(s->fd, NULL, NULL);
 	int n;
 
-	g_assert_cmpint(read(fd, text, sizeof(text)), >, 0);
+	receive(s, fd);
 	n = g_snprintf(text, sizeof(text),
 		       "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", PIECES);
 	g_assert_cmpint(write(fd, text, (size_t)n), ==, n);
+	s->sent = n + s->pieces;
 	for (int i = 0; i < s->pieces; i++) {
 		g_usleep((gulong)s->gap_ms * 1000);
 		g_assert_cmpint(write(fd, "x", 1), ==, 1);
@@ -65,6 +85,7 @@
 	enum htc_result result;
 	bool timed_out;
 	size_t len;
+	struct traffic traffic;
 };
 
 static void on_done(const struct htc_response *resp, void *priv)
@@ -82,6 +103,7 @@
 {
 	struct tevent_context *ev = tevent_context_init(NULL);
 	struct htc *http = htc_start(ev, ev, NULL);
+	char *body = g_strnfill(s->body_len, 'b');
 	char *url;
 	struct outcome o = { 0 };
 	int64_t began_ms = clk_mono_ms(&clk_system);
@@ -89,13 +111,18 @@
 	server_start(s);
 	url = talloc_asprintf(ev, "http://127.0.0.1:%d/", s->port);
 	htc_send(http,
-		 &(struct htc_request){ .method = "GET",
+		 &(struct htc_request){ .method = s->body_len ? "POST" : "GET",
 					.url = url,
+					.body = body,
+					.body_len = s->body_len,
+					.purpose = TRAFFIC_STARTS,
 					.timeout_ms = 10000,
 					.idle_ms = IDLE_MS },
 		 on_done, &o);
 	while (!o.done)
 		tevent_loop_once(ev);
+	o.traffic = *htc_traffic(http);
+	g_free(body);
 	*took_ms = clk_mono_ms(&clk_system) - began_ms;
 	talloc_free(ev);
 	pthread_join(s->thread, NULL);
@@ -132,8 +159,33 @@
 	g_assert_cmpint(took_ms, <, 10 * IDLE_MS);
 }
 
+/*
+ * Guards against figures that leave out the headers or count a body twice:
+ * libcurl counts small bodies with the headers, and large ones apart. The small
+ * one goes out with the headers, the large one after them.
+ */
+static void test_counted_bytes(void)
+{
+	static const size_t lens[] = { 0, 1000, 200000 };
+	int64_t took_ms;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(lens); i++) {
+		struct server s = { .body_len = lens[i], .pieces = PIECES };
+		struct outcome o = request(&s, &took_ms);
+		const struct traffic_sum *out = &o.traffic.out[TRAFFIC_STARTS];
+		const struct traffic_sum *in = &o.traffic.in[TRAFFIC_STARTS];
+
+		g_assert_cmpint(out->bytes, ==, s.received);
+		g_assert_cmpint(out->calls, ==, 1);
+		g_assert_cmpint(in->bytes, ==, s.sent);
+		g_assert_cmpint(in->calls, ==, 1);
+		g_assert_cmpint(o.traffic.out[TRAFFIC_OTHER].bytes, ==, 0);
+	}
+}
+
 void http_tests_add(void)
 {
+	g_test_add_func("/http/counted-bytes", test_counted_bytes);
 	g_test_add_func("/http/slow-answer", test_slow_answer);
 	g_test_add_func("/http/stuck-answer", test_stuck_answer);
 }
--- a/tests/unit_relay.c
+++ b/tests/unit_relay.c
@@ -289,6 +289,30 @@
 	g_assert_cmpint(r->answered, ==, 1);
 }
 
+/* Both ends count the same calls, each under its purpose: the figures of a
+ * narrow link are otherwise blamed on the wrong messages. */
+static void check_traffic(void)
+{
+	const struct traffic *owner = relay_client_traffic(fx->client);
+	const struct traffic *relay = relay_server_traffic(fx->server);
+	static const enum traffic_purpose used[] = { TRAFFIC_STARTS,
+						     TRAFFIC_REPORTS };
+
+	g_assert_cmpint(owner->out[TRAFFIC_STARTS].calls, ==, 3);
+	g_assert_cmpint(owner->out[TRAFFIC_REPORTS].calls, ==, 1);
+	for (size_t i = 0; i < G_N_ELEMENTS(used); i++) {
+		const struct traffic_sum *sent = &owner->out[used[i]];
+		const struct traffic_sum *answered = &owner->in[used[i]];
+
+		g_assert_cmpint(sent->bytes, >, LNK_HEADER_BYTES);
+		g_assert_cmpint(sent->bytes, ==, relay->in[used[i]].bytes);
+		g_assert_cmpint(sent->calls, ==, relay->in[used[i]].calls);
+		g_assert_cmpint(answered->bytes, ==, relay->out[used[i]].bytes);
+		g_assert_cmpint(answered->calls, ==, sent->calls);
+	}
+	g_assert_cmpint(owner->out[TRAFFIC_COMMANDS].bytes, ==, 0);
+}
+
 static void test_calls(void)
 {
 	struct result r;
@@ -317,6 +341,7 @@
 	send_poll("e", &r);
 	await(&r);
 	g_assert_cmpint(fx->direct, ==, 1);
+	check_traffic();
 	relay_fixture_close();
 }
 
