--- a/src/coordination/sched.h
+++ b/src/coordination/sched.h
@@ -182,6 +182,11 @@
 /* Returns about how many bytes it takes to send a start command of the step. */
 int64_t sched_start_bytes(const struct sched *s, const struct sched_step *step);
 
+/* Returns a negative number if the first start, of two that wait to be sent to
+ * one worker, goes before the second, a positive one if it goes behind it. */
+int sched_compare_starts(struct sched *s, const struct sched_ref *a,
+			 const struct sched_ref *b, int64_t now_ms);
+
 /* Returns whether the job is done, failed or cancelled. */
 bool sched_job_has_ended(const struct sched_job *job);
 
--- a/src/coordination/sched_rank.c
+++ b/src/coordination/sched_rank.c
@@ -193,3 +193,21 @@
 const struct sched_rank_policy sched_rank_by_latest_start = {
 	"latest-start", compare_by_latest_start
 };
+
+int sched_compare_starts(struct sched *s, const struct sched_ref *a,
+			 const struct sched_ref *b, int64_t now_ms)
+{
+	const struct sched_task *x = sched_find_task(s, a);
+	const struct sched_task *y = sched_find_task(s, b);
+	struct sched_rank x_rank;
+	struct sched_rank y_rank;
+
+	/* One that is not wanted any more takes no time. */
+	if (!x || !y)
+		return (x ? 1 : 0) - (y ? 1 : 0);
+	if (x->step == y->step)
+		return 0;
+	x_rank = sched_rank_step(s, x->step, now_ms);
+	y_rank = sched_rank_step(s, y->step, now_ms);
+	return s->rank_policy->compare(&x_rank, &y_rank);
+}
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -330,7 +330,10 @@
 	text = add_metric(text, "gd_given_up_total", s->counts.given_up);
 	text = add_metric(text, "gd_looks_total", links->polls);
 	text = add_metric(text, "gd_looks_failed_total", links->polls_failed);
-	return add_metric(text, "gd_orders_total", links->commands);
+	text = add_metric(text, "gd_orders_total", links->commands);
+	text = add_metric(text, "gd_starts_lost_total", links->starts_lost);
+	text = add_metric(text, "gd_start_window_milli", links->window_milli);
+	return add_metric(text, "gd_start_queue_ms", links->window_queue_ms);
 }
 
 static char *add_relay_metrics(char *text, const struct fleet *f)
--- a/src/fleet/wkr_commands.c
+++ b/src/fleet/wkr_commands.c
@@ -1,10 +1,13 @@
-/* Queues commands to workers and sends them, a few at a time to each. */
+/* Queues commands to workers and sends them, a few at a time to each. Stops and
+ * changes of pace never wait for starts. */
 #include <stdlib.h>
 
 #include "fleet/wkr_links_int.h"
 
-/* Commands in flight to one worker. Each takes a connection. */
-#define COMMANDS_IN_FLIGHT_MAX 3
+/* Starts in flight to one worker, and other commands. Each takes a connection.
+ */
+#define STARTS_IN_FLIGHT_MAX 3
+#define COMMANDS_IN_FLIGHT_MAX 2
 
 struct command {
 	enum wkr_command_kind kind;
@@ -15,18 +18,27 @@
 
 static void send_queued(struct wkr_link *wl);
 
-void wkr_links_count_start(struct wkr_links *links, int64_t bytes, int sign)
+static void remove_start(struct wkr_links *links, const struct command *cmd)
 {
-	if (!bytes)
-		return;
-	links->starts.bytes += sign * bytes;
-	links->starts.commands += sign;
+	if (cmd->start_bytes)
+		start_window_remove(&links->window, cmd->start_bytes);
 }
 
-static void command_ended(struct wkr_link *wl)
+/* Tells the window what became of a start that was sent. */
+static void note_answer(struct wkr_link *wl, const struct wkr_call *c,
+			enum sched_start_result res)
 {
-	wl->commands_in_flight--;
-	send_queued(wl);
+	struct wkr_links *links = wl->links;
+	const struct sched_worker *w = wkr_link_worker(wl);
+	bool lost = res == SCHED_START_UNKNOWN || res == SCHED_START_NOT_SENT ||
+		    res == SCHED_START_TOO_LATE;
+
+	start_window_answered(&links->window, &c->start_sent,
+			      w ? w->row.domain : "", lost,
+			      wkr_links_now_ms(links));
+	links->counts.starts_lost += lost;
+	links->counts.window_milli = links->window.scale_milli;
+	links->counts.window_queue_ms = links->window.last_queue_ms;
 }
 
 static void on_start_answer(enum sched_start_result res, void *priv)
@@ -35,11 +47,13 @@
 	struct wkr_link *wl = wkr_call_finish(c);
 
 	if (wl) {
+		wl->starts_in_flight--;
+		note_answer(wl, c, res);
 		sched_start_answered(wl->links->sched, &c->ref, wl->id, res,
 				     wkr_links_now_ms(wl->links));
 		if (res != SCHED_START_OK || wl->links->sched->starts_held)
 			wl->links->ops->changed(NULL, wl->links->priv);
-		command_ended(wl);
+		send_queued(wl);
 	}
 	free(c);
 }
@@ -56,7 +70,8 @@
 					    wkr_links_now_ms(wl->links));
 		else if (!answered)
 			sched_pace_failed(wl->links->sched, &c->ref, wl->id);
-		command_ended(wl);
+		wl->commands_in_flight--;
+		send_queued(wl);
 	}
 	free(c);
 }
@@ -73,7 +88,7 @@
 	if (w->unreachable ||
 	    !sched_start_args(links->sched, &cmd->ref, wl->id, &start.payload,
 			      &start.checkpoint, &start.ticket)) {
-		wkr_links_count_start(links, cmd->start_bytes, -1);
+		remove_start(links, cmd);
 		sched_start_answered(links->sched, &cmd->ref, wl->id,
 				     SCHED_START_FENCED,
 				     wkr_links_now_ms(links));
@@ -84,7 +99,8 @@
 	c->ref = cmd->ref;
 	c->start_bytes = cmd->start_bytes;
 	to.lease_end_clock_ms = sched_lease_end(links->sched, w, c->sent_ms);
-	wl->commands_in_flight++;
+	c->start_sent = start_window_send(&links->window, c->sent_ms);
+	wl->starts_in_flight++;
 	links->counts.commands++;
 	links->wkr.ops->start(links->wkr.self, &to, &start, on_start_answer, c);
 }
@@ -113,23 +129,54 @@
 				     cmd->percent, on_ack, c);
 }
 
+/* Returns NULL if nothing is queued, or as much as may be is in flight. */
+static struct command *next_command(struct wkr_link *wl)
+{
+	if (wl->commands.length &&
+	    wl->commands_in_flight < COMMANDS_IN_FLIGHT_MAX)
+		return g_queue_pop_head(&wl->commands);
+	if (wl->starts_in_flight >= STARTS_IN_FLIGHT_MAX)
+		return NULL;
+	return g_queue_pop_head(&wl->starts);
+}
+
 static void send_queued(struct wkr_link *wl)
 {
 	struct wkr_links *links = wl->links;
+	struct command *cmd;
 
-	while (wl->commands_in_flight < COMMANDS_IN_FLIGHT_MAX &&
-	       wl->commands.length) {
-		struct command *cmd = g_queue_pop_head(&wl->commands);
+	while ((cmd = next_command(wl))) {
 		struct sched_worker *w = wkr_link_worker(wl);
 
 		if (w && !links->quiesced)
 			send_command(wl, w, cmd);
 		else
-			wkr_links_count_start(links, cmd->start_bytes, -1);
+			remove_start(links, cmd);
 		free(cmd);
 	}
 }
 
+/* Passes start tasks in the order of their ranks, so that most go to the end. A
+ * more urgent one of a later pass goes before those that wait here. */
+static void queue_start(struct wkr_link *wl, struct command *cmd)
+{
+	int64_t now_ms = wkr_links_now_ms(wl->links);
+	GList *after = wl->starts.tail;
+
+	while (after) {
+		const struct command *other = after->data;
+
+		if (sched_compare_starts(wl->links->sched, &other->ref,
+					 &cmd->ref, now_ms) <= 0)
+			break;
+		after = after->prev;
+	}
+	if (after)
+		g_queue_insert_after(&wl->starts, after, cmd);
+	else
+		g_queue_push_head(&wl->starts, cmd);
+}
+
 static void queue_command(struct wkr_links *links, const char *worker,
 			  const struct sched_ref *ref,
 			  enum wkr_command_kind kind, int32_t percent,
@@ -142,17 +189,18 @@
 	cmd->ref = *ref;
 	cmd->percent = percent;
 	cmd->start_bytes = start_bytes;
-	wkr_links_count_start(links, start_bytes, 1);
-	g_queue_push_tail(&wl->commands, cmd);
+	if (kind == WKR_CMD_START) {
+		start_window_add(&links->window, start_bytes);
+		queue_start(wl, cmd);
+	} else {
+		g_queue_push_tail(&wl->commands, cmd);
+	}
 	send_queued(wl);
 }
 
-struct sched_start_room wkr_links_start_room(const struct wkr_links *links)
+struct sched_start_room wkr_links_start_room(struct wkr_links *links)
 {
-	return (struct sched_start_room){
-		.bytes = links->window.bytes - links->starts.bytes,
-		.commands = links->window.commands - links->starts.commands,
-	};
+	return start_window_room(&links->window, wkr_links_now_ms(links));
 }
 
 void wkr_links_start_task(struct wkr_links *links, const char *worker,
--- a/src/fleet/wkr_links.c
+++ b/src/fleet/wkr_links.c
@@ -41,8 +41,8 @@
 /* Polls of one worker whose answers are late, at most: each adds to the load of
  * a slow link. */
 #define LATE_POLLS_MAX 2
-/* Start commands may be in flight or queued for as long as the link, or the
- * processor, takes for them, in ms: those behind them would time out. */
+/* At first, start commands may be in flight or queued for as long as the link,
+ * or the processor, takes for them, in ms. start_window.c changes that. */
 #define START_WINDOW_MS 100
 /* Calls that a full core makes in one ms, roughly. */
 #define CALLS_PER_CORE_MS 10
@@ -79,7 +79,8 @@
 	*c->prev_next = c->next;
 	if (c->next)
 		c->next->prev_next = c->prev_next;
-	wkr_links_count_start(wl->links, c->start_bytes, -1);
+	if (c->start_bytes)
+		start_window_remove(&wl->links->window, c->start_bytes);
 	return wl;
 }
 
@@ -99,12 +100,15 @@
 		TALLOC_FREE(wl->poll_timer);
 		TALLOC_FREE(wl->ack_timer);
 		g_queue_clear_full(&wl->commands, free);
+		g_queue_clear_full(&wl->starts, free);
 	}
 	g_hash_table_destroy(links->table);
+	start_window_finish(&links->window);
 	return 0;
 }
 
-static struct sched_start_room window_of(const struct wkr_capacity *capacity)
+static struct sched_start_room
+initial_window(const struct wkr_capacity *capacity)
 {
 	struct sched_start_room w = { INT64_MAX, INT64_MAX };
 
@@ -123,6 +127,7 @@
 				  const struct wkr_capacity *capacity,
 				  const struct wkr_links_ops *ops, void *priv)
 {
+	struct sched_start_room window = initial_window(capacity);
 	struct wkr_links *links = talloc_zero(ctx, struct wkr_links);
 
 	links->sched = sched;
@@ -131,7 +136,8 @@
 	links->clk = clk;
 	links->ops = ops;
 	links->priv = priv;
-	links->window = window_of(capacity);
+	start_window_init(&links->window, &window);
+	links->counts.window_milli = links->window.scale_milli;
 	links->table = g_hash_table_new(g_str_hash, g_str_equal);
 	talloc_set_destructor(links, wkr_links_destructor);
 	return links;
@@ -147,6 +153,7 @@
 	wl->links = links;
 	snprintf(wl->id, sizeof(wl->id), "%s", id);
 	g_queue_init(&wl->commands);
+	g_queue_init(&wl->starts);
 	g_hash_table_insert(links->table, wl->id, wl);
 	return wl;
 }
--- a/src/fleet/wkr_links.h
+++ b/src/fleet/wkr_links.h
@@ -48,8 +48,8 @@
  * Returns what start commands may be added now. More would wait for the link or
  * the processor, and time out. Not above 0 if there are too many already.
  */
-struct sched_start_room wkr_links_start_room(const struct wkr_links *links);
-/* `bytes`: what the command takes of that, see sched_start_bytes(). */
+struct sched_start_room wkr_links_start_room(struct wkr_links *links);
+/* `bytes`: what the command takes of that, see sched_start_bytes(); not 0. */
 void wkr_links_start_task(struct wkr_links *links, const char *worker,
 			  const struct sched_ref *ref, int64_t bytes);
 void wkr_links_stop_task(struct wkr_links *links, const char *worker,
@@ -67,6 +67,11 @@
 	int64_t polls;
 	int64_t polls_failed; /* without a usable answer */
 	int64_t commands;
+	int64_t starts_lost; /* sent, and not answered or too late */
+	/* Of the window of starts: size relative to the initial one, in
+	 * thousandths, and the queue by which it was last changed, in ms. */
+	int64_t window_milli;
+	int64_t window_queue_ms;
 };
 
 const struct wkr_links_counts *wkr_links_counts(const struct wkr_links *links);
--- a/src/fleet/wkr_links_int.h
+++ b/src/fleet/wkr_links_int.h
@@ -2,6 +2,7 @@
 #ifndef WKR_LINKS_INT_H
 #define WKR_LINKS_INT_H
 
+#include "fleet/start_window.h"
 #include "fleet/wkr_links.h"
 
 enum wkr_command_kind { WKR_CMD_START, WKR_CMD_STOP, WKR_CMD_PACE };
@@ -12,8 +13,12 @@
 	char id[SCHED_ID_MAX];
 	struct tmr *poll_timer;
 	struct tmr *ack_timer;
-	GQueue commands; /* struct command of wkr_commands.c, not sent yet */
+	/* struct command of wkr_commands.c, not sent yet; stops and changes of
+	 * pace, and starts in the order of their ranks. */
+	GQueue commands;
+	GQueue starts;
 	int32_t commands_in_flight;
+	int32_t starts_in_flight;
 	int32_t polls_in_flight; /* without the late ones */
 	int32_t late_polls;
 	int64_t poll_fence; /* highest fence token of the polls in flight */
@@ -32,9 +37,7 @@
 	GHashTable *table; /* worker id to struct wkr_link */
 	bool enabled;
 	bool quiesced;
-	struct sched_start_room window;
-	/* Start commands that are queued or in flight. */
-	struct sched_start_room starts;
+	struct start_window window;
 	struct wkr_links_counts counts;
 	struct wkr_call *calls; /* in flight */
 };
@@ -49,6 +52,7 @@
 	struct sched_ref ref;
 	enum wkr_command_kind kind;
 	int64_t start_bytes; /* for WKR_CMD_START; else 0 */
+	struct start_window_sent start_sent;
 	int64_t sent_ms;
 	int64_t fence;
 	int64_t acked_seq; /* as in struct sched_report */
@@ -66,7 +70,5 @@
 /* Returns the link that made the call, or NULL if the links are gone. The
  * caller frees the call. */
 struct wkr_link *wkr_call_finish(struct wkr_call *c);
-/* Adds a start command to the window (`sign` 1) or removes it (-1). */
-void wkr_links_count_start(struct wkr_links *links, int64_t bytes, int sign);
 
 #endif
--- a/tests/unit.h
+++ b/tests/unit.h
@@ -38,6 +38,7 @@
 void unit_add_odd_list(void);
 void unit_add_owner_age(void);
 void unit_add_starts(void);
+void unit_add_start_window(void);
 void unit_add_state(void);
 void unit_add_upkeep(void);
 void unit_add_wait(void);
--- a/tests/unit_tests.c
+++ b/tests/unit_tests.c
@@ -45,6 +45,7 @@
 	unit_add_lives();
 	unit_add_stale();
 	unit_add_starts();
+	unit_add_start_window();
 	unit_add_state();
 	unit_add_odd();
 	unit_add_odd_list();
