--- a/src/fleet/relay_client.c
+++ b/src/fleet/relay_client.c
@@ -46,7 +46,8 @@
 	int64_t retry_ms; /* not tried before */
 	int64_t failed_ms; /* unreachable since then; 0: it is not */
 	int64_t version; /* of its row */
-	struct relay_payloads payloads; /* valid with a link */
+	struct relay_payloads payloads; /* valid with a link, as the next */
+	struct relay_reports reports;
 	GHashTable *calls; /* id to struct pending */
 };
 
@@ -80,20 +81,47 @@
 		  r->row.domain);
 }
 
+/* Returns the report that the answer holds or stands for; NULL with `*fits`
+ * unset if its base is not the one that is kept here. */
+static const struct sched_report *take_report(struct relay *r, void *ctx,
+					      const struct pending *call,
+					      const struct relay_answer *answer,
+					      bool *fits)
+{
+	const struct sched_report *report = answer->report;
+
+	if (answer->delta)
+		report = relay_reports_apply(ctx, &r->reports, call->worker,
+					     answer->delta);
+	*fits = report || !answer->delta;
+	if (report && answer->number)
+		relay_reports_keep(&r->reports, call->worker, answer->number,
+				   report);
+	return report;
+}
+
+static void close_invalid(struct relay *r, struct lnk *link, size_t len)
+{
+	log_event(
+		LOG_BAD_ANSWER,
+		"vm=%s bytes=%zu why=\"invalid answer of a relay; closing its "
+		"link\"",
+		r->row.vm, len);
+	lnk_close(link);
+}
+
 static void on_frame(struct lnk *link, const uint8_t *data, size_t len,
 		     void *priv)
 {
 	struct relay *r = priv;
 	void *tmp = talloc_new(NULL);
 	struct relay_answer answer;
+	const struct sched_report *report = NULL;
 	struct pending *call = NULL;
+	bool fits = true;
 
 	if (!relay_unpack_answer(tmp, data, len, &answer)) {
-		log_event(LOG_BAD_ANSWER,
-			  "vm=%s bytes=%zu why=\"invalid answer of a relay; "
-			  "closing its link\"",
-			  r->row.vm, len);
-		lnk_close(link);
+		close_invalid(r, link, len);
 		talloc_free(tmp);
 		return;
 	}
@@ -102,12 +130,16 @@
 	traffic_received(&r->client->traffic,
 			 relay_purpose(call ? call->kind : RELAY_PING),
 			 LNK_HEADER_BYTES + len);
-	if (call) {
+	if (call && call->kind == RELAY_POLL)
+		report = take_report(r, tmp, call, &answer, &fits);
+	if (!fits) {
+		close_invalid(r, link, len);
+	} else if (call) {
 		g_hash_table_steal(r->calls, &answer.id);
 		if (call->kind == RELAY_START)
 			call->started(answer.started, call->priv);
 		else if (call->kind == RELAY_POLL)
-			call->polled(answer.report, call->priv);
+			call->polled(report, call->priv);
 		else
 			call->answered(answer.answered, call->priv);
 		free(call);
@@ -134,6 +166,7 @@
 	if (!r->failed_ms)
 		r->failed_ms = now_ms(r->client);
 	relay_payloads_finish(&r->payloads);
+	relay_reports_finish(&r->reports);
 	g_hash_table_steal_all(r->calls);
 	for (GList *i = calls; i; i = i->next)
 		fail_call(i->data);
@@ -149,10 +182,12 @@
 	r->connecting_ms = now_ms(c);
 	r->link = lnk_connect(c, c->ev, c->self.ip, r->row.ip, r->row.port,
 			      &link_ops, r);
-	if (r->link)
+	if (r->link) {
 		relay_payloads_init(&r->payloads);
-	else
+		relay_reports_init(&r->reports);
+	} else {
 		r->retry_ms = now_ms(c) + RETRY_MS;
+	}
 }
 
 /* Returns a number by which the relay with the highest one is chosen for the
@@ -200,6 +235,7 @@
 	call->sent_ms = now_ms(r->client);
 	p->id = call->id;
 	p->kind = call->kind;
+	g_strlcpy(p->worker, call->to.id, sizeof(p->worker));
 	p->deadline_ms = call->sent_ms + call->to.timeout_ms + ANSWER_SLACK_MS;
 	g_hash_table_insert(r->calls, &p->id, p);
 	r->client->counts.relayed++;
@@ -232,6 +268,9 @@
 		call->payload = payload;
 		relay_payloads_add(&r->payloads, call->ref.job, "");
 	}
+	call->base = call->kind == RELAY_POLL
+			     ? relay_reports_number(&r->reports, call->to.id)
+			     : 0;
 	p = new_pending(r, call);
 	p->priv = priv;
 	send_call(r, call);
--- a/src/fleet/relay_int.h
+++ b/src/fleet/relay_int.h
@@ -11,6 +11,7 @@
 	uint64_t id;
 	enum relay_kind kind;
 	int64_t deadline_ms;
+	char worker[SCHED_ID_MAX];
 	wkr_start_cb started; /* the one of the kind is set */
 	wkr_ack_cb answered;
 	wkr_poll_cb polled;
--- a/src/fleet/relay_msg.c
+++ b/src/fleet/relay_msg.c
@@ -9,12 +9,17 @@
 
 /* Payloads kept for a connection: more jobs than are started at a time. */
 #define PAYLOADS_MAX 256
-/* Numbers of fields. */
+/* Numbers of fields; those of a call and of an answer without the ones that
+ * were added to the first release. */
 #define CALL_FIELDS 20
+#define CALL_FIELDS_ADDED 1
 #define ANSWER_FIELDS 4
+#define ANSWER_FIELDS_ADDED 2
 #define REPORT_FIELDS 4
 #define ACTIVE_FIELDS 8
 #define END_FIELDS 8
+#define DELTA_FIELDS 8
+#define CHANGE_FIELDS 4
 /* An answer, its report, the list of runs, and one of them. */
 #define DEPTH_MAX 4
 
@@ -161,7 +166,9 @@
 
 	msgpack_sbuffer_init(&buf);
 	msgpack_packer_init(&pk, &buf, msgpack_sbuffer_write);
-	msgpack_pack_array(&pk, CALL_FIELDS);
+	msgpack_pack_array(&pk, call->base < 0
+					? CALL_FIELDS
+					: CALL_FIELDS + CALL_FIELDS_ADDED);
 	msgpack_pack_int64(&pk, (int64_t)call->id);
 	msgpack_pack_int64(&pk, call->kind);
 	msgpack_pack_int64(&pk, call->sent_ms);
@@ -178,6 +185,8 @@
 	pack_text(&pk, call->payload);
 	pack_text(&pk, call->checkpoint);
 	pack_text(&pk, call->ticket);
+	if (call->base >= 0)
+		msgpack_pack_int64(&pk, call->base);
 	return take_buffer(ctx, &buf, len);
 }
 
@@ -209,18 +218,17 @@
 	out->payload = read_text(&r, ctx, true);
 	out->checkpoint = read_text(&r, ctx, true);
 	out->ticket = read_text(&r, ctx, true);
+	out->base = r.left ? read_int(&r, 0, INT64_MAX) : -1;
 	msgpack_unpacked_destroy(&msg);
 	return !r.bad;
 }
 
-static void pack_report(msgpack_packer *pk, const struct sched_report *report)
+static void pack_active(msgpack_packer *pk, const struct sched_active *rows,
+			int32_t n)
 {
-	msgpack_pack_array(pk, REPORT_FIELDS);
-	msgpack_pack_int64(pk, report->clock_ms);
-	msgpack_pack_int64(pk, report->born_ms);
-	msgpack_pack_array(pk, (size_t)report->n_active);
-	for (int32_t i = 0; i < report->n_active; i++) {
-		const struct sched_active *a = &report->active[i];
+	msgpack_pack_array(pk, (size_t)n);
+	for (int32_t i = 0; i < n; i++) {
+		const struct sched_active *a = &rows[i];
 
 		msgpack_pack_array(pk, ACTIVE_FIELDS);
 		pack_ref(pk, &a->ref);
@@ -228,9 +236,14 @@
 		msgpack_pack_int64(pk, a->percent);
 		msgpack_pack_int64(pk, a->gauge);
 	}
-	msgpack_pack_array(pk, (size_t)report->n_ends);
-	for (int32_t i = 0; i < report->n_ends; i++) {
-		const struct sched_end *e = &report->ends[i];
+}
+
+static void pack_ends(msgpack_packer *pk, const struct sched_end *rows,
+		      int32_t n)
+{
+	msgpack_pack_array(pk, (size_t)n);
+	for (int32_t i = 0; i < n; i++) {
+		const struct sched_end *e = &rows[i];
 
 		msgpack_pack_array(pk, END_FIELDS);
 		msgpack_pack_int64(pk, e->seq);
@@ -240,6 +253,42 @@
 	}
 }
 
+static void pack_removed(msgpack_packer *pk, const struct relay_moves *moves)
+{
+	msgpack_pack_array(pk, (size_t)moves->n_removed);
+	for (int32_t i = 0; i < moves->n_removed; i++)
+		msgpack_pack_int64(pk, moves->removed[i]);
+}
+
+static void pack_delta(msgpack_packer *pk, const struct relay_delta *d)
+{
+	msgpack_pack_array(pk, DELTA_FIELDS);
+	msgpack_pack_int64(pk, d->base);
+	msgpack_pack_int64(pk, d->clock_ms);
+	msgpack_pack_int64(pk, d->born_ms);
+	pack_removed(pk, &d->active_moves);
+	msgpack_pack_array(pk, (size_t)d->n_changed);
+	for (int32_t i = 0; i < d->n_changed; i++) {
+		msgpack_pack_array(pk, CHANGE_FIELDS);
+		msgpack_pack_int64(pk, d->changed[i].index);
+		msgpack_pack_int64(pk, d->changed[i].percent);
+		msgpack_pack_int64(pk, d->changed[i].gauge);
+		pack_text(pk, d->changed[i].checkpoint);
+	}
+	pack_active(pk, d->added_active, d->active_moves.n_added);
+	pack_removed(pk, &d->end_moves);
+	pack_ends(pk, d->added_ends, d->end_moves.n_added);
+}
+
+static void pack_report(msgpack_packer *pk, const struct sched_report *report)
+{
+	msgpack_pack_array(pk, REPORT_FIELDS);
+	msgpack_pack_int64(pk, report->clock_ms);
+	msgpack_pack_int64(pk, report->born_ms);
+	pack_active(pk, report->active, report->n_active);
+	pack_ends(pk, report->ends, report->n_ends);
+}
+
 uint8_t *relay_pack_answer(void *ctx, const struct relay_answer *answer,
 			   size_t *len)
 {
@@ -248,7 +297,9 @@
 
 	msgpack_sbuffer_init(&buf);
 	msgpack_packer_init(&pk, &buf, msgpack_sbuffer_write);
-	msgpack_pack_array(&pk, ANSWER_FIELDS);
+	msgpack_pack_array(&pk,
+			   ANSWER_FIELDS +
+				   (answer->number ? ANSWER_FIELDS_ADDED : 0));
 	msgpack_pack_int64(&pk, (int64_t)answer->id);
 	msgpack_pack_int64(&pk, answer->started);
 	msgpack_pack_int64(&pk, answer->answered);
@@ -256,6 +307,12 @@
 		pack_report(&pk, answer->report);
 	else
 		msgpack_pack_nil(&pk);
+	if (answer->number)
+		msgpack_pack_int64(&pk, answer->number);
+	if (answer->number && answer->delta)
+		pack_delta(&pk, answer->delta);
+	else if (answer->number)
+		msgpack_pack_nil(&pk);
 	return take_buffer(ctx, &buf, len);
 }
 
@@ -297,24 +354,87 @@
 	return o->via.array.ptr;
 }
 
+static struct sched_active *read_active_rows(struct reader *r, void *ctx,
+					     int32_t *n)
+{
+	const msgpack_object *rows = read_elements(r, n);
+	struct sched_active *out =
+		talloc_zero_array(ctx, struct sched_active, *n);
+
+	for (int32_t i = 0; i < *n; i++)
+		r->bad |= !read_active(&rows[i], &out[i]);
+	return out;
+}
+
+static struct sched_end *read_end_rows(struct reader *r, void *ctx, int32_t *n)
+{
+	const msgpack_object *rows = read_elements(r, n);
+	struct sched_end *out = talloc_zero_array(ctx, struct sched_end, *n);
+
+	for (int32_t i = 0; i < *n; i++)
+		r->bad |= !read_end(&rows[i], &out[i]);
+	return out;
+}
+
+static void read_removed(struct reader *r, void *ctx, struct relay_moves *moves)
+{
+	const msgpack_object *rows = read_elements(r, &moves->n_removed);
+	struct reader all = { rows, (uint32_t)moves->n_removed, false };
+
+	moves->removed = talloc_zero_array(ctx, int32_t, moves->n_removed);
+	for (int32_t i = 0; i < moves->n_removed; i++)
+		moves->removed[i] = (int32_t)read_int(&all, 0, INT32_MAX);
+	r->bad |= all.bad;
+}
+
+static void read_changes(struct reader *r, struct relay_delta *out)
+{
+	const msgpack_object *rows = read_elements(r, &out->n_changed);
+
+	out->changed =
+		talloc_zero_array(out, struct relay_change, out->n_changed);
+	for (int32_t i = 0; i < out->n_changed; i++) {
+		struct relay_change *c = &out->changed[i];
+		struct reader row = read_list(&rows[i], CHANGE_FIELDS);
+
+		c->index = (int32_t)read_int(&row, 0, INT32_MAX);
+		c->percent = (int32_t)read_int(&row, 0, 100);
+		c->gauge = read_int(&row, 0, INT64_MAX);
+		c->checkpoint = read_text(&row, out, true);
+		r->bad |= row.bad ||
+			  (c->checkpoint &&
+			   strlen(c->checkpoint) >= SCHED_CHECKPOINT_MAX);
+	}
+}
+
+/* Returns NULL if the difference is malformed. */
+static struct relay_delta *read_delta(void *ctx, const msgpack_object *o)
+{
+	struct reader r = read_list(o, DELTA_FIELDS);
+	struct relay_delta *out = talloc_zero(ctx, struct relay_delta);
+
+	out->base = read_int(&r, 1, INT64_MAX);
+	out->clock_ms = read_int(&r, 0, INT64_MAX);
+	out->born_ms = read_int(&r, 0, INT64_MAX);
+	read_removed(&r, out, &out->active_moves);
+	read_changes(&r, out);
+	out->added_active =
+		read_active_rows(&r, out, &out->active_moves.n_added);
+	read_removed(&r, out, &out->end_moves);
+	out->added_ends = read_end_rows(&r, out, &out->end_moves.n_added);
+	return r.bad ? NULL : out;
+}
+
 /* Returns NULL if the report is malformed. */
 static struct sched_report *read_report(void *ctx, const msgpack_object *o)
 {
 	struct reader r = read_list(o, REPORT_FIELDS);
 	struct sched_report *out = talloc_zero(ctx, struct sched_report);
-	const msgpack_object *rows;
 
 	out->clock_ms = read_int(&r, 0, INT64_MAX);
 	out->born_ms = read_int(&r, 0, INT64_MAX);
-	rows = read_elements(&r, &out->n_active);
-	out->active =
-		talloc_zero_array(out, struct sched_active, out->n_active);
-	for (int32_t i = 0; i < out->n_active; i++)
-		r.bad |= !read_active(&rows[i], &out->active[i]);
-	rows = read_elements(&r, &out->n_ends);
-	out->ends = talloc_zero_array(out, struct sched_end, out->n_ends);
-	for (int32_t i = 0; i < out->n_ends; i++)
-		r.bad |= !read_end(&rows[i], &out->ends[i]);
+	out->active = read_active_rows(&r, out, &out->n_active);
+	out->ends = read_end_rows(&r, out, &out->n_ends);
 	return r.bad ? NULL : out;
 }
 
@@ -322,6 +442,7 @@
 			 struct relay_answer *out)
 {
 	const msgpack_object *report;
+	const msgpack_object *delta = NULL;
 	msgpack_unpacked msg;
 	struct reader r = { .bad = true };
 
@@ -340,6 +461,14 @@
 		out->report = read_report(ctx, report);
 		r.bad |= !out->report;
 	}
+	if (r.left) {
+		out->number = read_int(&r, 0, INT64_MAX);
+		delta = next(&r);
+	}
+	if (delta && delta->type != MSGPACK_OBJECT_NIL) {
+		out->delta = read_delta(ctx, delta);
+		r.bad |= !out->delta;
+	}
 	msgpack_unpacked_destroy(&msg);
 	return !r.bad;
 }
--- a/src/fleet/relay_msg.h
+++ b/src/fleet/relay_msg.h
@@ -6,6 +6,7 @@
 #ifndef RELAY_MSG_H
 #define RELAY_MSG_H
 
+#include "fleet/relay_reports.h"
 #include "fleet/wkr.h"
 #include "transport/traffic.h"
 
@@ -36,6 +37,10 @@
 	const char *payload;
 	const char *checkpoint; /* NULL: none, as the next */
 	const char *ticket;
+	/* RELAY_POLL. Number of the worker's last report over this connection,
+	 * to which the answer may be a difference; 0: none; -1: the owner is of
+	 * a release without differences. */
+	int64_t base;
 };
 
 struct relay_answer {
@@ -43,6 +48,10 @@
 	enum sched_start_result started; /* RELAY_START */
 	bool answered; /* RELAY_STOP, RELAY_PACE */
 	const struct sched_report *report; /* RELAY_POLL; NULL: none */
+	/* RELAY_POLL. The number that a report has over this connection; 0: it
+	 * is none's base. */
+	int64_t number;
+	const struct relay_delta *delta; /* NULL, or in place of `report` */
 };
 
 /* Return the message, a talloc child of `ctx`. */
--- a/src/fleet/relay_server.c
+++ b/src/fleet/relay_server.c
@@ -30,6 +30,8 @@
 	struct relay_server *server;
 	struct lnk *link;
 	struct relay_payloads payloads;
+	struct relay_reports reports;
+	int64_t last_number; /* of a report */
 	struct running *running;
 	/* Least difference of our clock at arrival to the owner's at sending,
 	 * which includes the shortest way here; of this window and the last. */
@@ -45,6 +47,8 @@
 	struct running **prev_next;
 	uint64_t id;
 	enum relay_kind kind;
+	int64_t base; /* as in struct relay_call */
+	char worker[SCHED_ID_MAX];
 };
 
 static struct running *new_running(struct peer *p,
@@ -55,6 +59,8 @@
 	run->peer = p;
 	run->id = call->id;
 	run->kind = call->kind;
+	run->base = call->base;
+	g_strlcpy(run->worker, call->to.id, sizeof(run->worker));
 	run->next = p->running;
 	run->prev_next = &p->running;
 	if (run->next)
@@ -97,11 +103,39 @@
 	finish(priv, &answer);
 }
 
+/* Keeps what the owner makes of the answer: the order of its entries counts. */
+static void keep_report(struct peer *p, const char *worker, int64_t number,
+			const struct sched_report *report,
+			const struct relay_delta *delta)
+{
+	struct sched_report *applied =
+		delta ? relay_reports_apply(NULL, &p->reports, worker, delta)
+		      : NULL;
+
+	relay_reports_keep(&p->reports, worker, number,
+			   applied ? applied : report);
+	talloc_free(applied);
+}
+
 static void on_polled(const struct sched_report *report, void *priv)
 {
+	struct running *run = priv;
 	struct relay_answer answer = { .report = report };
-
-	finish(priv, &answer);
+	struct relay_delta *delta = NULL;
+	struct peer *p = run->peer;
+
+	if (p && report && run->base >= 0) {
+		delta = relay_reports_diff(NULL, &p->reports, run->worker,
+					   run->base, report);
+		answer.number = ++p->last_number;
+		keep_report(p, run->worker, answer.number, report, delta);
+	}
+	if (delta) {
+		answer.report = NULL;
+		answer.delta = delta;
+	}
+	finish(run, &answer);
+	talloc_free(delta);
 }
 
 /* Returns how much longer the call took to arrive than the fastest of late. */
@@ -189,6 +223,7 @@
 	for (struct running *run = p->running; run; run = run->next)
 		run->peer = NULL;
 	relay_payloads_finish(&p->payloads);
+	relay_reports_finish(&p->reports);
 	return 0;
 }
 
@@ -199,6 +234,7 @@
 	p->server = priv;
 	p->link = link;
 	relay_payloads_init(&p->payloads);
+	relay_reports_init(&p->reports);
 	talloc_set_destructor(p, peer_destructor);
 	lnk_set_user(link, p);
 }
--- a/tests/unit_tests.c
+++ b/tests/unit_tests.c
@@ -32,6 +32,7 @@
 	unit_add_rack();
 	unit_add_relay();
 	unit_add_relay_msg();
+	unit_add_relay_reports();
 	unit_add_admission();
 	unit_add_place();
 	unit_add_sched();
