--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -72,6 +72,7 @@
 	};
 	s->capacity.cpu_milli = s->owner.cpu_milli;
 	s->relay.cpu_milli = s->owner.cpu_milli;
+	s->relay.link_kbit_s = s->capacity.link_kbit_s;
 	g_strlcpy(s->relay.vm, s->vm, sizeof(s->relay.vm));
 	g_strlcpy(s->relay.domain, s->domain, sizeof(s->relay.domain));
 	s->sched.lease_ms = LEASE_MS;
--- a/src/fleet/relay_client.c
+++ b/src/fleet/relay_client.c
@@ -11,11 +11,6 @@
 #include "transport/lnk.h"
 
 #define WATCH_WAIT_MS 10000
-/* Processor time that the calls of one worker take in a burst, in thousandths
- * of a core: relays are used if this VM has less for all its workers. */
-#define MILLI_PER_WORKER 2
-/* Part of its processor that a relay is meant to spend on calls. */
-#define RELAY_SHARE 4
 /* Relays wanted in a domain at least, so that one can be lost. */
 #define RELAYS_MIN 2
 /* A link that is not open after this time, in ms, is given up, and the VM not
@@ -191,14 +186,14 @@
 }
 
 /* Returns a number by which the relay with the highest one is chosen for the
- * worker, so that each relay gets workers in proportion to its processor. */
+ * worker, so that each relay gets workers in proportion to what it can do. */
 static double preference(const struct relay *r, const char *worker)
 {
 	uint64_t hash = XXH64(r->row.vm, strlen(r->row.vm),
 			      XXH64(worker, strlen(worker), 0));
 	double uniform = ((double)hash + 1) / ((double)UINT64_MAX + 2);
 
-	return (double)r->row.cpu_milli / -log(uniform);
+	return (double)relay_table_workers_milli(&r->row) / -log(uniform);
 }
 
 /* Returns the connected relay for the worker: the same one as long as the
@@ -441,8 +436,11 @@
 	const struct relay *x = *(struct relay *const *)a;
 	const struct relay *y = *(struct relay *const *)b;
 
-	if (x->row.cpu_milli != y->row.cpu_milli)
-		return x->row.cpu_milli > y->row.cpu_milli ? -1 : 1;
+	int64_t x_milli = relay_table_workers_milli(&x->row);
+	int64_t y_milli = relay_table_workers_milli(&y->row);
+
+	if (x_milli != y_milli)
+		return x_milli > y_milli ? -1 : 1;
 	return strcmp(x->row.vm, y->row.vm);
 }
 
@@ -452,7 +450,7 @@
 			int64_t workers)
 {
 	GPtrArray *list = g_ptr_array_new();
-	int64_t lacks = workers * MILLI_PER_WORKER;
+	int64_t lacks_milli = workers * 1000;
 	int64_t now = now_ms(c);
 	GHashTableIter it;
 	gpointer value;
@@ -466,10 +464,11 @@
 			g_ptr_array_add(list, r);
 	}
 	g_ptr_array_sort(list, compare_relays);
-	for (guint i = 0; i < list->len && (lacks > 0 || i < RELAYS_MIN); i++) {
+	for (guint i = 0; i < list->len && (lacks_milli > 0 || i < RELAYS_MIN);
+	     i++) {
 		struct relay *r = g_ptr_array_index(list, i);
 
-		lacks -= r->row.cpu_milli / RELAY_SHARE;
+		lacks_milli -= relay_table_workers_milli(&r->row);
 		if (!r->link)
 			connect_relay(r);
 	}
@@ -483,7 +482,7 @@
 	gpointer n;
 
 	if (!c->enabled &&
-	    s->worker_list->len * MILLI_PER_WORKER > (guint)c->self.cpu_milli)
+	    relay_table_needs_relays(&c->self, s->worker_list->len))
 		enable(c);
 	if (!c->enabled || now_ms(c) < c->update_due_ms)
 		return;
--- a/src/fleet/relay_client.h
+++ b/src/fleet/relay_client.h
@@ -27,7 +27,7 @@
 
 /*
  * Adjusts to the workers of the scheduler: uses relays once their calls may
- * take more processor time than this VM has. Call it from time to time.
+ * take more of the processor or of the link than this VM has. Call it from time to time.
  */
 void relay_client_update(struct relay_client *c, const struct sched *s);
 /* Closes all links; calls in flight have no answer. */
--- a/src/fleet/relay_table.c
+++ b/src/fleet/relay_table.c
@@ -10,6 +10,13 @@
 #include "protocol/num.h"
 
 #define RETRY_MS 1000
+/* Processor time that the calls of one worker take in a burst, in thousandths
+ * of a core, and what they take of a link, in kbit/s: seven starts a second
+ * with their reports, 700 bytes each. */
+#define MILLI_PER_WORKER 2
+#define KBIT_PER_WORKER 40
+/* Part of its processor and of its link that a relay is meant to spend. */
+#define RELAY_SHARE 4
 
 struct relay_entry {
 	struct tmr_set *timers;
@@ -30,6 +37,9 @@
 		num_integer(json_object_get(j, "cpu_milli"), 1, NUM_MAX,
 			    &out->cpu_milli);
 
+	/* Older releases don't write it. */
+	out->link_kbit_s =
+		num_clamp(json_object_get(j, "link_kbit_s"), 0, NUM_MAX, 0);
 	if (valid) {
 		g_strlcpy(out->vm, row->key, sizeof(out->vm));
 		g_strlcpy(out->ip, ip, sizeof(out->ip));
@@ -40,6 +50,24 @@
 	return valid;
 }
 
+int64_t relay_table_workers_milli(const struct relay_vm_row *row)
+{
+	double by_cpu = (double)row->cpu_milli * 1000 /
+			(RELAY_SHARE * MILLI_PER_WORKER);
+	double by_link = (double)row->link_kbit_s * 1000 /
+			 (RELAY_SHARE * KBIT_PER_WORKER);
+
+	return (int64_t)CLAMP(row->link_kbit_s ? MIN(by_cpu, by_link) : by_cpu,
+			      1, NUM_MAX);
+}
+
+bool relay_table_needs_relays(const struct relay_vm_row *owner, int64_t workers)
+{
+	return workers * MILLI_PER_WORKER > owner->cpu_milli ||
+	       (owner->link_kbit_s &&
+		workers * KBIT_PER_WORKER > owner->link_kbit_s);
+}
+
 static void write_row(struct relay_entry *e, const char *text, rows_done done)
 {
 	struct rows_change change = { .table = RELAY_TABLE,
@@ -72,6 +100,9 @@
 	j = json_pack("{s:s,s:i,s:s,s:I}", "ip", e->self.ip, "port",
 		      (int)e->self.port, "domain", e->self.domain, "cpu_milli",
 		      (json_int_t)e->self.cpu_milli);
+	if (e->self.link_kbit_s)
+		json_object_set_new(j, "link_kbit_s",
+				    json_integer(e->self.link_kbit_s));
 	text = json_dumps(j, JSON_COMPACT);
 	write_row(e, text, on_published);
 	free(text);
--- a/src/fleet/relay_table.h
+++ b/src/fleet/relay_table.h
@@ -19,11 +19,20 @@
 	uint16_t port; /* 0: the VM is no relay */
 	char domain[RELAY_NAME_MAX];
 	int64_t cpu_milli; /* in thousandths of a core */
+	int64_t link_kbit_s; /* 0: unknown, and no limit */
 };
 
 /* Returns false if the row is invalid. */
 bool relay_table_parse(const struct rows_row *row, struct relay_vm_row *out);
 
+/* Returns how many workers the VM is meant to call as a relay, in thousandths
+ * of a worker: its processor or its link is the limit. */
+int64_t relay_table_workers_milli(const struct relay_vm_row *row);
+/* Returns whether so many workers are too many for the owner's own processor or
+ * link. */
+bool relay_table_needs_relays(const struct relay_vm_row *owner,
+			      int64_t workers);
+
 /* Keeps a VM's row in the table. */
 struct relay_entry;
 
--- a/tests/unit_relay_msg.c
+++ b/tests/unit_relay_msg.c
@@ -3,6 +3,7 @@
 #include <talloc.h>
 
 #include "fleet/relay_msg.h"
+#include "fleet/relay_table.h"
 #include "tests/unit.h"
 
 /* Cuts and changes each byte of valid messages: they are rejected or decoded,
@@ -69,7 +70,49 @@
 	talloc_free(ctx);
 }
 
+/*
+ * Guards against relays chosen by their processors alone, whose links are
+ * saturated, and an owner that calls all workers over a saturated one. VMs with
+ * links that are wide enough are chosen as before.
+ */
+static void test_chosen_by_link(void)
+{
+	struct relay_vm_row vm = { .cpu_milli = 500 };
+
+	g_assert_cmpint(relay_table_workers_milli(&vm), ==, 62500);
+	vm.link_kbit_s = 100000;
+	g_assert_cmpint(relay_table_workers_milli(&vm), ==, 62500);
+	vm.link_kbit_s = 2000;
+	g_assert_cmpint(relay_table_workers_milli(&vm), ==, 12500);
+	vm.cpu_milli = 70;
+	g_assert_cmpint(relay_table_workers_milli(&vm), ==, 8750);
+	vm = (struct relay_vm_row){ .cpu_milli = 100 };
+	g_assert_false(relay_table_needs_relays(&vm, 50));
+	g_assert_true(relay_table_needs_relays(&vm, 51));
+	vm = (struct relay_vm_row){ .cpu_milli = 1000, .link_kbit_s = 2000 };
+	g_assert_false(relay_table_needs_relays(&vm, 50));
+	g_assert_true(relay_table_needs_relays(&vm, 51));
+}
+
+/* A row of an older release tells no link. */
+static void test_row_without_link(void)
+{
+	struct rows_row row = { .key = "b" };
+	struct relay_vm_row vm;
+
+	row.value =
+		"{\"ip\":\"i\",\"port\":7,\"domain\":\"d\",\"cpu_milli\":9}";
+	g_assert_true(relay_table_parse(&row, &vm));
+	g_assert_cmpint(vm.link_kbit_s, ==, 0);
+	row.value = "{\"ip\":\"i\",\"port\":7,\"domain\":\"d\",\"cpu_milli\":9,"
+		    "\"link_kbit_s\":2000}";
+	g_assert_true(relay_table_parse(&row, &vm));
+	g_assert_cmpint(vm.link_kbit_s, ==, 2000);
+}
+
 void unit_add_relay_msg(void)
 {
+	g_test_add_func("/relay/chosen-by-link", test_chosen_by_link);
+	g_test_add_func("/relay/row-without-link", test_row_without_link);
 	g_test_add_func("/relay/malformed-messages", test_malformed_messages);
 }
