--- a/src/base/log.c
+++ b/src/base/log.c
@@ -15,6 +15,8 @@
 #define LOG_FACILITY_DAEMON (3 << 3)
 /* Buffered lines are written at this interval. */
 #define FLUSH_INTERVAL_MS 100
+/* Dropped decisions are summarised at this interval. */
+#define SUMMARY_INTERVAL_MS 1000
 #define BUFFER_BYTES (128 * 1024)
 /* A pipe takes writes of up to this length whole (PIPE_BUF); a longer one that
  * it takes in part cuts a line. */
@@ -52,6 +54,7 @@
 	int64_t budget; /* bytes that the rate limit still allows */
 	uint64_t dropped; /* lines, since they were last reported */
 	struct tally decisions; /* dropped lines of log_decision */
+	int64_t summary_due_ms;
 } out;
 
 void log_to_stdout(void)
@@ -98,11 +101,24 @@
 	       (int64_t)wanted <= out.budget;
 }
 
-/* Logs how many lines were dropped, and which decisions were among them. */
+/* Logs which decisions were among the dropped lines. */
+static void summarise_decisions(int64_t now_ms)
+{
+	struct tally_summary s;
+
+	if (now_ms < out.summary_due_ms || !has_room(LOG_LINE_MAX, false) ||
+	    !tally_take(&out.decisions, &s))
+		return;
+	out.summary_due_ms = now_ms + SUMMARY_INTERVAL_MS;
+	log_event(LOG_DECISIONS_DROPPED,
+		  "lines=%llu workers=%d kinds=\"%s\" most=\"%s\"",
+		  (unsigned long long)s.count, s.workers, s.kinds, s.most);
+}
+
+/* Logs how many lines were dropped. */
 static void report_dropped(void)
 {
 	uint64_t dropped = out.dropped;
-	struct tally_entry e;
 
 	if (!has_room(LOG_LINE_MAX, false))
 		return;
@@ -110,10 +126,6 @@
 	if (dropped)
 		log_event(LOG_LINES_DROPPED, "lines=%llu",
 			  (unsigned long long)dropped);
-	while (has_room(LOG_LINE_MAX, false) && tally_take(&out.decisions, &e))
-		log_event(LOG_DECISIONS_DROPPED,
-			  "worker=%s what=\"%s\" lines=%llu", e.worker,
-			  e.decision, (unsigned long long)e.count);
 }
 
 void log_tick(int64_t now_ms)
@@ -128,6 +140,7 @@
 		out.budget = BUFFER_BYTES;
 	log_flush();
 	report_dropped();
+	summarise_decisions(now_ms);
 	log_flush();
 }
 
--- a/src/base/log.h
+++ b/src/base/log.h
@@ -94,7 +94,7 @@
 };
 
 /* Like log_event. If the line is dropped, it is counted by worker and decision;
- * the counts are logged as LOG_DECISIONS_DROPPED once there is room. */
+ * a summary is logged as LOG_DECISIONS_DROPPED, at most once a second. */
 void log_decision(enum log_event ev, const struct log_subject *subject,
 		  const char *fmt, ...) __attribute__((format(printf, 3, 4)));
 
--- a/src/base/tally.c
+++ b/src/base/tally.c
@@ -8,6 +8,11 @@
 /* Most slots probed for a key; bounds the cost when the table is full. */
 #define PROBES_MAX 8
 
+struct tally_named {
+	const char *name;
+	uint64_t count;
+};
+
 static bool has_key(const struct tally_entry *e, const struct tally_entry *key)
 {
 	return e->count && !strcmp(e->worker, key->worker) &&
@@ -52,21 +57,81 @@
 	e->count++;
 }
 
-bool tally_take(struct tally *t, struct tally_entry *out)
+/* Adds to the counter of the same name, or to a new one while there is room. */
+static bool add_named(struct tally_named *list, int32_t *n, int32_t max,
+		      const char *name, uint64_t count)
+{
+	for (int32_t i = 0; i < *n; i++) {
+		if (!strcmp(list[i].name, name)) {
+			list[i].count += count;
+			return true;
+		}
+	}
+	if (*n == max)
+		return false;
+	list[*n].name = name;
+	list[(*n)++].count = count;
+	return true;
+}
+
+/* Moves the largest counters, up to `max` of them, to the front. */
+static int32_t select_largest(struct tally_named *list, int32_t n, int32_t max)
 {
-	for (int32_t i = 0; t->n_used && i < TALLY_SLOTS; i++) {
-		struct tally_entry *e = &t->slots[i];
+	for (int32_t i = 0; i < n && i < max; i++) {
+		for (int32_t k = i + 1; k < n; k++) {
+			struct tally_named largest = list[k];
+
+			if (largest.count <= list[i].count)
+				continue;
+			list[k] = list[i];
+			list[i] = largest;
+		}
+	}
+	return n < max ? n : max;
+}
+
+static void format_named(char *out, size_t size, const struct tally_named *list,
+			 int32_t n)
+{
+	size_t used = 0;
+
+	*out = '\0';
+	for (int32_t i = 0; i < n && used < size; i++)
+		used += (size_t)snprintf(out + used, size - used, "%s%s:%llu",
+					 i ? "," : "", list[i].name,
+					 (unsigned long long)list[i].count);
+}
+
+bool tally_take(struct tally *t, struct tally_summary *out)
+{
+	struct tally_named workers[TALLY_SLOTS];
+	struct tally_named kinds[TALLY_KINDS_MAX];
+	uint64_t other_kinds = t->other;
+	int32_t n_workers = 0;
+	int32_t n_kinds = 0;
+
+	*out = (struct tally_summary){ .count = t->other };
+	if (!t->n_used && !t->other)
+		return false;
+	for (int32_t i = 0; i < TALLY_SLOTS; i++) {
+		const struct tally_entry *e = &t->slots[i];
 
 		if (!e->count)
 			continue;
-		*out = *e;
-		e->count = 0;
-		t->n_used--;
-		return true;
+		out->count += e->count;
+		add_named(workers, &n_workers, TALLY_SLOTS, e->worker,
+			  e->count);
+		if (!add_named(kinds, &n_kinds, TALLY_KINDS_MAX - 1,
+			       e->decision, e->count))
+			other_kinds += e->count;
 	}
-	if (!t->other)
-		return false;
-	*out = (struct tally_entry){ "other", "other", t->other };
-	t->other = 0;
+	if (other_kinds)
+		add_named(kinds, &n_kinds, TALLY_KINDS_MAX, "other",
+			  other_kinds);
+	out->workers = n_workers;
+	format_named(out->kinds, sizeof(out->kinds), kinds, n_kinds);
+	format_named(out->most, sizeof(out->most), workers,
+		     select_largest(workers, n_workers, TALLY_MOST));
+	memset(t, 0, sizeof(*t));
 	return true;
 }
--- a/src/base/tally.h
+++ b/src/base/tally.h
@@ -10,6 +10,9 @@
 #define TALLY_DECISION_MAX 24
 /* The workers of a large site times the few kinds of decisions in one burst. */
 #define TALLY_SLOTS 256
+/* Kinds of decisions, and workers with most of them, that a summary names. */
+#define TALLY_KINDS_MAX 12
+#define TALLY_MOST 3
 
 struct tally_entry {
 	char worker[TALLY_WORKER_MAX];
@@ -27,8 +30,17 @@
 /* Adds one to a counter. The strings are copied; longer ones are truncated. */
 void tally_add(struct tally *t, const char *worker, const char *decision);
 
-/* Removes any one entry and copies it to `out`, at last the counts without a
- * slot as worker and decision "other". Returns false if the tally is empty. */
-bool tally_take(struct tally *t, struct tally_entry *out);
+/* Texts are lists of name and count, as in "a:3,b:1". */
+struct tally_summary {
+	uint64_t count; /* of all */
+	int32_t workers; /* among those that had a slot */
+	/* By decision, all of them. "other" are those without a slot, and of
+	 * kinds beyond TALLY_KINDS_MAX. */
+	char kinds[TALLY_KINDS_MAX * (TALLY_DECISION_MAX + 22)];
+	char most[TALLY_MOST * (TALLY_WORKER_MAX + 22)]; /* by worker */
+};
+
+/* Summarises the tally and empties it. Returns false if it was empty. */
+bool tally_take(struct tally *t, struct tally_summary *out);
 
 #endif
