--- a/src/coordination/sched_types.h
+++ b/src/coordination/sched_types.h
@@ -37,7 +37,7 @@
 	int32_t run; /* increases with each start of the task */
 };
 
-/* A worker's entry in the list of workers. */
+/* A worker's entry in the list of workers. pf_list.c compares all members. */
 struct sched_worker_row {
 	char id[SCHED_ID_MAX];
 	char vm[SCHED_ID_MAX]; /* the VM that the worker runs on */
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -106,6 +106,7 @@
 	f->directory = interfaces->directory;
 	f->vms = interfaces->vms;
 	f->http_traffic = interfaces->http_traffic;
+	f->list = interfaces->list;
 	f->waves = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
 					 free_wave);
 	f->domains_out =
@@ -114,7 +115,8 @@
 
 static void start_relay(struct fleet *f)
 {
-	const struct relay_vm_row *self = &f->set.relay;
+	const struct fleet_list *list = f->list;
+	struct relay_vm_row *self = &f->set.relay;
 	struct wkr direct = f->wkr;
 	struct err e = { 0 };
 
@@ -123,6 +125,12 @@
 	f->wkr = relay_client_iface(f->relay_client);
 	f->relay_server = relay_server_start(f->ev, f->ev, &direct, f->clk,
 					     self->ip, self->port, &e);
+	self->lists = list != NULL;
+	if (f->relay_server && list)
+		relay_server_share_list(
+			f->relay_server,
+			list_share_start(f->ev, &f->rows, f->timers, f->clk,
+					 list->table, list->same));
 	if (f->relay_server)
 		f->relay_entry =
 			relay_entry_start(f->ev, f->timers, &f->rows, self);
@@ -293,6 +301,12 @@
 	return elapsed >= BALANCER_DRAIN_MS && !open && all_released(f);
 }
 
+struct rows fleet_list_rows(struct fleet *f)
+{
+	return f->relay_client ? relay_client_list_rows(f->relay_client)
+			       : f->rows;
+}
+
 int32_t fleet_shard_of(const struct fleet *f, const char *job_id)
 {
 	uint64_t hash = XXH64(job_id, strlen(job_id), 1);
@@ -347,6 +361,8 @@
 	text = add_metric(text, "gd_relay_links_lost_total", c->links_lost);
 	text = add_metric(text, "gd_relayed_calls_total", c->relayed);
 	text = add_metric(text, "gd_direct_calls_total", c->direct);
+	text = add_metric(text, "gd_relayed_lists_total", c->lists_relayed);
+	text = add_metric(text, "gd_unrelayed_lists_total", c->lists_direct);
 	text = traffic_append_metrics(
 		text, relay_client_traffic(f->relay_client), "relay");
 	if (!f->relay_server)
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -10,6 +10,7 @@
 #include <tevent.h>
 
 #include "base/clk.h"
+#include "fleet/list_view.h"
 #include "coordination/sched.h"
 #include "fleet/relay_table.h"
 #include "fleet/vms.h"
@@ -54,6 +55,13 @@
 	void (*subscribe)(void *self, bool on);
 };
 
+/* The table that the list is read from, and whether two values of a row of it
+ * differ only in what changes all the time. */
+struct fleet_list {
+	const char *table;
+	list_view_same same;
+};
+
 struct fleet_directory {
 	const struct fleet_directory_ops *ops;
 	void *self;
@@ -74,6 +82,7 @@
 	struct fleet_directory directory;
 	struct vms vms; /* `ops` is NULL if VMs get no upkeep commands */
 	const struct traffic *http_traffic; /* as in fleet_interfaces */
+	const struct fleet_list *list;
 	GHashTable *waves; /* number to struct fleet_wave */
 	const struct catalog *catalog; /* NULL until the first one is set */
 	int64_t config_synced_ms; /* when all changes of it were last known */
@@ -104,6 +113,8 @@
 	struct fleet_directory directory;
 	struct vms vms; /* `ops` is NULL if VMs get no upkeep commands */
 	const struct traffic *http_traffic; /* NULL: not in the metrics */
+	/* NULL: not shared with owners; else kept. */
+	const struct fleet_list *list;
 };
 
 /* The caller keeps `f` until the process ends. */
@@ -158,6 +169,9 @@
  */
 bool fleet_can_exit(const struct fleet *f, uint32_t open, int64_t grace_ms);
 
+/* Returns the interface by which a watch of the list of workers reads it. */
+struct rows fleet_list_rows(struct fleet *f);
+
 int32_t fleet_shard_of(const struct fleet *f, const char *job_id);
 
 /* Returns all counters and histograms, one "name value" a line; the text is a
--- a/src/fleet/relay_client.c
+++ b/src/fleet/relay_client.c
@@ -58,6 +58,8 @@
 		call->started(SCHED_START_UNKNOWN, call->priv);
 	else if (call->kind == RELAY_POLL)
 		call->polled(NULL, call->priv);
+	else if (call->kind == RELAY_LIST)
+		call->listed(NULL, call->priv);
 	else
 		call->answered(false, call->priv);
 	free(call);
@@ -135,6 +137,8 @@
 			call->started(answer.started, call->priv);
 		else if (call->kind == RELAY_POLL)
 			call->polled(report, call->priv);
+		else if (call->kind == RELAY_LIST)
+			call->listed(answer.list, call->priv);
 		else
 			call->answered(answer.answered, call->priv);
 		free(call);
@@ -196,6 +200,19 @@
 	return (double)relay_table_workers_milli(&r->row) / -log(uniform);
 }
 
+static int compare_relays(const void *a, const void *b)
+{
+	const struct relay *x = *(struct relay *const *)a;
+	const struct relay *y = *(struct relay *const *)b;
+
+	int64_t x_milli = relay_table_workers_milli(&x->row);
+	int64_t y_milli = relay_table_workers_milli(&y->row);
+
+	if (x_milli != y_milli)
+		return x_milli > y_milli ? -1 : 1;
+	return strcmp(x->row.vm, y->row.vm);
+}
+
 /* Returns the connected relay for the worker: the same one as long as the
  * domain's relays are the same. */
 static struct relay *choose_relay(const struct relay_client *c,
@@ -233,7 +250,6 @@
 	g_strlcpy(p->worker, call->to.id, sizeof(p->worker));
 	p->deadline_ms = call->sent_ms + call->to.timeout_ms + ANSWER_SLACK_MS;
 	g_hash_table_insert(r->calls, &p->id, p);
-	r->client->counts.relayed++;
 	return p;
 }
 
@@ -268,10 +284,30 @@
 			     : 0;
 	p = new_pending(r, call);
 	p->priv = priv;
+	c->counts.relayed++;
 	send_call(r, call);
 	return p;
 }
 
+struct pending *relay_try_list(struct relay_client *c, struct relay_call *call)
+{
+	struct relay *best = NULL;
+	struct pending *p;
+
+	for (guint i = 0; c->enabled && i < c->open->len; i++) {
+		struct relay *r = g_ptr_array_index(c->open, i);
+
+		if (r->row.port && r->row.lists &&
+		    (!best || compare_relays(&r, &best) < 0))
+			best = r;
+	}
+	if (!best)
+		return NULL;
+	p = new_pending(best, call);
+	send_call(best, call);
+	return p;
+}
+
 static bool has_overdue_call(const struct relay *r, int64_t now)
 {
 	GHashTableIter it;
@@ -431,19 +467,6 @@
 	}
 }
 
-static int compare_relays(const void *a, const void *b)
-{
-	const struct relay *x = *(struct relay *const *)a;
-	const struct relay *y = *(struct relay *const *)b;
-
-	int64_t x_milli = relay_table_workers_milli(&x->row);
-	int64_t y_milli = relay_table_workers_milli(&y->row);
-
-	if (x_milli != y_milli)
-		return x_milli > y_milli ? -1 : 1;
-	return strcmp(x->row.vm, y->row.vm);
-}
-
 /* Connects to enough relays of the domain for `workers`, the strongest first.
  */
 static void want_relays(struct relay_client *c, const char *domain,
--- a/src/fleet/relay_client.h
+++ b/src/fleet/relay_client.h
@@ -24,10 +24,14 @@
 		   const struct clk *clk, const struct rows *rows,
 		   const struct wkr *direct, const struct relay_vm_row *self);
 struct wkr relay_client_iface(struct relay_client *c);
+/* Returns the store's interface for a watch of the list of workers, whose
+ * changes come through a relay if there is one that knows them. */
+struct rows relay_client_list_rows(struct relay_client *c);
 
 /*
  * Adjusts to the workers of the scheduler: uses relays once their calls may
- * take more of the processor or of the link than this VM has. Call it from time to time.
+ * take more of the processor or of the link than this VM has. Call it from time
+ * to time.
  */
 void relay_client_update(struct relay_client *c, const struct sched *s);
 /* Closes all links; calls in flight have no answer. */
@@ -37,6 +41,8 @@
 	int64_t relayed; /* calls */
 	int64_t direct;
 	int64_t links_lost;
+	int64_t lists_relayed; /* calls for changes of the list of workers */
+	int64_t lists_direct; /* ... that a relay could not answer */
 };
 
 const struct relay_client_counts *
--- a/src/fleet/relay_int.h
+++ b/src/fleet/relay_int.h
@@ -15,6 +15,7 @@
 	wkr_start_cb started; /* the one of the kind is set */
 	wkr_ack_cb answered;
 	wkr_poll_cb polled;
+	void (*listed)(const struct list_changes *list, void *priv);
 	void *priv;
 };
 
@@ -33,6 +34,7 @@
 	GPtrArray *open; /* those with an open link */
 	GHashTable *demand; /* domain to number of workers */
 	int64_t update_due_ms;
+	int64_t list_due_ms; /* the store is asked for the list until then */
 	uint64_t last_id;
 	struct relay_client_counts counts;
 	struct traffic traffic;
@@ -43,4 +45,7 @@
 struct pending *relay_try(struct relay_client *c, struct relay_call *call,
 			  const char *payload, void *priv);
 
+/* The same with a RELAY_LIST, to the relay that can do most. */
+struct pending *relay_try_list(struct relay_client *c, struct relay_call *call);
+
 #endif
--- a/src/fleet/relay_msg.c
+++ b/src/fleet/relay_msg.c
@@ -15,11 +15,14 @@
 #define CALL_FIELDS_ADDED 1
 #define ANSWER_FIELDS 4
 #define ANSWER_FIELDS_ADDED 2
+#define ANSWER_FIELDS_WITH_LIST (ANSWER_FIELDS + ANSWER_FIELDS_ADDED + 1)
 #define REPORT_FIELDS 4
 #define ACTIVE_FIELDS 8
 #define END_FIELDS 8
 #define DELTA_FIELDS 8
 #define CHANGE_FIELDS 4
+#define LIST_FIELDS 3
+#define ROW_FIELDS 4
 /* An answer, its report, the list of runs, and one of them. */
 #define DEPTH_MAX 4
 
@@ -153,6 +156,8 @@
 		return TRAFFIC_COMMANDS;
 	case RELAY_POLL:
 		return TRAFFIC_REPORTS;
+	case RELAY_LIST:
+		return TRAFFIC_WORKER_LIST;
 	case RELAY_PING:
 		break;
 	}
@@ -203,7 +208,7 @@
 		    MSGPACK_UNPACK_SUCCESS)
 		r = read_list(&msg.data, CALL_FIELDS);
 	out->id = (uint64_t)read_int(&r, 0, INT64_MAX);
-	out->kind = (enum relay_kind)read_int(&r, RELAY_START, RELAY_PING);
+	out->kind = (enum relay_kind)read_int(&r, RELAY_START, RELAY_LIST);
 	out->sent_ms = read_int(&r, INT64_MIN, INT64_MAX);
 	out->to.id = read_text(&r, ctx, false);
 	out->to.address = read_text(&r, ctx, false);
@@ -280,6 +285,23 @@
 	pack_ends(pk, d->added_ends, d->end_moves.n_added);
 }
 
+static void pack_list(msgpack_packer *pk, const struct list_changes *list)
+{
+	msgpack_pack_array(pk, LIST_FIELDS);
+	msgpack_pack_int64(pk, list->version);
+	msgpack_pack_int64(pk, list->store_ms);
+	msgpack_pack_array(pk, (size_t)list->n);
+	for (int32_t i = 0; i < list->n; i++) {
+		const struct rows_row *row = &list->rows[i];
+
+		msgpack_pack_array(pk, ROW_FIELDS);
+		pack_text(pk, row->key);
+		msgpack_pack_int64(pk, row->version);
+		msgpack_pack_int64(pk, row->deleted);
+		pack_text(pk, row->value);
+	}
+}
+
 static void pack_report(msgpack_packer *pk, const struct sched_report *report)
 {
 	msgpack_pack_array(pk, REPORT_FIELDS);
@@ -289,6 +311,14 @@
 	pack_ends(pk, report->ends, report->n_ends);
 }
 
+static size_t answer_fields(const struct relay_answer *answer)
+{
+	if (answer->list)
+		return ANSWER_FIELDS_WITH_LIST;
+	return answer->number ? ANSWER_FIELDS + ANSWER_FIELDS_ADDED
+			      : ANSWER_FIELDS;
+}
+
 uint8_t *relay_pack_answer(void *ctx, const struct relay_answer *answer,
 			   size_t *len)
 {
@@ -297,9 +327,7 @@
 
 	msgpack_sbuffer_init(&buf);
 	msgpack_packer_init(&pk, &buf, msgpack_sbuffer_write);
-	msgpack_pack_array(&pk,
-			   ANSWER_FIELDS +
-				   (answer->number ? ANSWER_FIELDS_ADDED : 0));
+	msgpack_pack_array(&pk, answer_fields(answer));
 	msgpack_pack_int64(&pk, (int64_t)answer->id);
 	msgpack_pack_int64(&pk, answer->started);
 	msgpack_pack_int64(&pk, answer->answered);
@@ -307,12 +335,14 @@
 		pack_report(&pk, answer->report);
 	else
 		msgpack_pack_nil(&pk);
-	if (answer->number)
+	if (answer->number || answer->list)
 		msgpack_pack_int64(&pk, answer->number);
 	if (answer->number && answer->delta)
 		pack_delta(&pk, answer->delta);
-	else if (answer->number)
+	else if (answer->number || answer->list)
 		msgpack_pack_nil(&pk);
+	if (answer->list)
+		pack_list(&pk, answer->list);
 	return take_buffer(ctx, &buf, len);
 }
 
@@ -438,11 +468,37 @@
 	return r.bad ? NULL : out;
 }
 
+/* Returns NULL if the list is malformed. */
+static struct list_changes *read_list_changes(void *ctx,
+					      const msgpack_object *o)
+{
+	struct reader r = read_list(o, LIST_FIELDS);
+	struct list_changes *out = talloc_zero(ctx, struct list_changes);
+	const msgpack_object *rows;
+
+	out->version = read_int(&r, 0, INT64_MAX);
+	out->store_ms = read_int(&r, 0, INT64_MAX);
+	rows = read_elements(&r, &out->n);
+	out->rows = talloc_zero_array(out, struct rows_row, out->n);
+	for (int32_t i = 0; i < out->n; i++) {
+		struct reader row = read_list(&rows[i], ROW_FIELDS);
+
+		out->rows[i].part = "";
+		out->rows[i].key = read_text(&row, out, false);
+		out->rows[i].version = read_int(&row, 0, INT64_MAX);
+		out->rows[i].deleted = read_int(&row, 0, 1);
+		out->rows[i].value = read_text(&row, out, true);
+		r.bad |= row.bad;
+	}
+	return r.bad ? NULL : out;
+}
+
 bool relay_unpack_answer(void *ctx, const uint8_t *data, size_t len,
 			 struct relay_answer *out)
 {
 	const msgpack_object *report;
 	const msgpack_object *delta = NULL;
+	const msgpack_object *list = NULL;
 	msgpack_unpacked msg;
 	struct reader r = { .bad = true };
 
@@ -469,6 +525,12 @@
 		out->delta = read_delta(ctx, delta);
 		r.bad |= !out->delta;
 	}
+	if (r.left)
+		list = next(&r);
+	if (list && list->type != MSGPACK_OBJECT_NIL) {
+		out->list = read_list_changes(ctx, list);
+		r.bad |= !out->list;
+	}
 	msgpack_unpacked_destroy(&msg);
 	return !r.bad;
 }
--- a/src/fleet/relay_msg.h
+++ b/src/fleet/relay_msg.h
@@ -6,17 +6,21 @@
 #ifndef RELAY_MSG_H
 #define RELAY_MSG_H
 
+#include "fleet/list_view.h"
 #include "fleet/relay_reports.h"
 #include "fleet/wkr.h"
 #include "transport/traffic.h"
 
-/* RELAY_PING is answered at once, without a call. */
+/* RELAY_PING and RELAY_LIST are answered at once, without a call. The latter is
+ * sent only to VMs whose row says that they answer it: others close the link.
+ */
 enum relay_kind {
 	RELAY_START,
 	RELAY_STOP,
 	RELAY_PACE,
 	RELAY_POLL,
 	RELAY_PING,
+	RELAY_LIST, /* changes of the list of workers after `durable_seq` */
 };
 
 /* As what messages of the kind are counted. */
@@ -30,7 +34,7 @@
 	struct wkr_target to;
 	struct sched_ref ref; /* not for RELAY_POLL */
 	int32_t percent; /* RELAY_PACE */
-	int64_t durable_seq; /* RELAY_POLL, as the next */
+	int64_t durable_seq; /* RELAY_POLL, as the next; RELAY_LIST */
 	int64_t wait_ms;
 	/* RELAY_START. NULL: the payload of the job was sent before on this
 	 * connection; see relay_payloads. */
@@ -52,6 +56,8 @@
 	 * is none's base. */
 	int64_t number;
 	const struct relay_delta *delta; /* NULL, or in place of `report` */
+	/* RELAY_LIST; NULL: unknown, the store has to be asked. */
+	const struct list_changes *list;
 };
 
 /* Return the message, a talloc child of `ctx`. */
--- a/src/fleet/relay_server.c
+++ b/src/fleet/relay_server.c
@@ -23,6 +23,7 @@
 	struct lnk_srv *srv;
 	int64_t dropped;
 	struct traffic traffic;
+	struct list_share *list; /* NULL: none */
 };
 
 /* A connected owner. */
@@ -138,6 +139,19 @@
 	talloc_free(delta);
 }
 
+static void answer_list(struct running *run, int64_t after)
+{
+	struct list_share *list = run->peer->server->list;
+	void *tmp = talloc_new(NULL);
+	struct relay_answer answer = { 0 };
+	struct list_changes changes;
+
+	if (list && list_share_collect(list, tmp, after, &changes))
+		answer.list = &changes;
+	finish(run, &answer);
+	talloc_free(tmp);
+}
+
 /* Returns how much longer the call took to arrive than the fastest of late. */
 static int64_t extra_ms(struct peer *p, const struct relay_call *call)
 {
@@ -209,6 +223,9 @@
 	case RELAY_PING:
 		on_ack(true, run);
 		return true;
+	case RELAY_LIST:
+		answer_list(run, call->durable_seq);
+		return true;
 	case RELAY_POLL:
 		wkr->ops->poll(wkr->self, &call->to, call->durable_seq,
 			       call->wait_ms, on_polled, run);
@@ -292,6 +309,11 @@
 	return s;
 }
 
+void relay_server_share_list(struct relay_server *s, struct list_share *list)
+{
+	s->list = list;
+}
+
 const struct traffic *relay_server_traffic(const struct relay_server *s)
 {
 	return &s->traffic;
--- a/src/fleet/relay_server.h
+++ b/src/fleet/relay_server.h
@@ -10,6 +10,7 @@
 
 #include "base/clk.h"
 #include "base/err.h"
+#include "fleet/list_share.h"
 #include "fleet/wkr.h"
 #include "transport/traffic.h"
 
@@ -22,6 +23,10 @@
 					const struct clk *clk, const char *ip,
 					uint16_t port, struct err *e);
 
+/* Answers owners who ask for changes of the list of workers; the server keeps
+ * the pointer. Without this they are told to ask the store. */
+void relay_server_share_list(struct relay_server *s, struct list_share *list);
+
 /* Returns the number of calls that were dropped since they were late. */
 int64_t relay_server_dropped(const struct relay_server *s);
 /* What was exchanged with owners; valid as long as the server. */
--- a/src/fleet/relay_table.c
+++ b/src/fleet/relay_table.c
@@ -40,6 +40,7 @@
 	/* Older releases don't write it. */
 	out->link_kbit_s =
 		num_clamp(json_object_get(j, "link_kbit_s"), 0, NUM_MAX, 0);
+	out->lists = json_is_true(json_object_get(j, "lists"));
 	if (valid) {
 		g_strlcpy(out->vm, row->key, sizeof(out->vm));
 		g_strlcpy(out->ip, ip, sizeof(out->ip));
@@ -103,6 +104,8 @@
 	if (e->self.link_kbit_s)
 		json_object_set_new(j, "link_kbit_s",
 				    json_integer(e->self.link_kbit_s));
+	if (e->self.lists)
+		json_object_set_new(j, "lists", json_true());
 	text = json_dumps(j, JSON_COMPACT);
 	write_row(e, text, on_published);
 	free(text);
--- a/src/fleet/relay_table.h
+++ b/src/fleet/relay_table.h
@@ -20,6 +20,7 @@
 	char domain[RELAY_NAME_MAX];
 	int64_t cpu_milli; /* in thousandths of a core */
 	int64_t link_kbit_s; /* 0: unknown, and no limit */
+	bool lists; /* it answers RELAY_LIST */
 };
 
 /* Returns false if the row is invalid. */
--- a/tests/relay_tests.c
+++ b/tests/relay_tests.c
@@ -72,10 +72,17 @@
 {
 	struct hf s;
 	int owner = start_relayed(&s);
+	int64_t end;
 
 	submit_all(&s);
 	check_all_done(&s, owner);
 	g_assert_cmpint(metric(&s, owner, "gd_relayed_calls_total"), >=, TASKS);
+	/* The list of workers comes through a relay, too. */
+	end = hx_now_ms() + LINKED_MAX_MS;
+	while (!metric(&s, owner, "gd_relayed_lists_total")) {
+		g_assert_cmpint(hx_now_ms(), <, end);
+		hx_sleep_ms(100);
+	}
 	hf_stop(&s);
 }
 
--- a/tests/unit.h
+++ b/tests/unit.h
@@ -23,6 +23,7 @@
 void unit_add_links(void);
 void unit_add_rack(void);
 void unit_add_relay(void);
+void unit_add_relay_list(void);
 void unit_add_relay_msg(void);
 void unit_add_relay_reports(void);
 void unit_add_admission(void);
--- a/tests/unit_relay_msg.c
+++ b/tests/unit_relay_msg.c
@@ -33,15 +33,18 @@
 	struct relay_answer difference = { .id = 1,
 					   .number = 2,
 					   .delta = &delta };
+	struct rows_row row = { .key = "w", .value = "v", .version = 7 };
+	struct list_changes changes = { .version = 8, .n = 1, .rows = &row };
+	struct relay_answer listing = { .id = 1, .list = &changes };
+	const struct relay_answer *answers[] = { &answer, NULL, &difference,
+						 &listing };
 	void *ctx = talloc_new(NULL);
 
-	for (int i = 0; i < 3; i++) {
+	for (int i = 0; i < 4; i++) {
 		int kind = i == 1;
 		size_t len;
-		uint8_t *data =
-			kind ? relay_pack_call(ctx, &call, &len)
-			     : relay_pack_answer(ctx, i ? &difference : &answer,
-						 &len);
+		uint8_t *data = kind ? relay_pack_call(ctx, &call, &len)
+				     : relay_pack_answer(ctx, answers[i], &len);
 
 		for (size_t n = 0; n < len; n++) {
 			uint8_t *cut = talloc_memdup(ctx, data, n);
--- a/tests/unit_tests.c
+++ b/tests/unit_tests.c
@@ -31,6 +31,7 @@
 	unit_add_links();
 	unit_add_rack();
 	unit_add_relay();
+	unit_add_relay_list();
 	unit_add_relay_msg();
 	unit_add_relay_reports();
 	unit_add_admission();
