--- a/tests/unit_links.c
+++ b/tests/unit_links.c
@@ -24,6 +24,8 @@
 	int64_t ahead_ms;
 	int polls;
 	int n_stops;
+	wkr_ack_cb stopped; /* of the last one */
+	void *stopped_priv;
 	int polls_open;
 	int polls_open_max;
 	GQueue starts; /* struct call, unanswered */
@@ -120,9 +122,9 @@
 
 	(void)to;
 	(void)ref;
-	(void)done;
-	(void)priv;
 	fx->n_stops++;
+	fx->stopped = done;
+	fx->stopped_priv = priv;
 }
 
 static struct timespec links_mono(void *priv)
@@ -193,6 +195,8 @@
 {
 	while (fx->starts.length)
 		answer_start(fx);
+	if (fx->stopped)
+		fx->stopped(true, fx->stopped_priv);
 	talloc_free(fx->links);
 	while (fx->polls_open)
 		tevent_loop_once(fx->ev);
