--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -73,6 +73,7 @@
 	};
 	s->capacity.cpu_milli = s->owner.cpu_milli;
 	s->relay.cpu_milli = s->owner.cpu_milli;
+	s->relay.link_kbit_s = s->capacity.link_kbit_s;
 	g_strlcpy(s->relay.vm, s->vm, sizeof(s->relay.vm));
 	g_strlcpy(s->relay.domain, s->domain, sizeof(s->relay.domain));
 	s->sched.lease_ms = LEASE_MS;
@@ -105,6 +106,8 @@
 	f->wkr = interfaces->wkr;
 	f->directory = interfaces->directory;
 	f->vms = interfaces->vms;
+	f->http_traffic = interfaces->http_traffic;
+	f->list = interfaces->list;
 	f->waves = g_hash_table_new_full(g_int64_hash, g_int64_equal, NULL,
 					 free_wave);
 	f->domains_out =
@@ -113,7 +116,8 @@
 
 static void start_relay(struct fleet *f)
 {
-	const struct relay_vm_row *self = &f->set.relay;
+	const struct fleet_list *list = f->list;
+	struct relay_vm_row *self = &f->set.relay;
 	struct wkr direct = f->wkr;
 	struct err e = { 0 };
 
@@ -122,6 +126,12 @@
 	f->wkr = relay_client_iface(f->relay_client);
 	f->relay_server = relay_server_start(f->ev, f->ev, &direct, f->clk,
 					     self->ip, self->port, &e);
+	self->lists = list != NULL;
+	if (f->relay_server && list)
+		relay_server_share_list(
+			f->relay_server,
+			list_share_start(f->ev, &f->rows, f->timers, f->clk,
+					 list->table, list->same));
 	if (f->relay_server)
 		f->relay_entry =
 			relay_entry_start(f->ev, f->timers, &f->rows, self);
@@ -309,6 +319,12 @@
 	return elapsed >= BALANCER_DRAIN_MS && !open && all_released(f);
 }
 
+struct rows fleet_list_rows(struct fleet *f)
+{
+	return f->relay_client ? relay_client_list_rows(f->relay_client)
+			       : f->rows;
+}
+
 int32_t fleet_shard_of(const struct fleet *f, const char *job_id)
 {
 	uint64_t hash = XXH64(job_id, strlen(job_id), 1);
@@ -351,6 +367,9 @@
 	text = add_metric(text, "gd_looks_total", links->polls);
 	text = add_metric(text, "gd_looks_failed_total", links->polls_failed);
 	text = add_metric(text, "gd_orders_total", links->commands);
+	text = add_metric(text, "gd_starts_lost_total", links->starts_lost);
+	text = add_metric(text, "gd_start_window_milli", links->window_milli);
+	text = add_metric(text, "gd_start_queue_ms", links->window_queue_ms);
 	return org_metrics_add_sched(text, s);
 }
 
@@ -364,8 +383,14 @@
 	text = add_metric(text, "gd_relay_links_lost_total", c->links_lost);
 	text = add_metric(text, "gd_relayed_calls_total", c->relayed);
 	text = add_metric(text, "gd_direct_calls_total", c->direct);
+	text = add_metric(text, "gd_relayed_lists_total", c->lists_relayed);
+	text = add_metric(text, "gd_unrelayed_lists_total", c->lists_direct);
+	text = traffic_append_metrics(
+		text, relay_client_traffic(f->relay_client), "relay");
 	if (!f->relay_server)
 		return text;
+	text = traffic_append_metrics(
+		text, relay_server_traffic(f->relay_server), "owner");
 	return add_metric(text, "gd_relay_late_calls_total",
 			  relay_server_dropped(f->relay_server));
 }
@@ -402,6 +427,8 @@
 	text = add_metric(text, "gd_accept_us_p99", hist_quantile_us(h, 0.99));
 	if (f->catalog && f->catalog->has_orgs)
 		text = add_access_metrics(text, f);
+	if (f->http_traffic)
+		text = traffic_append_metrics(text, f->http_traffic, "http");
 	if (f->relay_client)
 		text = add_relay_metrics(text, f);
 	text = org_metrics_add_refusals(text, job_api_org_refusals(f->job_api));
--- a/src/fleet/relay_client.c
+++ b/src/fleet/relay_client.c
@@ -11,11 +11,6 @@
 #include "transport/lnk.h"
 
 #define WATCH_WAIT_MS 10000
-/* Processor time that the calls of one worker take in a burst, in thousandths
- * of a core: relays are used if this VM has less for all its workers. */
-#define MILLI_PER_WORKER 2
-/* Part of its processor that a relay is meant to spend on calls. */
-#define RELAY_SHARE 4
 /* Relays wanted in a domain at least, so that one can be lost. */
 #define RELAYS_MIN 2
 /* A link that is not open after this time, in ms, is given up, and the VM not
@@ -46,7 +41,8 @@
 	int64_t retry_ms; /* not tried before */
 	int64_t failed_ms; /* unreachable since then; 0: it is not */
 	int64_t version; /* of its row */
-	struct relay_payloads payloads; /* valid with a link */
+	struct relay_payloads payloads; /* valid with a link, as the next */
+	struct relay_reports reports;
 	GHashTable *calls; /* id to struct pending */
 };
 
@@ -62,6 +58,8 @@
 		call->started(SCHED_START_UNKNOWN, call->priv);
 	else if (call->kind == RELAY_POLL)
 		call->polled(NULL, call->priv);
+	else if (call->kind == RELAY_LIST)
+		call->listed(NULL, call->priv);
 	else
 		call->answered(false, call->priv);
 	free(call);
@@ -80,31 +78,67 @@
 		  r->row.domain);
 }
 
+/* Returns the report that the answer holds or stands for; NULL with `*fits`
+ * unset if its base is not the one that is kept here. */
+static const struct sched_report *take_report(struct relay *r, void *ctx,
+					      const struct pending *call,
+					      const struct relay_answer *answer,
+					      bool *fits)
+{
+	const struct sched_report *report = answer->report;
+
+	if (answer->delta)
+		report = relay_reports_apply(ctx, &r->reports, call->worker,
+					     answer->delta);
+	*fits = report || !answer->delta;
+	if (report && answer->number)
+		relay_reports_keep(&r->reports, call->worker, answer->number,
+				   report);
+	return report;
+}
+
+static void close_invalid(struct relay *r, struct lnk *link, size_t len)
+{
+	log_event(
+		LOG_BAD_ANSWER,
+		"vm=%s bytes=%zu why=\"invalid answer of a relay; closing its "
+		"link\"",
+		r->row.vm, len);
+	lnk_close(link);
+}
+
 static void on_frame(struct lnk *link, const uint8_t *data, size_t len,
 		     void *priv)
 {
 	struct relay *r = priv;
 	void *tmp = talloc_new(NULL);
 	struct relay_answer answer;
+	const struct sched_report *report = NULL;
 	struct pending *call = NULL;
+	bool fits = true;
 
 	if (!relay_unpack_answer(tmp, data, len, &answer)) {
-		log_event(LOG_BAD_ANSWER,
-			  "vm=%s bytes=%zu why=\"invalid answer of a relay; "
-			  "closing its link\"",
-			  r->row.vm, len);
-		lnk_close(link);
+		close_invalid(r, link, len);
 		talloc_free(tmp);
 		return;
 	}
 	r->received_ms = now_ms(r->client);
 	call = g_hash_table_lookup(r->calls, &answer.id);
-	if (call) {
+	traffic_received(&r->client->traffic,
+			 relay_purpose(call ? call->kind : RELAY_PING),
+			 LNK_HEADER_BYTES + len);
+	if (call && call->kind == RELAY_POLL)
+		report = take_report(r, tmp, call, &answer, &fits);
+	if (!fits) {
+		close_invalid(r, link, len);
+	} else if (call) {
 		g_hash_table_steal(r->calls, &answer.id);
 		if (call->kind == RELAY_START)
 			call->started(answer.started, call->priv);
 		else if (call->kind == RELAY_POLL)
-			call->polled(answer.report, call->priv);
+			call->polled(report, call->priv);
+		else if (call->kind == RELAY_LIST)
+			call->listed(answer.list, call->priv);
 		else
 			call->answered(answer.answered, call->priv);
 		free(call);
@@ -131,6 +165,7 @@
 	if (!r->failed_ms)
 		r->failed_ms = now_ms(r->client);
 	relay_payloads_finish(&r->payloads);
+	relay_reports_finish(&r->reports);
 	g_hash_table_steal_all(r->calls);
 	for (GList *i = calls; i; i = i->next)
 		fail_call(i->data);
@@ -146,21 +181,36 @@
 	r->connecting_ms = now_ms(c);
 	r->link = lnk_connect(c, c->ev, c->self.ip, r->row.ip, r->row.port,
 			      &link_ops, r);
-	if (r->link)
+	if (r->link) {
 		relay_payloads_init(&r->payloads);
-	else
+		relay_reports_init(&r->reports);
+	} else {
 		r->retry_ms = now_ms(c) + RETRY_MS;
+	}
 }
 
 /* Returns a number by which the relay with the highest one is chosen for the
- * worker, so that each relay gets workers in proportion to its processor. */
+ * worker, so that each relay gets workers in proportion to what it can do. */
 static double preference(const struct relay *r, const char *worker)
 {
 	uint64_t hash = XXH64(r->row.vm, strlen(r->row.vm),
 			      XXH64(worker, strlen(worker), 0));
 	double uniform = ((double)hash + 1) / ((double)UINT64_MAX + 2);
 
-	return (double)r->row.cpu_milli / -log(uniform);
+	return (double)relay_table_workers_milli(&r->row) / -log(uniform);
+}
+
+static int compare_relays(const void *a, const void *b)
+{
+	const struct relay *x = *(struct relay *const *)a;
+	const struct relay *y = *(struct relay *const *)b;
+
+	int64_t x_milli = relay_table_workers_milli(&x->row);
+	int64_t y_milli = relay_table_workers_milli(&y->row);
+
+	if (x_milli != y_milli)
+		return x_milli > y_milli ? -1 : 1;
+	return strcmp(x->row.vm, y->row.vm);
 }
 
 /* Returns the connected relay for the worker: the same one as long as the
@@ -197,9 +247,9 @@
 	call->sent_ms = now_ms(r->client);
 	p->id = call->id;
 	p->kind = call->kind;
+	g_strlcpy(p->worker, call->to.id, sizeof(p->worker));
 	p->deadline_ms = call->sent_ms + call->to.timeout_ms + ANSWER_SLACK_MS;
 	g_hash_table_insert(r->calls, &p->id, p);
-	r->client->counts.relayed++;
 	return p;
 }
 
@@ -210,6 +260,8 @@
 
 	/* If the link fails, on_closed() reports the call. */
 	lnk_send(r->link, data, len);
+	traffic_sent(&r->client->traffic, relay_purpose(call->kind),
+		     LNK_HEADER_BYTES + len);
 	talloc_free(data);
 }
 
@@ -227,12 +279,35 @@
 		call->payload = payload;
 		relay_payloads_add(&r->payloads, call->ref.job, "");
 	}
+	call->base = call->kind == RELAY_POLL
+			     ? relay_reports_number(&r->reports, call->to.id)
+			     : 0;
 	p = new_pending(r, call);
 	p->priv = priv;
+	c->counts.relayed++;
 	send_call(r, call);
 	return p;
 }
 
+struct pending *relay_try_list(struct relay_client *c, struct relay_call *call)
+{
+	struct relay *best = NULL;
+	struct pending *p;
+
+	for (guint i = 0; c->enabled && i < c->open->len; i++) {
+		struct relay *r = g_ptr_array_index(c->open, i);
+
+		if (r->row.port && r->row.lists &&
+		    (!best || compare_relays(&r, &best) < 0))
+			best = r;
+	}
+	if (!best)
+		return NULL;
+	p = new_pending(best, call);
+	send_call(best, call);
+	return p;
+}
+
 static bool has_overdue_call(const struct relay *r, int64_t now)
 {
 	GHashTableIter it;
@@ -392,23 +467,13 @@
 	}
 }
 
-static int compare_relays(const void *a, const void *b)
-{
-	const struct relay *x = *(struct relay *const *)a;
-	const struct relay *y = *(struct relay *const *)b;
-
-	if (x->row.cpu_milli != y->row.cpu_milli)
-		return x->row.cpu_milli > y->row.cpu_milli ? -1 : 1;
-	return strcmp(x->row.vm, y->row.vm);
-}
-
 /* Connects to enough relays of the domain for `workers`, the strongest first.
  */
 static void want_relays(struct relay_client *c, const char *domain,
 			int64_t workers)
 {
 	GPtrArray *list = g_ptr_array_new();
-	int64_t lacks = workers * MILLI_PER_WORKER;
+	int64_t lacks_milli = workers * 1000;
 	int64_t now = now_ms(c);
 	GHashTableIter it;
 	gpointer value;
@@ -422,10 +487,11 @@
 			g_ptr_array_add(list, r);
 	}
 	g_ptr_array_sort(list, compare_relays);
-	for (guint i = 0; i < list->len && (lacks > 0 || i < RELAYS_MIN); i++) {
+	for (guint i = 0; i < list->len && (lacks_milli > 0 || i < RELAYS_MIN);
+	     i++) {
 		struct relay *r = g_ptr_array_index(list, i);
 
-		lacks -= r->row.cpu_milli / RELAY_SHARE;
+		lacks_milli -= relay_table_workers_milli(&r->row);
 		if (!r->link)
 			connect_relay(r);
 	}
@@ -439,7 +505,7 @@
 	gpointer n;
 
 	if (!c->enabled &&
-	    s->worker_list->len * MILLI_PER_WORKER > (guint)c->self.cpu_milli)
+	    relay_table_needs_relays(&c->self, s->worker_list->len))
 		enable(c);
 	if (!c->enabled || now_ms(c) < c->update_due_ms)
 		return;
@@ -499,6 +565,11 @@
 	return &c->counts;
 }
 
+const struct traffic *relay_client_traffic(const struct relay_client *c)
+{
+	return &c->traffic;
+}
+
 int32_t relay_client_links(const struct relay_client *c)
 {
 	return (int32_t)c->open->len;
--- a/src/fleet/relay_client.h
+++ b/src/fleet/relay_client.h
@@ -13,6 +13,7 @@
 #include "fleet/relay_table.h"
 #include "fleet/wkr.h"
 #include "transport/tmr.h"
+#include "transport/traffic.h"
 
 struct relay_client;
 
@@ -23,10 +24,14 @@
 		   const struct clk *clk, const struct rows *rows,
 		   const struct wkr *direct, const struct relay_vm_row *self);
 struct wkr relay_client_iface(struct relay_client *c);
+/* Returns the store's interface for a watch of the list of workers, whose
+ * changes come through a relay if there is one that knows them. */
+struct rows relay_client_list_rows(struct relay_client *c);
 
 /*
  * Adjusts to the workers of the scheduler: uses relays once their calls may
- * take more processor time than this VM has. Call it from time to time.
+ * take more of the processor or of the link than this VM has. Call it from time
+ * to time.
  */
 void relay_client_update(struct relay_client *c, const struct sched *s);
 /* Closes all links; calls in flight have no answer. */
@@ -36,10 +41,14 @@
 	int64_t relayed; /* calls */
 	int64_t direct;
 	int64_t links_lost;
+	int64_t lists_relayed; /* calls for changes of the list of workers */
+	int64_t lists_direct; /* ... that a relay could not answer */
 };
 
 const struct relay_client_counts *
 relay_client_counts(const struct relay_client *c);
+/* What was exchanged with relays; valid as long as the client. */
+const struct traffic *relay_client_traffic(const struct relay_client *c);
 /* Returns the number of open links. */
 int32_t relay_client_links(const struct relay_client *c);
 
--- a/src/fleet/relay_int.h
+++ b/src/fleet/relay_int.h
@@ -11,9 +11,11 @@
 	uint64_t id;
 	enum relay_kind kind;
 	int64_t deadline_ms;
+	char worker[SCHED_ID_MAX];
 	wkr_start_cb started; /* the one of the kind is set */
 	wkr_ack_cb answered;
 	wkr_poll_cb polled;
+	void (*listed)(const struct list_changes *list, void *priv);
 	void *priv;
 };
 
@@ -32,8 +34,10 @@
 	GPtrArray *open; /* those with an open link */
 	GHashTable *demand; /* domain to number of workers */
 	int64_t update_due_ms;
+	int64_t list_due_ms; /* the store is asked for the list until then */
 	uint64_t last_id;
 	struct relay_client_counts counts;
+	struct traffic traffic;
 };
 
 /* Sends the call to a relay. Returns NULL if there is none for the worker. The
@@ -41,4 +45,7 @@
 struct pending *relay_try(struct relay_client *c, struct relay_call *call,
 			  const char *payload, void *priv);
 
+/* The same with a RELAY_LIST, to the relay that can do most. */
+struct pending *relay_try_list(struct relay_client *c, struct relay_call *call);
+
 #endif
--- a/src/fleet/relay_msg.h
+++ b/src/fleet/relay_msg.h
@@ -6,17 +6,26 @@
 #ifndef RELAY_MSG_H
 #define RELAY_MSG_H
 
+#include "fleet/list_view.h"
+#include "fleet/relay_reports.h"
 #include "fleet/wkr.h"
+#include "transport/traffic.h"
 
-/* RELAY_PING is answered at once, without a call. */
+/* RELAY_PING and RELAY_LIST are answered at once, without a call. The latter is
+ * sent only to VMs whose row says that they answer it: others close the link.
+ */
 enum relay_kind {
 	RELAY_START,
 	RELAY_STOP,
 	RELAY_PACE,
 	RELAY_POLL,
 	RELAY_PING,
+	RELAY_LIST, /* changes of the list of workers after `durable_seq` */
 };
 
+/* As what messages of the kind are counted. */
+enum traffic_purpose relay_purpose(enum relay_kind kind);
+
 /* A call of struct wkr_ops. Strings are valid as long as their message. */
 struct relay_call {
 	uint64_t id; /* echoed in the answer */
@@ -25,13 +34,17 @@
 	struct wkr_target to;
 	struct sched_ref ref; /* not for RELAY_POLL */
 	int32_t percent; /* RELAY_PACE */
-	int64_t durable_seq; /* RELAY_POLL, as the next */
+	int64_t durable_seq; /* RELAY_POLL, as the next; RELAY_LIST */
 	int64_t wait_ms;
 	/* RELAY_START. NULL: the payload of the job was sent before on this
 	 * connection; see relay_payloads. */
 	const char *payload;
 	const char *checkpoint; /* NULL: none, as the next */
 	const char *ticket;
+	/* RELAY_POLL. Number of the worker's last report over this connection,
+	 * to which the answer may be a difference; 0: none; -1: the owner is of
+	 * a release without differences. */
+	int64_t base;
 };
 
 struct relay_answer {
@@ -39,6 +52,12 @@
 	enum sched_start_result started; /* RELAY_START */
 	bool answered; /* RELAY_STOP, RELAY_PACE */
 	const struct sched_report *report; /* RELAY_POLL; NULL: none */
+	/* RELAY_POLL. The number that a report has over this connection; 0: it
+	 * is none's base. */
+	int64_t number;
+	const struct relay_delta *delta; /* NULL, or in place of `report` */
+	/* RELAY_LIST; NULL: unknown, the store has to be asked. */
+	const struct list_changes *list;
 };
 
 /* Return the message, a talloc child of `ctx`. */
--- a/src/fleet/relay_server.c
+++ b/src/fleet/relay_server.c
@@ -22,6 +22,8 @@
 	const struct clk *clk;
 	struct lnk_srv *srv;
 	int64_t dropped;
+	struct traffic traffic;
+	struct list_share *list; /* NULL: none */
 };
 
 /* A connected owner. */
@@ -29,6 +31,8 @@
 	struct relay_server *server;
 	struct lnk *link;
 	struct relay_payloads payloads;
+	struct relay_reports reports;
+	int64_t last_number; /* of a report */
 	struct running *running;
 	/* Least difference of our clock at arrival to the owner's at sending,
 	 * which includes the shortest way here; of this window and the last. */
@@ -43,14 +47,21 @@
 	struct running *next;
 	struct running **prev_next;
 	uint64_t id;
+	enum relay_kind kind;
+	int64_t base; /* as in struct relay_call */
+	char worker[SCHED_ID_MAX];
 };
 
-static struct running *new_running(struct peer *p, uint64_t id)
+static struct running *new_running(struct peer *p,
+				   const struct relay_call *call)
 {
 	struct running *run = calloc(1, sizeof(*run));
 
 	run->peer = p;
-	run->id = id;
+	run->id = call->id;
+	run->kind = call->kind;
+	run->base = call->base;
+	g_strlcpy(run->worker, call->to.id, sizeof(run->worker));
 	run->next = p->running;
 	run->prev_next = &p->running;
 	if (run->next)
@@ -72,6 +83,8 @@
 		answer->id = run->id;
 		data = relay_pack_answer(run->peer, answer, &len);
 		lnk_send(run->peer->link, data, len);
+		traffic_sent(&run->peer->server->traffic,
+			     relay_purpose(run->kind), LNK_HEADER_BYTES + len);
 		talloc_free(data);
 	}
 	free(run);
@@ -91,11 +104,52 @@
 	finish(priv, &answer);
 }
 
+/* Keeps what the owner makes of the answer: the order of its entries counts. */
+static void keep_report(struct peer *p, const char *worker, int64_t number,
+			const struct sched_report *report,
+			const struct relay_delta *delta)
+{
+	struct sched_report *applied =
+		delta ? relay_reports_apply(NULL, &p->reports, worker, delta)
+		      : NULL;
+
+	relay_reports_keep(&p->reports, worker, number,
+			   applied ? applied : report);
+	talloc_free(applied);
+}
+
 static void on_polled(const struct sched_report *report, void *priv)
 {
+	struct running *run = priv;
 	struct relay_answer answer = { .report = report };
+	struct relay_delta *delta = NULL;
+	struct peer *p = run->peer;
+
+	if (p && report && run->base >= 0) {
+		delta = relay_reports_diff(NULL, &p->reports, run->worker,
+					   run->base, report);
+		answer.number = ++p->last_number;
+		keep_report(p, run->worker, answer.number, report, delta);
+	}
+	if (delta) {
+		answer.report = NULL;
+		answer.delta = delta;
+	}
+	finish(run, &answer);
+	talloc_free(delta);
+}
 
-	finish(priv, &answer);
+static void answer_list(struct running *run, int64_t after)
+{
+	struct list_share *list = run->peer->server->list;
+	void *tmp = talloc_new(NULL);
+	struct relay_answer answer = { 0 };
+	struct list_changes changes;
+
+	if (list && list_share_collect(list, tmp, after, &changes))
+		answer.list = &changes;
+	finish(run, &answer);
+	talloc_free(tmp);
 }
 
 /* Returns how much longer the call took to arrive than the fastest of late. */
@@ -148,7 +202,7 @@
 static bool carry_out(struct peer *p, const struct relay_call *call)
 {
 	const struct wkr *wkr = &p->server->wkr;
-	struct running *run = new_running(p, call->id);
+	struct running *run = new_running(p, call);
 
 	if (call->payload)
 		relay_payloads_add(&p->payloads, call->ref.job, call->payload);
@@ -169,6 +223,9 @@
 	case RELAY_PING:
 		on_ack(true, run);
 		return true;
+	case RELAY_LIST:
+		answer_list(run, call->durable_seq);
+		return true;
 	case RELAY_POLL:
 		wkr->ops->poll(wkr->self, &call->to, call->durable_seq,
 			       call->wait_ms, on_polled, run);
@@ -183,6 +240,7 @@
 	for (struct running *run = p->running; run; run = run->next)
 		run->peer = NULL;
 	relay_payloads_finish(&p->payloads);
+	relay_reports_finish(&p->reports);
 	return 0;
 }
 
@@ -193,10 +251,20 @@
 	p->server = priv;
 	p->link = link;
 	relay_payloads_init(&p->payloads);
+	relay_reports_init(&p->reports);
 	talloc_set_destructor(p, peer_destructor);
 	lnk_set_user(link, p);
 }
 
+static void close_invalid(struct lnk *link, size_t len)
+{
+	log_event(
+		LOG_BAD_ANSWER,
+		"bytes=%zu why=\"invalid call of an owner; closing its link\"",
+		len);
+	lnk_close(link);
+}
+
 static void on_frame(struct lnk *link, const uint8_t *data, size_t len,
 		     void *priv)
 {
@@ -205,13 +273,15 @@
 	struct relay_call call;
 
 	(void)priv;
-	if (!relay_unpack_call(tmp, data, len, &call) || !carry_out(p, &call)) {
-		log_event(LOG_BAD_ANSWER,
-			  "bytes=%zu why=\"invalid call of an owner; closing "
-			  "its link\"",
-			  len);
-		lnk_close(link);
+	if (!relay_unpack_call(tmp, data, len, &call)) {
+		close_invalid(link, len);
+		talloc_free(tmp);
+		return;
 	}
+	traffic_received(&p->server->traffic, relay_purpose(call.kind),
+			 LNK_HEADER_BYTES + len);
+	if (!carry_out(p, &call))
+		close_invalid(link, len);
 	talloc_free(tmp);
 }
 
@@ -239,6 +309,16 @@
 	return s;
 }
 
+void relay_server_share_list(struct relay_server *s, struct list_share *list)
+{
+	s->list = list;
+}
+
+const struct traffic *relay_server_traffic(const struct relay_server *s)
+{
+	return &s->traffic;
+}
+
 int64_t relay_server_dropped(const struct relay_server *s)
 {
 	return s->dropped;
--- a/tests/unit_relay.c
+++ b/tests/unit_relay.c
@@ -289,6 +289,22 @@
 	g_assert_cmpint(r->answered, ==, 1);
 }
 
+/* Both ends count the same bytes, each call under its purpose: the figures of a
+ * narrow link are otherwise blamed on the wrong messages. */
+static void check_traffic(void)
+{
+	const struct traffic *owner = relay_client_traffic(fx->client);
+	const struct traffic *relay = relay_server_traffic(fx->server);
+
+	g_assert_cmpint(owner->out[TRAFFIC_STARTS].calls, ==, 3);
+	g_assert_cmpint(owner->out[TRAFFIC_REPORTS].calls, ==, 1);
+	for (int i = TRAFFIC_STARTS; i <= TRAFFIC_REPORTS; i++) {
+		g_assert_cmpint(owner->out[i].bytes, ==, relay->in[i].bytes);
+		g_assert_cmpint(owner->in[i].bytes, ==, relay->out[i].bytes);
+		g_assert_cmpint(owner->in[i].calls, ==, owner->out[i].calls);
+	}
+}
+
 static void test_calls(void)
 {
 	struct result r;
@@ -317,6 +333,32 @@
 	send_poll("e", &r);
 	await(&r);
 	g_assert_cmpint(fx->direct, ==, 1);
+	check_traffic();
+	relay_fixture_close();
+}
+
+/* Returns how many bytes the report took. */
+static int64_t poll_bytes(struct result *r)
+{
+	const struct traffic *t = relay_client_traffic(fx->client);
+	int64_t before = t->in[TRAFFIC_REPORTS].bytes;
+
+	send_poll("d", r);
+	await(r);
+	g_assert_cmpint(r->end.seq, ==, 7);
+	g_assert_cmpint(r->active.gauge, ==, 1234);
+	return t->in[TRAFFIC_REPORTS].bytes - before;
+}
+
+/* A report like the last one is sent as a difference and arrives whole. */
+static void test_reports_as_differences(void)
+{
+	struct result r;
+	int64_t whole;
+
+	relay_fixture_open();
+	whole = poll_bytes(&r);
+	g_assert_cmpint(poll_bytes(&r), <, whole * 2 / 3);
 	relay_fixture_close();
 }
 
@@ -542,6 +584,8 @@
 void unit_add_relay(void)
 {
 	g_test_add_func("/relay/calls", test_calls);
+	g_test_add_func("/relay/reports-as-differences",
+			test_reports_as_differences);
 	g_test_add_func("/relay/many-jobs", test_many_jobs);
 	g_test_add_func("/relay/relay-ends", test_relay_ends);
 	g_test_add_func("/relay/silent-relay", test_silent_relay);
--- a/tests/unit_tests.c
+++ b/tests/unit_tests.c
@@ -33,7 +33,9 @@
 	unit_add_links();
 	unit_add_rack();
 	unit_add_relay();
+	unit_add_relay_list();
 	unit_add_relay_msg();
+	unit_add_relay_reports();
 	unit_add_admission();
 	unit_add_place();
 	unit_add_sched();
@@ -47,6 +49,7 @@
 	unit_add_lives();
 	unit_add_stale();
 	unit_add_starts();
+	unit_add_start_window();
 	unit_add_state();
 	unit_add_odd();
 	unit_add_odd_list();
