--- a/src/fleet/start_window.c
+++ b/src/fleet/start_window.c
@@ -18,6 +18,10 @@
 /* Half of the time after which a start is given up: above this the window
  * shrinks whatever the least delay is, which a lasting queue raises. */
 #define DELAY_MAX_MS 350
+/* Losses count if they are more than this part of the answers: workers that
+ * leave some of their commands unanswered for seconds say nothing of the link.
+ */
+#define LOST_DIVISOR 4
 /* Factors of a change, in thousandths. */
 #define GROW_MILLI 1250
 #define SHRINK_MILLI 800
@@ -161,9 +165,8 @@
 					 median(w->delay_ms, w->n_samples));
 		w->changed_ms = now_ms;
 	}
-	if (w->n_lost) {
-		/* By half if all are lost, and hardly if one worker of many is
-		 * dead (as DCTCP does with marks). */
+	if (w->n_lost * LOST_DIVISOR > w->n_answered) {
+		/* By half if all are lost (as DCTCP does with marks). */
 		factor = MIN(factor, 1000) * (2 * w->n_answered - w->n_lost) /
 			 (2 * w->n_answered);
 		w->changed_ms = now_ms;
