--- a/Makefile
+++ b/Makefile
@@ -54,7 +54,7 @@
 STANDINS = $(B)/gd-platform $(B)/gd-worker $(B)/gd-target $(B)/gd-faultproxy \
 	$(B)/gd-site
 TESTS = $(B)/unit-tests $(B)/path-tests $(B)/fleet-tests $(B)/relay-tests \
-	$(B)/gd-soak \
+	$(B)/crowd-tests $(B)/gd-soak \
 	$(B)/gd-matrix $(B)/gd-demo $(B)/gd-bench $(B)/red-sample
 
 all: $(DAEMONS) $(STANDINS) $(TESTS)
@@ -85,6 +85,8 @@
 $(B)/fleet-tests: $(call obj,tests/fleet_tests.c tests/fleet_helpers.c \
 	tests/http_tests.c) $(HARNESS)
 $(B)/relay-tests: $(call obj,tests/relay_tests.c tests/fleet_helpers.c) $(HARNESS)
+$(B)/crowd-tests: $(call obj,tests/crowd_tests.c tests/crowd_clients.c \
+	tests/fleet_helpers.c) $(HARNESS)
 $(B)/gd-soak: $(call obj,$(wildcard tests/soak*.c)) $(HARNESS)
 $(B)/gd-matrix: $(call obj,tests/matrix.c tests/cell.c \
 	$(wildcard tests/cells_*.c)) $(HARNESS)
@@ -120,6 +122,12 @@
 	GD_BIN=$(B) $(B)/gd-soak --ci
 	GD_BIN=$(B) $(B)/gd-matrix --ci
 
+# Crowds of clients that don't keep to the limits. It measures memory, so it runs
+# apart from other load and in the plain build only.
+crowd: deps
+	$(MAKE) all
+	GD_BIN=$(B) sh tests/known-red.sh $(B)/crowd-tests
+
 # Drawn faults by seeds, SOAK_JOBS side by side. Each seed's output is in
 # $(B)/soak.
 SEEDS = 1 50
@@ -165,5 +173,5 @@
 clean:
 	rm -rf build build-san build-tsan build-fuzz
 
-.PHONY: all deploy deps deps-present demo test soak tsan fuzz matrix bench format lint clean
+.PHONY: all deploy deps deps-present demo test crowd soak tsan fuzz matrix bench format lint clean
 -include $(shell find $(B) -name '*.d' 2>/dev/null)
--- /dev/null
+++ b/tests/crowd_clients.c
@@ -0,0 +1,307 @@
+#include "tests/crowd_clients.h"
+
+#include <arpa/inet.h>
+#include <dirent.h>
+#include <errno.h>
+#include <glib.h>
+#include <inttypes.h>
+#include <poll.h>
+#include <stdio.h>
+#include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "tests/harness.h"
+
+/* Just below the limit of 1 MiB that applies without `limits`. */
+#define BODY_BYTES 1000000
+#define OVER_BYTES 4000000
+#define HEADER_BYTES 15000
+#define CHUNK_BYTES 65536
+#define SMALL_CHUNK_BYTES 16
+#define WRITE_BYTES 262144
+#define PIECE_BYTES 4096
+/* Part of a frame of the largest size that links accept. */
+#define FRAME_BYTES (4u << 20)
+#define FRAME_PART_BYTES 262144
+#define SAMPLE_MS 20
+/* Without a byte taken for this long, the server reads no more. */
+#define STALL_MS 3000
+#define TCP_LISTEN_STATE 10
+
+struct client {
+	int fd; /* -1: disconnected */
+	const GString *wire;
+	size_t sent;
+	size_t piece; /* bytes of one write */
+};
+
+struct crowd {
+	GString *wires[CROWD_KINDS];
+	struct client *clients;
+	struct pollfd *polls;
+	int n;
+};
+
+static int64_t resident_bytes(pid_t pid)
+{
+	g_autofree char *path = g_strdup_printf("/proc/%d/statm", (int)pid);
+	FILE *f = fopen(path, "r");
+	long long pages = 0;
+
+	if (!f)
+		return 0;
+	if (fscanf(f, "%*d %lld", &pages) != 1)
+		pages = 0;
+	fclose(f);
+	return pages * sysconf(_SC_PAGESIZE);
+}
+
+/* Returns the bytes in the receive queues of the sockets on these ports. */
+static int64_t unread_bytes(int first_port, int last_port)
+{
+	FILE *f = fopen("/proc/net/tcp", "r");
+	int64_t sum = 0;
+	char line[256];
+
+	while (f && fgets(line, sizeof(line), f)) {
+		unsigned int port;
+		unsigned int state;
+		unsigned int queue;
+
+		if (sscanf(line, " %*d: %*x:%x %*x:%*x %x %*x:%x", &port,
+			   &state, &queue) == 3 &&
+		    (int)port >= first_port && (int)port <= last_port &&
+		    state != TCP_LISTEN_STATE)
+			sum += queue;
+	}
+	if (f)
+		fclose(f);
+	return sum;
+}
+
+static int count_descriptors(pid_t pid)
+{
+	g_autofree char *path = g_strdup_printf("/proc/%d/fd", (int)pid);
+	DIR *d = opendir(path);
+	int n = 0;
+
+	/* The entries . and .. are not descriptors. */
+	while (d && readdir(d))
+		n++;
+	if (d)
+		closedir(d);
+	return n - 2;
+}
+
+void crowd_sample(struct crowd_usage *u, bool now)
+{
+	int64_t bytes;
+
+	if (!now && hx_now_ms() < u->next_sample_ms)
+		return;
+	bytes = resident_bytes(u->pid) +
+		unread_bytes(u->first_port, u->last_port);
+	u->memory_bytes = MAX(u->memory_bytes, bytes);
+	u->descriptors = MAX(u->descriptors, count_descriptors(u->pid));
+	u->next_sample_ms = hx_now_ms() + SAMPLE_MS;
+}
+
+static void add_chunks(GString *w, size_t total, size_t chunk)
+{
+	g_autofree char *data = g_strnfill(chunk, 'x');
+
+	for (size_t n = 0; n < total; n += chunk)
+		g_string_append_printf(w, "%zx\r\n%s\r\n", chunk, data);
+}
+
+static void add_bytes(GString *w, size_t n)
+{
+	g_autofree char *data = g_strnfill(n, 'x');
+
+	g_string_append_len(w, data, (gssize)n);
+}
+
+/* Returns all that a client sends. */
+static GString *make_wire(enum crowd_kind kind)
+{
+	GString *w = g_string_new("");
+	uint32_t frame = htonl(FRAME_BYTES);
+
+	if (kind == CROWD_LINKS) {
+		g_string_append_len(w, (const char *)&frame, sizeof(frame));
+		add_bytes(w, FRAME_PART_BYTES);
+		return w;
+	}
+	g_string_append(w, "POST /q/00000000deadbeef HTTP/1.1\r\n"
+			   "Host: jobs.example\r\n");
+	if (kind == CROWD_HEADERS) {
+		g_string_append(w, "Pad: ");
+		add_bytes(w, HEADER_BYTES);
+	} else if (kind == CROWD_WHOLE || kind == CROWD_PIECES) {
+		g_string_append_printf(w, "Content-Length: %d\r\n\r\n",
+				       BODY_BYTES);
+		add_bytes(w, BODY_BYTES - 1);
+	} else if (kind == CROWD_ANNOUNCED_OVER) {
+		g_string_append_printf(w, "Content-Length: %d\r\n\r\n",
+				       OVER_BYTES);
+		add_bytes(w, OVER_BYTES - 1);
+	} else {
+		g_string_append(w, "Transfer-Encoding: chunked\r\n\r\n");
+		if (kind == CROWD_SMALL_CHUNKS)
+			add_chunks(w, BODY_BYTES, SMALL_CHUNK_BYTES);
+		else
+			add_chunks(w,
+				   kind == CROWD_CHUNKS ? BODY_BYTES
+							: OVER_BYTES,
+				   CHUNK_BYTES);
+	}
+	return w;
+}
+
+static int connect_to(int port)
+{
+	struct sockaddr_in a = { .sin_family = AF_INET,
+				 .sin_port = htons((uint16_t)port),
+				 .sin_addr.s_addr = htonl(INADDR_LOOPBACK) };
+	int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+
+	g_assert_cmpint(fd, >=, 0);
+	if (connect(fd, (struct sockaddr *)&a, sizeof(a)) < 0)
+		g_assert_cmpint(errno, ==, EINPROGRESS);
+	return fd;
+}
+
+static void disconnect(struct client *c)
+{
+	close(c->fd);
+	c->fd = -1;
+}
+
+/* Returns whether bytes were taken. */
+static bool send_piece(struct client *c)
+{
+	size_t left = c->wire->len - c->sent;
+	ssize_t n = send(c->fd, c->wire->str + c->sent, MIN(left, c->piece),
+			 MSG_NOSIGNAL);
+
+	if (n < 0 && errno != EAGAIN) {
+		disconnect(c);
+		return true;
+	}
+	c->sent += n > 0 ? (size_t)n : 0;
+	return n > 0;
+}
+
+/* Reads answers; a client goes on sending until its connection fails. */
+static void discard_input(struct client *c)
+{
+	char data[4096];
+	ssize_t n = recv(c->fd, data, sizeof(data), 0);
+
+	if ((n < 0 && errno != EAGAIN) || (!n && c->sent == c->wire->len))
+		disconnect(c);
+}
+
+static bool is_sending(const struct client *c)
+{
+	return c->fd >= 0 && c->sent < c->wire->len;
+}
+
+/* Returns the number of clients that have more to send, and whether any made
+ * progress. */
+static int turn(struct crowd *c, bool *progress)
+{
+	int sending = 0;
+
+	for (int i = 0; i < c->n; i++) {
+		struct client *cl = &c->clients[i];
+
+		c->polls[i].fd = cl->fd;
+		c->polls[i].events =
+			(short)(is_sending(cl) ? POLLOUT | POLLIN : POLLIN);
+		sending += is_sending(cl);
+	}
+	poll(c->polls, (nfds_t)c->n, SAMPLE_MS);
+	for (int i = 0; i < c->n; i++) {
+		struct client *cl = &c->clients[i];
+
+		if (cl->fd >= 0 && (c->polls[i].revents & POLLIN))
+			discard_input(cl);
+		if (is_sending(cl) &&
+		    (c->polls[i].revents & (POLLOUT | POLLERR | POLLHUP)))
+			*progress |= send_piece(cl);
+	}
+	return sending;
+}
+
+struct crowd *crowd_start(const struct crowd_group *groups, int n,
+			  struct crowd_usage *usage)
+{
+	struct crowd *c = g_new0(struct crowd, 1);
+	int64_t progress_ms = hx_now_ms();
+	int at = 0;
+
+	for (int i = 0; i < n; i++)
+		c->n += groups[i].clients;
+	c->clients = g_new0(struct client, c->n);
+	c->polls = g_new0(struct pollfd, c->n);
+	for (int i = 0; i < n; i++) {
+		enum crowd_kind kind = groups[i].kind;
+
+		if (!c->wires[kind])
+			c->wires[kind] = make_wire(kind);
+		for (int k = 0; k < groups[i].clients; k++)
+			c->clients[at++] = (struct client){
+				.fd = connect_to(groups[i].port),
+				.wire = c->wires[kind],
+				.piece = kind == CROWD_PIECES ? PIECE_BYTES
+							      : WRITE_BYTES,
+			};
+	}
+	for (;;) {
+		bool progress = false;
+		int sending = turn(c, &progress);
+
+		crowd_sample(usage, false);
+		if (progress)
+			progress_ms = hx_now_ms();
+		if (!sending || hx_now_ms() - progress_ms > STALL_MS)
+			break;
+	}
+	crowd_sample(usage, true);
+	return c;
+}
+
+int crowd_sent(const struct crowd *c)
+{
+	int n = 0;
+
+	for (int i = 0; i < c->n; i++)
+		n += c->clients[i].sent == c->clients[i].wire->len;
+	return n;
+}
+
+int crowd_closed(const struct crowd *c)
+{
+	int n = 0;
+
+	for (int i = 0; i < c->n; i++)
+		n += c->clients[i].fd < 0;
+	return n;
+}
+
+void crowd_stop(struct crowd *c)
+{
+	for (int i = 0; i < c->n; i++) {
+		if (c->clients[i].fd >= 0)
+			close(c->clients[i].fd);
+	}
+	for (int i = 0; i < CROWD_KINDS; i++) {
+		if (c->wires[i])
+			g_string_free(c->wires[i], TRUE);
+	}
+	g_free(c->clients);
+	g_free(c->polls);
+	g_free(c);
+}
--- /dev/null
+++ b/tests/crowd_tests.c
@@ -0,0 +1,230 @@
+/*
+ * Crowds of clients that don't keep to the limits, against a real gd-fleet.
+ * Each test guards against a process that ends, hangs, or takes more memory or
+ * descriptors than its VM has. The bounds follow from the settings.
+ */
+#include <glib.h>
+#include <signal.h>
+#include <stdio.h>
+#include <sys/resource.h>
+
+#include "tests/crowd_clients.h"
+#include "tests/fleet_helpers.h"
+
+#define MEMORY_MIB 64
+#define MAX_FDS 400
+/* Descriptors that the platform reserves for files. */
+#define FDS_FOR_FILES 200
+#define CLIENTS 120
+#define LINKS 400
+#define GROUPS_MAX 8
+/* A call that is not answered for this long is never answered. */
+#define SERVED_MAX_MS 30000
+#define ONE_STEP                                                               \
+	"[{\"count\":1,\"cpu\":1000,\"mem_mb\":100,\"estimate_ms\":100}]"
+
+#define STRING(x) #x
+#define TEXT_OF(x) STRING(x)
+
+static void start(struct hf *s, struct crowd_usage *u)
+{
+	static const struct hf_options opt = {
+		.vms = 1,
+		.workers = 2,
+		.relays = true,
+		.bounds = "bounds.lease_ms=500\nlimits.memory_mb=" TEXT_OF(
+			MEMORY_MIB) "\nlimits.max_fds=" TEXT_OF(MAX_FDS) "\n",
+	};
+
+	hf_start(s, &opt);
+	*u = (struct crowd_usage){ .pid = s->vms[0],
+				   .first_port = s->vm_ports,
+				   .last_port = s->vm_ports + HF_VM_PORTS - 1 };
+	crowd_sample(u, true);
+	printf("# before: %.1f MiB, %d descriptors\n",
+	       (double)u->memory_bytes / (1 << 20), u->descriptors);
+}
+
+static void fail(const char *why)
+{
+	printf("# failed: %s\n", why);
+	fflush(stdout);
+	g_test_fail();
+}
+
+/* Reports the figures, and fails the test if a bound is broken. */
+static void check(struct hf *s, struct crowd_usage *u)
+{
+	int code;
+
+	crowd_sample(u, true);
+	printf("# largest: %.1f MiB of %d, %d descriptors of %d\n",
+	       (double)u->memory_bytes / (1 << 20), MEMORY_MIB, u->descriptors,
+	       MAX_FDS - FDS_FOR_FILES);
+	fflush(stdout);
+	if (hx_has_ended(s->vms[0], &code))
+		fail("the process has ended");
+	if (u->memory_bytes > (int64_t)MEMORY_MIB << 20)
+		fail("more memory than the VM has");
+	if (u->descriptors > MAX_FDS - FDS_FOR_FILES)
+		fail("more descriptors than the VM has");
+}
+
+/* Sends an ordinary job until it is accepted. */
+static void check_serves(struct hf *s, const char *when)
+{
+	g_autofree char *path = g_strdup_printf("/q/%016x", ++s->jobs);
+	int64_t end = hx_now_ms() + SERVED_MAX_MS;
+	struct hx_response resp;
+	long status;
+
+	do {
+		resp = hf_call(s, NULL, 0, "POST", path,
+			       "{\"spec\":\"ms=10\",\"steps\":" ONE_STEP "}");
+		status = resp.status;
+		hx_response_free(&resp);
+		if (status != 200)
+			hx_sleep_ms(100);
+	} while (status != 200 && hx_now_ms() < end);
+	if (status != 200)
+		fail(when);
+}
+
+/* Checks that the load balancer and operators are answered. */
+static void check_operators(const struct hf *s)
+{
+	int64_t end = hx_now_ms() + SERVED_MAX_MS;
+	g_autofree char *url =
+		g_strdup_printf("http://127.0.0.1:%d/metrics", s->vm_ports + 2);
+	struct hx_response resp;
+	bool served;
+
+	do {
+		resp = hx_http("GET", url, NULL, NULL, HF_CALL_MS);
+		served = resp.status == 200 && hf_is_ready(s, 0);
+		hx_response_free(&resp);
+		if (!served)
+			hx_sleep_ms(100);
+	} while (!served && hx_now_ms() < end);
+	if (!served)
+		fail("no answer to the load balancer or operators");
+}
+
+/* Runs the crowd, and sends a job while its clients are connected and another
+ * one after they have left. */
+static void play(struct hf *s, struct crowd_usage *u,
+		 const struct crowd_group *groups, int n)
+{
+	struct crowd *c = crowd_start(groups, n, u);
+
+	printf("# clients: %d sent all, %d disconnected\n", crowd_sent(c),
+	       crowd_closed(c));
+	check_serves(s, "no answer beside the crowd");
+	check_operators(s);
+	crowd_sample(u, true);
+	crowd_stop(c);
+	check_serves(s, "no answer after the crowd");
+	check(s, u);
+}
+
+static void test_alone(const void *kind)
+{
+	struct crowd_usage u;
+	struct hf s;
+
+	start(&s, &u);
+	play(&s, &u,
+	     &(struct crowd_group){ GPOINTER_TO_INT(kind), s.vm_ports,
+				    CLIENTS },
+	     1);
+	hf_stop(&s);
+}
+
+/* Returns the number of groups: all kinds of HTTP clients. */
+static int all_groups(const struct hf *s, struct crowd_group *out)
+{
+	int n = 0;
+
+	for (int kind = 0; kind < CROWD_LINKS; kind++)
+		out[n++] = (struct crowd_group){ (enum crowd_kind)kind,
+						 s->vm_ports, CLIENTS };
+	return n;
+}
+
+static void test_all_at_once(void)
+{
+	struct crowd_group groups[GROUPS_MAX];
+	struct crowd_usage u;
+	struct hf s;
+
+	start(&s, &u);
+	play(&s, &u, groups, all_groups(&s, groups));
+	hf_stop(&s);
+}
+
+/* Guards also against memory that a first crowd leaves behind. */
+static void test_second_crowd(void)
+{
+	struct crowd_group groups[GROUPS_MAX];
+	struct crowd_usage u;
+	struct hf s;
+
+	start(&s, &u);
+	play(&s, &u, groups, all_groups(&s, groups));
+	play(&s, &u, groups, all_groups(&s, groups));
+	hf_stop(&s);
+}
+
+/* The port between our own processes: links with a part of a large frame. */
+static void test_links(void)
+{
+	struct crowd_usage u;
+	struct hf s;
+
+	start(&s, &u);
+	play(&s, &u,
+	     &(struct crowd_group){ CROWD_LINKS, s.vm_ports + 3, LINKS }, 1);
+	hf_stop(&s);
+}
+
+/* The listeners of the load balancer and of operators. */
+static void test_operators(void)
+{
+	struct crowd_usage u;
+	struct hf s;
+
+	start(&s, &u);
+	play(&s, &u,
+	     (struct crowd_group[]){
+		     { CROWD_WHOLE, s.vm_ports + 1, CLIENTS },
+		     { CROWD_HEADERS, s.vm_ports + 1, CLIENTS },
+		     { CROWD_HEADERS, s.vm_ports + 2, CLIENTS },
+		     { CROWD_CHUNKS, s.vm_ports + 2, CLIENTS } },
+	     4);
+	hf_stop(&s);
+}
+
+int main(int argc, char **argv)
+{
+	static const char *const names[] = { "whole",	       "pieces",
+					     "chunks",	       "small-chunks",
+					     "announced-over", "chunked-over",
+					     "headers" };
+	struct rlimit fds;
+
+	g_test_init(&argc, &argv, NULL);
+	getrlimit(RLIMIT_NOFILE, &fds);
+	fds.rlim_cur = fds.rlim_max;
+	setrlimit(RLIMIT_NOFILE, &fds);
+	for (int kind = 0; kind < CROWD_LINKS; kind++) {
+		g_autofree char *path =
+			g_strdup_printf("/crowd/%s", names[kind]);
+
+		g_test_add_data_func(path, GINT_TO_POINTER(kind), test_alone);
+	}
+	g_test_add_func("/crowd/all-at-once", test_all_at_once);
+	g_test_add_func("/crowd/second-crowd", test_second_crowd);
+	g_test_add_func("/crowd/links", test_links);
+	g_test_add_func("/crowd/operators", test_operators);
+	return g_test_run();
+}
