--- a/tests/unit.h
+++ b/tests/unit.h
@@ -3,6 +3,7 @@
 #define UNIT_H
 
 void unit_add_advice(void);
+void unit_add_body_budget(void);
 void unit_add_answers(void);
 void unit_add_attempts(void);
 void unit_add_coordination(void);
--- a/tests/unit_tests.c
+++ b/tests/unit_tests.c
@@ -16,6 +16,7 @@
 	unit_add_advice();
 	unit_add_answers();
 	unit_add_attempts();
+	unit_add_body_budget();
 	unit_add_coordination();
 	unit_add_count();
 	unit_add_log();
