--- a/src/base/log.h
+++ b/src/base/log.h
@@ -14,6 +14,7 @@
 	X(LOG_STOPPED, 1003, 6, "stopped")                                     \
 	X(LOG_BAD_SETTINGS, 1004, 3, "settings rejected")                      \
 	X(LOG_CANNOT_LISTEN, 1005, 3, "cannot open listening port")            \
+	X(LOG_CLIENTS_LIMITED, 1006, 4, "clients beyond the limits refused")   \
 	X(LOG_STORE_DOWN, 2001, 4, "table service unreachable")                \
 	X(LOG_STORE_UP, 2002, 5, "table service reachable again")              \
 	X(LOG_CONFIG_APPLIED, 2101, 6, "configuration revision applied")       \
--- a/src/transport/hts.c
+++ b/src/transport/hts.c
@@ -1,69 +1,46 @@
 /* HTTP server: runs libmicrohttpd on a tevent loop. A connection is suspended
  * from the call of the handler until the reply. */
-#include "transport/hts.h"
+#include "transport/hts_int.h"
 
-#include <arpa/inet.h>
 #include <errno.h>
-#include <microhttpd.h>
-#include <string.h>
+#include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
 #include <talloc.h>
-#include <unistd.h>
 
-#include "transport/tmr.h"
-
-#define BODY_INITIAL_BYTES 1024
-#define HEADERS_MAX 4
+/* Buffer of libmicrohttpd for a connection: half of it is for reading, so a
+ * header of 16 KiB fits. Beyond 32 KiB it is mapped, not allocated, and is
+ * returned to the system when the connection closes. */
+#define POOL_BYTES (48 * 1024)
 #define DEFAULT_CONNECTIONS_MAX 8192
-
-struct hts {
-	struct tevent_context *ev;
-	struct tevent_fd *fde;
-	struct tmr_set *timers;
-	struct tmr *timer;
-	struct tevent_immediate *im;
-	struct MHD_Daemon *daemon;
-	hts_handler handler;
-	void *priv;
-	size_t body_max;
-	uint32_t active;
-	bool run_scheduled;
-};
-
-struct reply_header {
-	char name[32];
-	char value[96];
-};
-
-/* `pub` must be the first member: a pointer to it is cast to the exchange. */
-struct exchange {
-	struct hts_req pub;
-	struct hts *srv;
-	struct MHD_Connection *con;
-	char *body;
-	size_t body_size; /* bytes allocated */
-	bool body_too_long;
-	bool handler_called;
-	bool replied; /* status to reply_len are set */
-	unsigned int status;
-	const char *type;
-	void *reply;
-	size_t reply_len;
-	struct reply_header headers[HEADERS_MAX];
-	int n_headers;
-};
-
-static void run_daemon(struct hts *s);
+#define DEFAULT_BODIES_BYTES (64LL << 20)
+/* Callers wait 3 s for an answer. */
+#define DEFAULT_HEADER_MS 10000
+#define DEFAULT_BODY_MS 20000
+/* Part of the budget for bodies that only small and nearly complete ones use.
+ */
+#define RESERVED_SHARE 4
+/* More than twice the size of callers' jobs. */
+#define SMALL_BODY_BYTES (16 * 1024)
+/* Time in ms without a byte: more than a retransmission takes. */
+#define STALL_MS 1000
+/* Buffers grow by a quarter, in steps of at least so many bytes. */
+#define BODY_STEP_BYTES 2048
+/* A refused client may send so much more; it is read and discarded. */
+#define DISCARD_MAX_BYTES (256 * 1024)
+/* Seconds after which a refused client may try again. */
+#define RETRY_AFTER_S "1"
 
 static void on_timer(void *priv)
 {
 	struct hts *s = priv;
 
 	s->timer = NULL;
-	run_daemon(s);
+	hts_run(s);
 }
 
-static void run_daemon(struct hts *s)
+void hts_run(struct hts *s)
 {
 	MHD_UNSIGNED_LONG_LONG wait_ms;
 
@@ -80,7 +57,7 @@
 	(void)ev;
 	(void)fde;
 	(void)flags;
-	run_daemon(priv);
+	hts_run(priv);
 }
 
 static void on_immediate(struct tevent_context *ev, struct tevent_immediate *im,
@@ -91,7 +68,7 @@
 	(void)ev;
 	(void)im;
 	s->run_scheduled = false;
-	run_daemon(s);
+	hts_run(s);
 }
 
 static void schedule_run(struct hts *s)
@@ -102,84 +79,221 @@
 	tevent_schedule_immediate(s->im, s->ev, on_immediate, s);
 }
 
-static enum MHD_Result queue_reply(struct exchange *x)
+static enum MHD_Result queue_reply(struct hts_exchange *x)
 {
 	enum MHD_Result res;
 	struct MHD_Response *r = MHD_create_response_from_buffer(
 		x->reply_len, x->reply, MHD_RESPMEM_MUST_COPY);
 
+	if (!r)
+		return MHD_NO;
 	if (x->type)
 		MHD_add_response_header(r, "Content-Type", x->type);
 	for (int i = 0; i < x->n_headers; i++)
 		MHD_add_response_header(r, x->headers[i].name,
 					x->headers[i].value);
-	res = MHD_queue_response(x->con, x->status, r);
+	res = MHD_queue_response(x->conn->con, x->status, r);
 	MHD_destroy_response(r);
 	return res;
 }
 
-static void store_reply(struct exchange *x, unsigned int status,
+static void store_reply(struct hts_exchange *x, unsigned int status,
 			const char *type, const void *body, size_t len)
 {
 	x->replied = true;
 	x->status = status;
 	x->type = type;
 	x->reply = malloc(len + 1);
+	if (!x->reply) {
+		/* The outcome is unknown to the client, as after a loss of the
+		 * connection. */
+		x->srv->counts.no_memory++;
+		hts_conn_shut_down(x->conn);
+		return;
+	}
 	memcpy(x->reply, body, len);
 	x->reply_len = len;
 }
 
-static void body_append(struct exchange *x, const char *data, size_t len)
+static void free_body(struct hts_exchange *x)
 {
-	size_t need = x->pub.body_len + len + 1;
+	bdg_close(&x->srv->budget, &x->budget);
+	free(x->body);
+	x->body = NULL;
+	x->body_size = 0;
+	x->pub.body_len = 0;
+}
 
-	if (need > x->srv->body_max + 1) {
-		x->body_too_long = true;
-		return;
+static const char *reason(unsigned int status)
+{
+	if (status == MHD_HTTP_CONTENT_TOO_LARGE)
+		return "Content Too Large";
+	return status == MHD_HTTP_REQUEST_TIMEOUT ? "Request Timeout"
+						  : "Service Unavailable";
+}
+
+/* libmicrohttpd queues no reply between the first byte and the last one of a
+ * body, so the answer is written to the socket. Nothing else is written there
+ * until the request is complete. */
+void hts_refuse(struct hts_exchange *x, unsigned int status)
+{
+	static const char body[] =
+		"{\"error\":\"record\",\"text\":\"body too long\"}\n";
+	bool too_long = status == MHD_HTTP_CONTENT_TOO_LARGE;
+	const char *text = too_long ? body : "{}";
+	char answer[320];
+	int n = snprintf(answer, sizeof(answer),
+			 "HTTP/1.1 %u %s\r\n%sConnection: close\r\n"
+			 "Content-Type: application/json\r\n"
+			 "Content-Length: %zu\r\n\r\n%s",
+			 status, reason(status),
+			 status == MHD_HTTP_SERVICE_UNAVAILABLE
+				 ? "Retry-After: " RETRY_AFTER_S "\r\n"
+				 : "",
+			 strlen(text), text);
+
+	free_body(x);
+	hts_conn_set_state(x->conn, HTS_REFUSED);
+	if (send(x->conn->fd, answer, (size_t)n, MSG_DONTWAIT | MSG_NOSIGNAL) <
+	    0)
+		hts_conn_shut_down(x->conn);
+	else
+		shutdown(x->conn->fd, SHUT_WR);
+}
+
+/* Drops other bodies, or this one, until the budget has `bytes` for it. Returns
+ * false if it is dropped. */
+static bool charge(struct hts_exchange *x, int64_t bytes)
+{
+	struct hts *s = x->srv;
+	struct bdg_body *drop;
+
+	while ((drop = bdg_charge(&s->budget, &x->budget, bytes,
+				  hts_now_ms()))) {
+		struct hts_exchange *o =
+			(void *)((char *)drop -
+				 offsetof(struct hts_exchange, budget));
+
+		s->counts.no_memory++;
+		hts_refuse(o, MHD_HTTP_SERVICE_UNAVAILABLE);
+		if (o == x)
+			return false;
 	}
-	if (need > x->body_size) {
-		x->body_size = need > BODY_INITIAL_BYTES ? need * 2
-							 : BODY_INITIAL_BYTES;
-		x->body = realloc(x->body, x->body_size);
+	return true;
+}
+
+/* Returns false if the body was refused instead. */
+static bool body_reserve(struct hts_exchange *x, size_t need)
+{
+	int64_t announced = x->budget.announced_bytes;
+	size_t size = need + need / 4 + BODY_STEP_BYTES;
+	char *body;
+
+	if (need <= x->body_size)
+		return true;
+	if (announced >= 0 && size > (size_t)announced + 1)
+		size = (size_t)announced + 1;
+	if (size > x->body_max + 1)
+		size = x->body_max + 1;
+	if (!charge(x, (int64_t)(size - x->body_size)))
+		return false;
+	body = realloc(x->body, size);
+	if (!body) {
+		x->srv->counts.no_memory++;
+		hts_refuse(x, MHD_HTTP_SERVICE_UNAVAILABLE);
+		return false;
 	}
+	x->body = body;
+	x->body_size = size;
+	return true;
+}
+
+static void body_append(struct hts_exchange *x, const char *data, size_t len)
+{
+	if (len > x->body_max - x->pub.body_len) {
+		x->srv->counts.long_bodies++;
+		hts_refuse(x, MHD_HTTP_CONTENT_TOO_LARGE);
+		return;
+	}
+	bdg_received(&x->budget, (int64_t)len, hts_now_ms());
+	if (!body_reserve(x, x->pub.body_len + len + 1))
+		return;
 	memcpy(x->body + x->pub.body_len, data, len);
 	x->pub.body_len += len;
 	x->body[x->pub.body_len] = '\0';
 }
 
-static void call_handler(struct exchange *x)
+static void call_handler(struct hts_exchange *x)
 {
-	static const char too_long[] =
-		"{\"error\":\"record\",\"text\":\"body too long\"}\n";
-
 	x->handler_called = true;
-	if (x->body_too_long) {
-		store_reply(x, 413, "application/json", too_long,
-			    sizeof(too_long) - 1);
-		return;
-	}
 	x->pub.body = x->body ? x->body : "";
-	MHD_suspend_connection(x->con);
+	bdg_complete(&x->budget);
+	hts_conn_set_state(x->conn, HTS_SERVING);
+	MHD_suspend_connection(x->conn->con);
 	x->srv->handler(&x->pub, x->srv->priv);
 }
 
+/* Returns the announced length of the body, or -1. libmicrohttpd has checked
+ * that it is a number. */
+static int64_t announced_bytes(struct MHD_Connection *con)
+{
+	const char *text = MHD_lookup_connection_value(
+		con, MHD_HEADER_KIND, MHD_HTTP_HEADER_CONTENT_LENGTH);
+
+	if (MHD_lookup_connection_value(con, MHD_HEADER_KIND,
+					MHD_HTTP_HEADER_TRANSFER_ENCODING) ||
+	    !text)
+		return -1;
+	return strtoll(text, NULL, 10);
+}
+
+static enum MHD_Result begin_exchange(struct hts *s, struct hts_conn *conn,
+				      const char *url, const char *method,
+				      void **con_data)
+{
+	struct hts_exchange *x = calloc(1, sizeof(*x));
+	int64_t announced;
+
+	if (!x) {
+		s->counts.no_memory++;
+		return MHD_NO;
+	}
+	x->srv = s;
+	x->conn = conn;
+	x->pub.method = method;
+	x->pub.path = url;
+	x->body_max = s->body_max_now ? s->body_max_now(s->priv) : s->body_max;
+	conn->x = x;
+	s->active++;
+	*con_data = x;
+	announced = announced_bytes(conn->con);
+	bdg_open(&s->budget, &x->budget, announced, hts_now_ms());
+	hts_conn_set_state(conn, HTS_BODY);
+	if (announced > (int64_t)x->body_max) {
+		s->counts.long_bodies++;
+		hts_refuse(x, MHD_HTTP_CONTENT_TOO_LARGE);
+	}
+	return MHD_YES;
+}
+
 static enum MHD_Result on_access(void *priv, struct MHD_Connection *con,
 				 const char *url, const char *method,
 				 const char *version, const char *data,
 				 size_t *len, void **con_data)
 {
-	struct hts *s = priv;
-	struct exchange *x = *con_data;
+	struct hts_conn *conn = hts_conn_of(con);
+	struct hts_exchange *x = *con_data;
 
 	(void)version;
-	if (!x) {
-		x = calloc(1, sizeof(*x));
-		x->srv = s;
-		x->con = con;
-		x->pub.method = method;
-		x->pub.path = url;
-		s->active++;
-		*con_data = x;
+	if (!conn || conn->closing)
+		return MHD_NO;
+	if (!x)
+		return begin_exchange(priv, conn, url, method, con_data);
+	if (conn->state == HTS_REFUSED) {
+		x->discarded_bytes += *len;
+		if (!*len || x->discarded_bytes > DISCARD_MAX_BYTES)
+			return MHD_NO;
+		*len = 0;
 		return MHD_YES;
 	}
 	if (*len) {
@@ -189,7 +303,7 @@
 	}
 	if (!x->handler_called) {
 		call_handler(x);
-		return x->body_too_long ? queue_reply(x) : MHD_YES;
+		return MHD_YES;
 	}
 	return x->replied ? queue_reply(x) : MHD_YES;
 }
@@ -198,14 +312,16 @@
 			 void **con_data, enum MHD_RequestTerminationCode code)
 {
 	struct hts *s = priv;
-	struct exchange *x = *con_data;
+	struct hts_exchange *x = *con_data;
 
 	(void)con;
 	(void)code;
 	if (!x)
 		return;
 	s->active--;
-	free(x->body);
+	x->conn->x = NULL;
+	hts_conn_set_state(x->conn, HTS_WAITING);
+	free_body(x);
 	free(x->reply);
 	free(x);
 	*con_data = NULL;
@@ -215,8 +331,11 @@
 {
 	TALLOC_FREE(s->fde);
 	TALLOC_FREE(s->timer);
+	TALLOC_FREE(s->check_timer);
+	hts_conn_stop_listening(s);
 	if (s->daemon)
 		MHD_stop_daemon(s->daemon);
+	cnl_finish(&s->limits);
 	return 0;
 }
 
@@ -225,8 +344,10 @@
 		      void *priv, struct err *e)
 {
 	struct hts *s = talloc_zero(ctx, struct hts);
-	struct sockaddr_in sa = { .sin_family = AF_INET,
-				  .sin_port = htons(opt->port) };
+	uint32_t connections = opt->connections_max ? opt->connections_max
+						    : DEFAULT_CONNECTIONS_MAX;
+	int64_t bodies =
+		opt->bodies_bytes ? opt->bodies_bytes : DEFAULT_BODIES_BYTES;
 	const union MHD_DaemonInfo *info;
 
 	s->ev = ev;
@@ -235,21 +356,29 @@
 	s->priv = priv;
 	s->body_max = opt->body_max;
 	s->im = tevent_create_immediate(s);
-	inet_pton(AF_INET, opt->ip, &sa.sin_addr);
-	s->daemon = MHD_start_daemon(
-		MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME, opt->port, NULL, NULL,
-		on_access, s, MHD_OPTION_SOCK_ADDR, &sa,
-		MHD_OPTION_NOTIFY_COMPLETED, on_completed, s,
-		MHD_OPTION_CONNECTION_TIMEOUT, opt->idle_timeout_s,
-		MHD_OPTION_CONNECTION_LIMIT,
-		opt->connections_max ? opt->connections_max
-				     : DEFAULT_CONNECTIONS_MAX,
-		/* The option is left out instead of set to 0, because 0 turns
-		 * SO_REUSEADDR off too: connections left by the previous
-		 * process would then block the port for a minute. */
-		opt->share_port ? MHD_OPTION_LISTENING_ADDRESS_REUSE
-				: MHD_OPTION_END,
-		1U, MHD_OPTION_END);
+	s->body_max_now = opt->body_max_now;
+	s->header_ms = opt->header_ms ? opt->header_ms : DEFAULT_HEADER_MS;
+	s->body_ms = opt->body_ms ? opt->body_ms : DEFAULT_BODY_MS;
+	s->listen_fd = -1;
+	cnl_init(&s->limits, connections,
+		 opt->address_max ? opt->address_max : connections);
+	bdg_init(&s->budget, &(struct bdg_limits){
+				     .total_bytes = bodies,
+				     .reserved_bytes = bodies / RESERVED_SHARE,
+				     .small_bytes = SMALL_BODY_BYTES,
+				     .stall_ms = STALL_MS });
+	talloc_set_destructor(s, hts_destructor);
+	if (hts_conn_listen(s, opt))
+		s->daemon = MHD_start_daemon(
+			MHD_USE_EPOLL | MHD_ALLOW_SUSPEND_RESUME |
+				MHD_USE_NO_LISTEN_SOCKET,
+			0, NULL, NULL, on_access, s,
+			MHD_OPTION_NOTIFY_COMPLETED, on_completed, s,
+			MHD_OPTION_NOTIFY_CONNECTION, hts_conn_notify, s,
+			MHD_OPTION_CONNECTION_TIMEOUT, opt->idle_timeout_s,
+			MHD_OPTION_CONNECTION_MEMORY_LIMIT, (size_t)POOL_BYTES,
+			MHD_OPTION_CONNECTION_LIMIT, connections,
+			MHD_OPTION_END);
 	if (!s->daemon) {
 		err_set(e, ERR_SYSTEM,
 			"cannot serve HTTP on %s:%u (%s): free the port or "
@@ -258,29 +387,28 @@
 		talloc_free(s);
 		return NULL;
 	}
-	talloc_set_destructor(s, hts_destructor);
 	info = MHD_get_daemon_info(s->daemon, MHD_DAEMON_INFO_EPOLL_FD);
 	s->fde = tevent_add_fd(ev, s, info->epoll_fd, TEVENT_FD_READ, on_fd, s);
-	run_daemon(s);
+	hts_run(s);
 	return s;
 }
 
 void hts_reply(struct hts_req *req, unsigned int status, const char *type,
 	       const void *body, size_t len)
 {
-	struct exchange *x = (struct exchange *)req;
+	struct hts_exchange *x = (struct hts_exchange *)req;
 
 	store_reply(x, status, type, body, len);
-	MHD_resume_connection(x->con);
+	MHD_resume_connection(x->conn->con);
 	schedule_run(x->srv);
 }
 
 void hts_reply_header(struct hts_req *req, const char *name, const char *value)
 {
-	struct exchange *x = (struct exchange *)req;
-	struct reply_header *h;
+	struct hts_exchange *x = (struct hts_exchange *)req;
+	struct hts_reply_header *h;
 
-	if (x->n_headers == HEADERS_MAX)
+	if (x->n_headers == HTS_HEADERS_MAX)
 		return;
 	h = &x->headers[x->n_headers++];
 	strncpy(h->name, name, sizeof(h->name) - 1);
@@ -289,24 +417,27 @@
 
 const char *hts_header(struct hts_req *req, const char *name)
 {
-	struct exchange *x = (struct exchange *)req;
+	struct hts_exchange *x = (struct hts_exchange *)req;
 
-	return MHD_lookup_connection_value(x->con, MHD_HEADER_KIND, name);
+	return MHD_lookup_connection_value(x->conn->con, MHD_HEADER_KIND, name);
 }
 
 const char *hts_query(struct hts_req *req, const char *name)
 {
-	struct exchange *x = (struct exchange *)req;
+	struct hts_exchange *x = (struct hts_exchange *)req;
 
-	return MHD_lookup_connection_value(x->con, MHD_GET_ARGUMENT_KIND, name);
+	return MHD_lookup_connection_value(x->conn->con, MHD_GET_ARGUMENT_KIND,
+					   name);
 }
 
 void hts_quiesce(struct hts *s)
 {
-	MHD_socket fd = MHD_quiesce_daemon(s->daemon);
+	hts_conn_stop_listening(s);
+}
 
-	if (fd != MHD_INVALID_SOCKET)
-		close(fd);
+const struct hts_counts *hts_counts(const struct hts *s)
+{
+	return &s->counts;
 }
 
 uint32_t hts_active(const struct hts *s)
--- a/src/transport/hts.h
+++ b/src/transport/hts.h
@@ -23,15 +23,39 @@
  * or later. */
 typedef void (*hts_handler)(struct hts_req *req, void *priv);
 
+/* Returns the longest body in bytes now; called at the start of a request. */
+typedef size_t (*hts_body_max)(void *priv);
+
+/* Numbers are 0 for the default. */
 struct hts_options {
 	const char *ip;
 	uint16_t port;
 	size_t body_max; /* bytes; a longer body is answered with status 413 */
+	hts_body_max body_max_now; /* NULL: body_max */
 	uint32_t idle_timeout_s; /* inactive connections are closed */
-	uint32_t connections_max; /* 0: 8192 */
+	uint32_t connections_max; /* 8192 */
+	uint32_t address_max; /* connections of one address: all */
+	int64_t bodies_bytes; /* memory for all bodies: 64 MiB */
+	int64_t header_ms; /* time for a header, from its first byte: 10 s */
+	int64_t body_ms; /* time for a body: 20 s */
 	bool share_port; /* lets other servers listen on the port too */
 };
 
+/* Clients that did not keep to the limits. */
+struct hts_counts {
+	int64_t connections_refused; /* too many in total */
+	int64_t address_refused; /* too many of one address */
+	int64_t evicted; /* inactive ones closed for new ones */
+	int64_t late_headers; /* closed */
+	int64_t late_bodies; /* status 408 */
+	int64_t long_bodies; /* status 413 */
+	int64_t no_memory; /* status 503: the budget for bodies is used up */
+};
+
+/* Memory that a connection takes at most without its body, in bytes: buffers
+ * for headers, and the kernel's receive buffer. */
+#define HTS_CONNECTION_BYTES ((48 + 64 + 4) * 1024)
+
 /* Returns a talloc child of `ctx`, or NULL with `e` filled in. */
 struct hts *hts_start(void *ctx, struct tevent_context *ev,
 		      const struct hts_options *opt, hts_handler handler,
@@ -53,6 +77,8 @@
 /* Stops accepting connections; open ones continue. */
 void hts_quiesce(struct hts *s);
 
+const struct hts_counts *hts_counts(const struct hts *s);
+
 /* Returns the number of requests that are not completely answered yet. */
 uint32_t hts_active(const struct hts *s);
 
--- a/tests/fleet_tests.c
+++ b/tests/fleet_tests.c
@@ -462,5 +462,6 @@
 	g_test_add_func("/fleet/upkeep-wave", test_upkeep_wave);
 	g_test_add_func("/fleet/odd-entries", test_odd_entries);
 	http_tests_add();
+	server_tests_add();
 	return g_test_run();
 }
--- a/tests/fuzz_calls.c
+++ b/tests/fuzz_calls.c
@@ -73,6 +73,14 @@
 	return pending.headers[!strcmp(name, "Deadline-Ms")];
 }
 
+const struct hts_counts *hts_counts(const struct hts *s)
+{
+	static const struct hts_counts none;
+
+	(void)s;
+	return &none;
+}
+
 uint32_t hts_active(const struct hts *s)
 {
 	(void)s;
--- a/tests/http_tests.h
+++ b/tests/http_tests.h
@@ -4,5 +4,6 @@
 #define HTTP_TESTS_H
 
 void http_tests_add(void);
+void server_tests_add(void);
 
 #endif
