--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -121,6 +121,8 @@
 	f->wkr = relay_client_iface(f->relay_client);
 	f->relay_server = relay_server_start(f->ev, f->ev, &direct, f->clk,
 					     self->ip, self->port, &e);
+	if (f->relay_server && f->set.relay_memory_bytes)
+		relay_server_limit(f->relay_server, f->set.relay_memory_bytes);
 	if (f->relay_server)
 		f->relay_entry =
 			relay_entry_start(f->ev, f->timers, &f->rows, self);
@@ -336,6 +338,7 @@
 {
 	const struct relay_client_counts *c =
 		relay_client_counts(f->relay_client);
+	const struct lnk_counts *l;
 
 	text = add_metric(text, "gd_relay_links",
 			  relay_client_links(f->relay_client));
@@ -344,6 +347,10 @@
 	text = add_metric(text, "gd_direct_calls_total", c->direct);
 	if (!f->relay_server)
 		return text;
+	l = relay_server_link_counts(f->relay_server);
+	text = add_metric(text, "gd_relay_links_refused_total",
+			  l->refused + l->evicted + l->late + l->too_long +
+				  l->no_memory);
 	return add_metric(text, "gd_relay_late_calls_total",
 			  relay_server_dropped(f->relay_server));
 }
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -32,6 +32,7 @@
 	struct owner_limits owner;
 	struct wkr_capacity capacity;
 	struct relay_vm_row relay; /* this VM as a relay; port 0: it is none */
+	int64_t relay_memory_bytes; /* for frames of others; 0: no limit */
 	int64_t ended_retention_ms; /* how long ended jobs stay known */
 	int64_t row_bytes_max; /* maximum length of a row's value */
 	/* A new owner sends no upkeep command for this long, since the
--- a/src/fleet/relay_server.c
+++ b/src/fleet/relay_server.c
@@ -16,6 +16,15 @@
 /* The least difference of both clocks is taken over this time, in ms, and the
  * one before: clocks drift. */
 #define OFFSET_WINDOW_MS 5000
+/* Each owner has one link. More are those of former processes that the network
+ * has not yet reported as lost. */
+#define LINKS_MAX 64
+/* Owners send a call or a ping within CHECK_INTERVAL_MS of relay_client.c. */
+#define UNPROVEN_MAX 16
+#define UNPROVEN_MAX_MS 10000
+/* A call holds at most two values of a row (64 KiB): payload and checkpoint. */
+#define UNPROVEN_FRAME_MAX (256u << 10)
+#define FRAME_MAX (1u << 20)
 
 struct relay_server {
 	struct wkr wkr;
@@ -239,6 +248,22 @@
 	return s;
 }
 
+void relay_server_limit(struct relay_server *s, int64_t memory_bytes)
+{
+	lnk_srv_limit(s->srv, &(struct lnk_limits){
+				      .links_max = LINKS_MAX,
+				      .unproven_max = UNPROVEN_MAX,
+				      .unproven_frame_max = UNPROVEN_FRAME_MAX,
+				      .frame_max = FRAME_MAX,
+				      .received_max = memory_bytes,
+				      .unproven_max_ms = UNPROVEN_MAX_MS });
+}
+
+const struct lnk_counts *relay_server_link_counts(const struct relay_server *s)
+{
+	return lnk_srv_counts(s->srv);
+}
+
 int64_t relay_server_dropped(const struct relay_server *s)
 {
 	return s->dropped;
--- a/src/fleet/relay_server.h
+++ b/src/fleet/relay_server.h
@@ -11,6 +11,7 @@
 #include "base/clk.h"
 #include "base/err.h"
 #include "fleet/wkr.h"
+#include "transport/lnk.h"
 
 struct relay_server;
 
@@ -21,6 +22,10 @@
 					const struct clk *clk, const char *ip,
 					uint16_t port, struct err *e);
 
+/* Bounds the links of others, and the memory of their incomplete frames. */
+void relay_server_limit(struct relay_server *s, int64_t memory_bytes);
+const struct lnk_counts *relay_server_link_counts(const struct relay_server *s);
+
 /* Returns the number of calls that were dropped since they were late. */
 int64_t relay_server_dropped(const struct relay_server *s);
 
--- a/src/transport/lnk.h
+++ b/src/transport/lnk.h
@@ -34,6 +34,29 @@
 			   uint16_t port, const struct lnk_ops *ops, void *priv,
 			   struct err *e);
 
+/* Limits of accepted links. A link is unproven until a frame has arrived. */
+struct lnk_limits {
+	uint32_t links_max;
+	uint32_t unproven_max; /* the oldest one is closed for a new one */
+	uint32_t unproven_frame_max; /* bytes */
+	uint32_t frame_max; /* bytes, at most LNK_FRAME_MAX */
+	int64_t received_max; /* bytes of incomplete frames of all links */
+	int64_t unproven_max_ms; /* closed after this time */
+};
+
+struct lnk_counts {
+	int64_t refused; /* links beyond the limits */
+	int64_t evicted; /* unproven links closed for new ones */
+	int64_t late; /* unproven links closed after their time */
+	int64_t too_long; /* links closed for their frame's length */
+	int64_t no_memory; /* links closed for received_max */
+};
+
+/* Sets limits; without, there are none but LNK_FRAME_MAX. Call it before links
+ * are accepted. */
+void lnk_srv_limit(struct lnk_srv *s, const struct lnk_limits *limits);
+const struct lnk_counts *lnk_srv_counts(const struct lnk_srv *s);
+
 /*
  * Starts to connect from the local address `source`; `opened` or `closed` is
  * called later. Returns a talloc child of `ctx`, or NULL if no socket can be
