--- a/src/coordination/catalog.h
+++ b/src/coordination/catalog.h
@@ -46,6 +46,7 @@
 	bool has_orgs;
 	int32_t n_orgs;
 	struct org *orgs;
+	int64_t body_max_bytes; /* of a caller's request; 0: not given */
 };
 
 /* Return the entry of that name, or NULL. */
--- a/src/entry/frontend.c
+++ b/src/entry/frontend.c
@@ -327,11 +327,15 @@
 static void *frontend_main(void *priv)
 {
 	struct frontend *f = priv;
-	struct hts_options opt = { .ip = f->e->settings.ip,
-				   .port = (uint16_t)f->e->settings.http_port,
-				   .body_max = BODY_MAX_BYTES,
-				   .idle_timeout_s = IDLE_TIMEOUT_S,
-				   .share_port = true };
+	struct hts_options opt = {
+		.ip = f->e->settings.ip,
+		.port = (uint16_t)f->e->settings.http_port,
+		.body_max = BODY_MAX_BYTES,
+		.idle_timeout_s = IDLE_TIMEOUT_S,
+		.connections_max = (uint32_t)f->e->settings.connections_max,
+		.bodies_bytes = f->e->settings.bodies_mib << 20,
+		.share_port = true
+	};
 
 	urcu_memb_register_thread();
 	f->ev = tevent_context_init(NULL);
--- a/src/protocol/settings.c
+++ b/src/protocol/settings.c
@@ -44,6 +44,8 @@
 static const struct fld_spec entry_fields[] = {
 	COMMON_FIELDS,
 	INT_FIELD(door_threads, 1, 16, 2),
+	INT_FIELD(connections_max, 16, 100000, 2048),
+	INT_FIELD(bodies_mib, 4, 100000, 64),
 	INT_FIELD(groups_per_domain, 1, 64, 3),
 	INT_FIELD(permit_ms, 200, MINUTE_MS, 2000),
 	INT_FIELD(peers_only_max_ms, 1000, HOUR_MS, 10 * MINUTE_MS),
--- a/src/protocol/settings.h
+++ b/src/protocol/settings.h
@@ -25,6 +25,8 @@
 	int64_t log_priority; /* syslog; less urgent events are dropped */
 	/* gd-entry */
 	int64_t door_threads; /* threads that serve HTTP */
+	int64_t connections_max; /* callers' connections of one thread */
+	int64_t bodies_mib; /* memory for callers' bodies, of one thread */
 	int64_t groups_per_domain; /* of targets, per pool */
 	int64_t permit_ms; /* validity of a permit */
 	int64_t peers_only_max_ms; /* longest time without a read of the
--- a/src/sched/main.c
+++ b/src/sched/main.c
@@ -20,6 +20,9 @@
 #define STOP_TICK_MS 20
 #define HTTP_BODY_MAX 1024
 #define HTTP_IDLE_S 30
+/* Only operators use this listener. */
+#define HTTP_CONNECTIONS_MAX 16
+#define HTTP_BODIES_BYTES (64 * 1024)
 
 static const struct cmdline cmdline = {
 	.program = "gd-sched",
@@ -403,7 +406,9 @@
 	struct hts_options http = { .ip = d->settings.ip,
 				    .port = (uint16_t)d->settings.http_port,
 				    .body_max = HTTP_BODY_MAX,
-				    .idle_timeout_s = HTTP_IDLE_S };
+				    .idle_timeout_s = HTTP_IDLE_S,
+				    .connections_max = HTTP_CONNECTIONS_MAX,
+				    .bodies_bytes = HTTP_BODIES_BYTES };
 
 	d->ev = tevent_context_init(NULL);
 	d->incarnation =
--- a/tests/unit_platform.c
+++ b/tests/unit_platform.c
@@ -371,6 +371,36 @@
 }
 
 /* All errors are reported at once, each with key, value and expected form. */
+/* Guards against a limit of bodies that is not the configuration's, or that
+ * memory does not allow. */
+static void test_body_limit(void)
+{
+	static const struct {
+		const char *limits;
+		int64_t want;
+	} cases[] = {
+		{ "{\"max_body_bytes\":262144}", 262144 },
+		{ "{}", 0 },
+		{ "{\"max_body_bytes\":\"many\"}", 0 },
+		{ "{\"max_body_bytes\":-1}", 0 },
+		{ "{\"max_body_bytes\":1e18}", 16 << 20 },
+		{ "[]", 0 },
+	};
+
+	for (size_t i = 0; i < sizeof(cases) / sizeof(*cases); i++) {
+		g_autofree char *text = g_strdup_printf(
+			"{\"version\":1,\"routes\":[],\"services\":[],"
+			"\"limits\":%s}",
+			cases[i].limits);
+		struct err e = { 0 };
+		struct catalog *c = pf_decode_catalog(NULL, text, &e);
+
+		g_assert_nonnull(c);
+		g_assert_cmpint(c->body_max_bytes, ==, cases[i].want);
+		talloc_free(c);
+	}
+}
+
 static void test_bad_settings(void)
 {
 	struct pf_settings b;
@@ -475,6 +505,7 @@
 	g_test_add_func("/platform/catalog-not-cut", test_catalog_not_cut);
 	g_test_add_func("/platform/task-names", test_task_names);
 	g_test_add_func("/platform/boot", test_settings);
+	g_test_add_func("/platform/body-limit", test_body_limit);
 	g_test_add_func("/platform/bad-boot", test_bad_settings);
 	g_test_add_func("/platform/boot-no-numbers", test_settings_no_numbers);
 }
