--- a/src/coordination/catalog.h
+++ b/src/coordination/catalog.h
@@ -48,6 +48,7 @@
 	int32_t n_orgs;
 	struct org *orgs;
 	struct org_keys *org_keys; /* of `orgs` */
+	int64_t body_max_bytes; /* of a caller's request; 0: not given */
 };
 
 /* Return the entry of that name, or NULL. */
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -132,6 +132,8 @@
 			f->relay_server,
 			list_share_start(f->ev, &f->rows, f->timers, f->clk,
 					 list->table, list->same));
+	if (f->relay_server && f->set.relay_memory_bytes)
+		relay_server_limit(f->relay_server, f->set.relay_memory_bytes);
 	if (f->relay_server)
 		f->relay_entry =
 			relay_entry_start(f->ev, f->timers, &f->rows, self);
@@ -377,6 +379,7 @@
 {
 	const struct relay_client_counts *c =
 		relay_client_counts(f->relay_client);
+	const struct lnk_counts *l;
 
 	text = add_metric(text, "gd_relay_links",
 			  relay_client_links(f->relay_client));
@@ -391,6 +394,10 @@
 		return text;
 	text = traffic_append_metrics(
 		text, relay_server_traffic(f->relay_server), "owner");
+	l = relay_server_link_counts(f->relay_server);
+	text = add_metric(text, "gd_relay_links_refused_total",
+			  l->refused + l->evicted + l->late + l->too_long +
+				  l->no_memory);
 	return add_metric(text, "gd_relay_late_calls_total",
 			  relay_server_dropped(f->relay_server));
 }
--- a/src/fleet/relay_server.h
+++ b/src/fleet/relay_server.h
@@ -12,6 +12,7 @@
 #include "base/err.h"
 #include "fleet/list_share.h"
 #include "fleet/wkr.h"
+#include "transport/lnk.h"
 #include "transport/traffic.h"
 
 struct relay_server;
@@ -26,6 +27,9 @@
 /* Answers owners who ask for changes of the list of workers; the server keeps
  * the pointer. Without this they are told to ask the store. */
 void relay_server_share_list(struct relay_server *s, struct list_share *list);
+/* Bounds the links of others, and the memory of their incomplete frames. */
+void relay_server_limit(struct relay_server *s, int64_t memory_bytes);
+const struct lnk_counts *relay_server_link_counts(const struct relay_server *s);
 
 /* Returns the number of calls that were dropped since they were late. */
 int64_t relay_server_dropped(const struct relay_server *s);
--- a/tests/fleet_tests.c
+++ b/tests/fleet_tests.c
@@ -464,5 +464,6 @@
 	g_test_add_func("/fleet/odd-entries", test_odd_entries);
 	http_tests_add();
 	keys_tests_add();
+	server_tests_add();
 	return g_test_run();
 }
--- a/tests/fuzz_calls.c
+++ b/tests/fuzz_calls.c
@@ -85,6 +85,14 @@
 	return 1;
 }
 
+const struct hts_counts *hts_counts(const struct hts *s)
+{
+	static const struct hts_counts none;
+
+	(void)s;
+	return &none;
+}
+
 uint32_t hts_active(const struct hts *s)
 {
 	(void)s;
--- a/tests/unit.h
+++ b/tests/unit.h
@@ -4,6 +4,7 @@
 
 void unit_add_access(void);
 void unit_add_advice(void);
+void unit_add_body_budget(void);
 void unit_add_answers(void);
 void unit_add_attempts(void);
 void unit_add_coordination(void);
