--- a/src/state/row_watch.h
+++ b/src/state/row_watch.h
@@ -33,6 +33,12 @@
 				  const struct row_watch_options *opt,
 				  const struct row_watch_ops *ops, void *priv);
 
+/*
+ * Asks for all rows up to `version`: until `synced` has reported it or a later
+ * one, no call waits for changes or for `gap_ms`.
+ */
+void row_watch_require(struct row_watch *w, int64_t version);
+
 /* Returns the sent_ms of the answer, for a read its first one, that the last
  * `synced` was called for. What changed after that may be missing. */
 int64_t row_watch_sent_ms(const struct row_watch *w);
--- a/tests/fake_rows.c
+++ b/tests/fake_rows.c
@@ -121,7 +121,7 @@
 	r->ans.now_ms = clk_mono_ms(&clk_system) + f->clock_ahead_ms;
 	r->done = done;
 	r->priv = priv;
-	tmr_after(f->timers, 2, deliver, r);
+	tmr_after(f->timers, f->reply_ms ? f->reply_ms : 2, deliver, r);
 	return r;
 }
 
@@ -249,9 +249,12 @@
 	bool refused =
 		f->refused_table && !strcmp(range->table, f->refused_table);
 	GPtrArray *list;
-	int32_t limit = range->limit ? range->limit : PAGE_ROWS;
+	int32_t limit = f->page_rows ? f->page_rows : PAGE_ROWS;
 	struct reply *r;
 
+	if (range->limit)
+		limit = range->limit;
+	f->reads++;
 	if (f->unanswered_table && !strcmp(range->table, f->unanswered_table))
 		return;
 	r = new_reply(f, refused ? ROWS_NO_EFFECT : ROWS_OK, done, priv);
@@ -285,6 +288,7 @@
 	struct reply *r = new_reply(f, res, done, priv);
 	GPtrArray *list = rows_of(f, table, compare_version);
 
+	f->changes_calls++;
 	f->changes_wait_ms = wait_ms;
 	limit_version(f, table, r);
 	for (guint i = 0; res == ROWS_OK && i < list->len; i++) {
--- a/tests/fake_rows.h
+++ b/tests/fake_rows.h
@@ -35,6 +35,10 @@
 	int64_t changes_wait_ms; /* of the last call for changes */
 	int64_t clock_ahead_ms; /* of the store's clock to the monotonic one */
 	int32_t commits;
+	int64_t reply_ms; /* time from a call to its answer; 0: 2 ms */
+	int32_t page_rows; /* largest page of a read; 0: 3 rows */
+	int32_t reads; /* calls that read a range */
+	int32_t changes_calls;
 };
 
 void fake_rows_init(struct fake_rows *f, struct tmr_set *timers);
