--- a/src/base/log.h
+++ b/src/base/log.h
@@ -51,6 +51,7 @@
 	X(LOG_UPKEEP, 4013, 6, "upkeep decision")                              \
 	X(LOG_DECISIONS_DROPPED, 4014, 4, "decision lines dropped")            \
 	X(LOG_RELAY, 4015, 5, "link to a relay")                               \
+	X(LOG_READ_AHEAD, 4016, 5, "rows of the shard read in advance")        \
 	X(LOG_LEDGER_UNBALANCED, 3301, 2, "ledger does not balance")
 
 enum log_event {
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -327,7 +327,12 @@
 {
 	const struct sched *s = shard_ctl_sched(sc);
 	const struct wkr_links_counts *links = shard_ctl_wkr_counts(sc);
+	struct read_ahead_size ahead = shard_ctl_ahead_size(sc);
 
+	if (ahead.rows) {
+		text = add_metric(text, "gd_read_ahead_rows", ahead.rows);
+		text = add_metric(text, "gd_read_ahead_bytes", ahead.bytes);
+	}
 	if (!s || !links)
 		return text;
 	text = add_metric(text, "gd_jobs", g_hash_table_size(s->jobs));
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -35,6 +35,9 @@
 	struct relay_vm_row relay; /* this VM as a relay; port 0: it is none */
 	int64_t ended_retention_ms; /* how long ended jobs stay known */
 	int64_t row_bytes_max; /* maximum length of a row's value */
+	/* Limit of the rows that a named successor reads in advance; 0: that of
+	 * all VMs. */
+	int64_t read_ahead_bytes_max;
 	/* A new owner sends no upkeep command for this long, since the
 	 * platform may not tell its commands from its predecessor's. */
 	int64_t upkeep_holdoff_ms;
--- a/src/fleet/shard_ctl.c
+++ b/src/fleet/shard_ctl.c
@@ -393,7 +393,6 @@
 
 	sc->is_owner = true;
 	sc->roster_loaded = false;
-	sc->roster_from = NULL;
 	sc->jobs_loaded = false;
 	sc->workers_synced = false;
 	sc->active = false;
@@ -402,10 +401,8 @@
 	sc->acquired_version = version;
 	sc->loaded_progress = g_hash_table_new_full(
 		g_str_hash, g_str_equal, g_free, (GDestroyNotify)json_decref);
-	sc->progress_from = NULL;
-	sc->progress_page = (struct page_size){
-		.bytes_max = page_size_bytes_max(f->set.capacity.link_kbit_s),
-	};
+	sc->prev_starts_end_ms =
+		prev_row->released ? prev_row->starts_end_ms : 0;
 	sc->last_cleanup_ms = mono_ms(sc);
 	sc->cleanup_running = false;
 	sc->last_tick_ms = mono_ms(sc);
@@ -431,7 +428,6 @@
 						   sc->shard, sc->sched.epoch)
 			     : NULL;
 	sc->tick_timer = tmr_after(f->timers, SHARD_CTL_TICK_MS, on_tick, sc);
-	f->directory.ops->subscribe(f->directory.self, true);
 	shard_ctl_load(sc);
 }
 
@@ -440,6 +436,7 @@
 	struct shard_ctl *sc = priv;
 
 	sc->releasing = true;
+	sc->released_ms = mono_ms(sc);
 	wkr_links_quiesce(sc->links);
 }
 
@@ -456,7 +453,7 @@
 	if (sc->f->relay_client)
 		relay_client_disable(sc->f->relay_client);
 	sc->links = NULL;
-	sc->jobs_watch = NULL;
+	shard_ctl_drop_ahead(sc);
 	sched_finish(&sc->sched);
 	json_decref(sc->handover);
 	g_hash_table_destroy(sc->loaded_progress);
@@ -473,6 +470,7 @@
 	.committed = shard_ctl_committed,
 	.fill_row = shard_ctl_fill_row,
 	.get_handover = shard_ctl_handover,
+	.named = shard_ctl_named,
 };
 
 struct shard_ctl *shard_ctl_start(struct fleet *f, int32_t shard)
@@ -509,8 +507,10 @@
 void shard_ctl_worker_listed(struct shard_ctl *sc,
 			     const struct sched_worker_row *row)
 {
-	if (!sc->is_owner)
+	if (!sc->is_owner) {
+		shard_ctl_ahead_listed(sc, row);
 		return;
+	}
 	sched_worker_listed(&sc->sched, row, mono_ms(sc));
 	shard_ctl_place_soon(sc);
 }
@@ -519,12 +519,16 @@
 {
 	if (sc->is_owner)
 		sched_worker_unlisted(&sc->sched, id, mono_ms(sc));
+	else
+		shard_ctl_ahead_unlisted(sc, id);
 }
 
 void shard_ctl_workers_synced(struct shard_ctl *sc)
 {
-	if (!sc->is_owner)
+	if (!sc->is_owner) {
+		shard_ctl_ahead_list_synced(sc);
 		return;
+	}
 	sc->workers_synced = true;
 	shard_ctl_maybe_activate(sc);
 }
--- a/src/fleet/shard_ctl.h
+++ b/src/fleet/shard_ctl.h
@@ -7,6 +7,7 @@
 #define SHARD_CTL_H
 
 #include "fleet/fleet.h"
+#include "fleet/read_ahead.h"
 #include "fleet/upkeep_runner.h"
 #include "fleet/wkr_links.h"
 
@@ -36,6 +37,10 @@
 /* Returns NULL unless we own the shard. */
 const struct wkr_links_counts *shard_ctl_wkr_counts(const struct shard_ctl *sc);
 
+/* Returns the rows kept in advance while this VM is the named or likely next
+ * owner; none while it owns the shard. */
+struct read_ahead_size shard_ctl_ahead_size(const struct shard_ctl *sc);
+
 /* Returns NULL unless we own the shard and it is SHARD_CTL_UPKEEP_SHARD. */
 struct upkeep_runner *shard_ctl_upkeep(const struct shard_ctl *sc);
 void shard_ctl_waves_changed(struct shard_ctl *sc);
--- a/src/fleet/shard_ctl_commit.c
+++ b/src/fleet/shard_ctl_commit.c
@@ -262,6 +262,8 @@
 
 	row->long_leases_ms =
 		MAX(0, long_leases_until_ms(sc) - clk_mono_ms(sc->f->clk));
+	if (sc->releasing && sc->f->store_clock_known)
+		row->starts_end_ms = sc->released_ms + sc->f->store_offset_ms;
 	fill_grants(sc, row);
 	/* Until the jobs are loaded, the row keeps the counts of the previous
 	 * owner, and their time. */
--- a/src/fleet/shard_ctl_int.h
+++ b/src/fleet/shard_ctl_int.h
@@ -2,6 +2,7 @@
 #ifndef SHARD_CTL_INT_H
 #define SHARD_CTL_INT_H
 
+#include "fleet/read_ahead.h"
 #include "fleet/shard_ctl.h"
 #include "state/page_size.h"
 #include "state/row_watch.h"
@@ -11,23 +12,31 @@
 	int32_t shard;
 	struct owner *owner;
 	bool is_owner;
+	/* The rows of the shard while it is loaded, then its new jobs. Also set
+	 * while another VM owns the shard and names this one as successor. */
+	struct read_ahead *ahead;
+	/* The list of workers, id to struct sched_worker_row, and when it was
+	 * last known to be whole (-1: never); only before the claim. */
+	GHashTable *ahead_workers;
+	int64_t ahead_list_ms;
 	/* All fields below are valid only while `is_owner` is set. */
 	void *term_ctx; /* talloc parent of what ends with the ownership */
 	struct sched sched;
 	struct wkr_links *links;
 	/* NULL for shards other than SHARD_CTL_UPKEEP_SHARD. */
 	struct upkeep_runner *upkeep;
-	struct row_watch *jobs_watch;
 	/* Job id to json_t; an entry is removed once its job is loaded. */
 	GHashTable *loaded_progress;
-	char *progress_from; /* first key of the next page; NULL: the start */
-	struct page_size progress_page;
+	struct read_ahead_size was_ahead; /* what was read before the claim */
+	/* The store's clock when the previous owner stopped starting tasks; 0:
+	 * unknown. */
+	int64_t prev_starts_end_ms;
+	int64_t released_ms; /* since when no task is started */
 	json_t *handover; /* left by the previous owner; NULL: none */
 	int64_t acquired_version; /* store version of our claim */
 	int64_t jobs_version; /* all jobs up to it are known */
 	int64_t jobs_store_ms; /* store's clock when that was the newest */
 	bool roster_loaded; /* until then its rows must not be written */
-	char *roster_from; /* first key of the next page; NULL: the start */
 	bool jobs_loaded;
 	bool workers_synced;
 	bool active; /* all is loaded, and tasks are being scheduled */
@@ -68,6 +77,16 @@
 
 /* Starts reading the rows of the shard. */
 void shard_ctl_load(struct shard_ctl *sc);
+/* Callback of struct owner_ops: another owner names this VM as its successor,
+ * or no longer does. */
+void shard_ctl_named(bool named, void *priv);
+/* Frees what was read in advance, or what the owner still follows. */
+void shard_ctl_drop_ahead(struct shard_ctl *sc);
+/* Changes to the list of workers before the claim. */
+void shard_ctl_ahead_listed(struct shard_ctl *sc,
+			    const struct sched_worker_row *row);
+void shard_ctl_ahead_unlisted(struct shard_ctl *sc, const char *id);
+void shard_ctl_ahead_list_synced(struct shard_ctl *sc);
 /* Starts scheduling if jobs, workers and catalog are all loaded. */
 void shard_ctl_maybe_activate(struct shard_ctl *sc);
 /* Schedules a placement pass unless one is pending. */
--- a/src/fleet/shard_ctl_load.c
+++ b/src/fleet/shard_ctl_load.c
@@ -1,6 +1,6 @@
-/* Loads a shard after its ownership was acquired: first the roster, then the
- * progress of jobs, then the jobs, whose table is watched for new rows from
- * then on. */
+/* Loads a shard once its roster, the progress of jobs and the jobs are read
+ * (fleet/read_ahead), and adds new jobs from then on. A VM that is named as the
+ * next owner begins to read them before it owns the shard. */
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -9,9 +9,12 @@
 #include "base/log.h"
 #include "fleet/shard_ctl_int.h"
 
-/* Maximum time that one call waits for new jobs, in ms. An answer without any
- * dates the job counts, which VMs don't use past an age of 2 s. */
-#define JOBS_WAIT_MS 500
+/* Limit of the rows read in advance, in bytes. 1,500 jobs have up to 15 MB, and
+ * the smallest VM has 160 MB. */
+#define AHEAD_BYTES_MAX (24 * 1024 * 1024)
+/* The list of workers, read in advance, is used if the store confirmed it this
+ * recently, in ms: twice its interval. */
+#define LIST_AGE_MAX_MS 3000
 
 /* Copies the job id in a key of the jobs table to `id`. Returns true if the row
  * cancels the job. */
@@ -109,6 +112,15 @@
 	owner_request_commit(sc->owner);
 }
 
+/* Returns for how long no task could be started; -1 if the previous owner
+ * didn't say when it stopped. */
+static int64_t paused_ms(const struct shard_ctl *sc, int64_t now)
+{
+	if (!sc->prev_starts_end_ms || !sc->f->store_clock_known)
+		return -1;
+	return now + sc->f->store_offset_ms - sc->prev_starts_end_ms;
+}
+
 void shard_ctl_maybe_activate(struct shard_ctl *sc)
 {
 	int64_t now = clk_mono_ms(sc->f->clk);
@@ -123,7 +135,8 @@
 	log_event(LOG_SHARD_LOADED,
 		  "shard=%d epoch=%lld jobs=%u workers=%u handed_silent=%d "
 		  "former_renews_ms=%lld former_lease_ms=%lld "
-		  "former_long_ms=%lld after_ms=%lld",
+		  "former_long_ms=%lld after_ms=%lld ahead_rows=%lld "
+		  "ahead_bytes=%lld paused_ms=%lld",
 		  sc->shard, (long long)sc->sched.epoch,
 		  g_hash_table_size(sc->sched.jobs),
 		  g_hash_table_size(sc->sched.workers), n_silent,
@@ -132,7 +145,9 @@
 		  (long long)sc->sched.prev_owner.lease_ms,
 		  (long long)(sc->sched.prev_owner.long_leases_until_ms -
 			      sc->sched.taken_over_ms),
-		  (long long)(now - sc->sched.taken_over_ms));
+		  (long long)(now - sc->sched.taken_over_ms),
+		  (long long)sc->was_ahead.rows, (long long)sc->was_ahead.bytes,
+		  (long long)paused_ms(sc, now));
 	wkr_links_enable(sc->links);
 	shard_ctl_place_soon(sc);
 }
@@ -178,25 +193,6 @@
 	shard_ctl_maybe_activate(sc);
 }
 
-static const struct row_watch_ops jobs_ops = { on_job_row, on_jobs_synced };
-
-static void watch_jobs(struct shard_ctl *sc)
-{
-	char table[SHARD_CTL_NAME_MAX];
-	char parts[SHARD_CTL_NAME_MAX];
-	struct row_watch_options opt = {
-		.table = shard_ctl_jobs_table(sc->shard, table),
-		.part = shard_ctl_job_part_prefix(sc->shard, parts),
-		.parts = SHARD_CTL_JOB_PARTS,
-		.wait_ms = JOBS_WAIT_MS,
-		.page_bytes =
-			page_size_bytes_max(sc->f->set.capacity.link_kbit_s),
-	};
-
-	sc->jobs_watch = row_watch_start(sc->term_ctx, &sc->f->rows,
-					 sc->f->timers, &opt, &jobs_ops, sc);
-}
-
 /* A read in flight. By its answer the shard may be lost, and even acquired
  * again at a newer epoch. */
 struct load_call {
@@ -226,134 +222,152 @@
 	return current ? sc : NULL;
 }
 
-static void read_progress(struct shard_ctl *sc);
-static void read_roster(struct shard_ctl *sc);
+static void add_roster_row(const struct rows_row *row, void *priv)
+{
+	struct shard_ctl *sc = priv;
+	json_t *j = row->value ? json_loads(row->value, 0, NULL) : NULL;
+
+	if (!sched_roster_restore(&sc->sched, j, clk_mono_ms(sc->f->clk)))
+		log_event(LOG_ROW_UNUSABLE,
+			  "table=" SHARD_CTL_ROSTER_TABLE
+			  " key=%s why=\"not a list of workers; waiting "
+			  "for leases to expire\"",
+			  row->key);
+	json_decref(j);
+}
 
-static void retry_roster(void *priv)
+static void add_progress_row(const struct rows_row *row, void *priv)
 {
 	struct shard_ctl *sc = priv;
+	json_t *j = row->value ? json_loads(row->value, 0, NULL) : NULL;
 
-	sc->place_timer = NULL;
-	read_roster(sc);
+	if (j)
+		g_hash_table_replace(sc->loaded_progress, g_strdup(row->key),
+				     j);
+	else
+		log_event(LOG_ROW_UNUSABLE,
+			  "table=progress key=%s why=\"not JSON\"", row->key);
 }
 
-static void on_roster(const struct rows_answer *ans, void *priv)
+static void log_ahead(const struct shard_ctl *sc, const char *what)
 {
-	struct shard_ctl *sc = finish_load_call(priv);
+	struct read_ahead_size size = read_ahead_size(sc->ahead);
 
-	if (!sc)
-		return;
-	if (ans->result != ROWS_OK || ans->version < sc->acquired_version) {
-		TALLOC_FREE(sc->place_timer);
-		sc->place_timer = tmr_after(sc->f->timers, SHARD_CTL_TICK_MS,
-					    retry_roster, sc);
-		return;
-	}
-	for (int32_t i = 0; i < ans->n; i++) {
-		json_t *j = ans->rows[i].value
-				    ? json_loads(ans->rows[i].value, 0, NULL)
-				    : NULL;
-
-		if (!sched_roster_restore(&sc->sched, j,
-					  clk_mono_ms(sc->f->clk)))
-			log_event(
-				LOG_ROW_UNUSABLE,
-				"table=" SHARD_CTL_ROSTER_TABLE
-				" key=%s why=\"not a list of workers; waiting "
-				"for leases to expire\"",
-				ans->rows[i].key);
-		json_decref(j);
-	}
-	if (ans->more && ans->n) {
-		talloc_free(sc->roster_from);
-		sc->roster_from = talloc_asprintf(sc->term_ctx, "%s%c",
-						  ans->rows[ans->n - 1].key, 1);
-		read_roster(sc);
+	log_event(LOG_READ_AHEAD, "shard=%d what=\"%s\" rows=%lld bytes=%lld",
+		  sc->shard, what, (long long)size.rows, (long long)size.bytes);
+}
+
+/* The roster goes first: tasks of previous owners can run only at workers on
+ * it. A job needs its progress when it is added. */
+static void on_rows_ready(void *priv)
+{
+	struct shard_ctl *sc = priv;
+
+	if (!sc->is_owner) {
+		log_ahead(sc, "ready");
+		owner_set_ready(sc->owner);
 		return;
 	}
+	read_ahead_each(sc->ahead, READ_AHEAD_ROSTER, add_roster_row, sc);
 	sc->roster_loaded = true;
-	read_progress(sc);
+	read_ahead_each(sc->ahead, READ_AHEAD_PROGRESS, add_progress_row, sc);
+	read_ahead_each(sc->ahead, READ_AHEAD_JOBS, on_job_row, sc);
+	read_ahead_follow_jobs(sc->ahead);
 }
 
-/* Read before all else: tasks of previous owners can run only at workers on the
- * roster. */
-static void read_roster(struct shard_ctl *sc)
+/* The owner waits for this VM to the end of its time, as for one that doesn't
+ * read in advance. */
+static void on_too_large(void *priv)
 {
-	char part[SHARD_CTL_NAME_MAX];
-	struct rows_range range = {
-		.table = SHARD_CTL_ROSTER_TABLE,
-		.part = shard_ctl_state_part(sc->shard, part),
-		.from = sc->roster_from,
-	};
+	log_ahead(priv, "too large");
+}
 
-	sc->f->rows.ops->read(sc->f->rows.self, &range, on_roster,
-			      new_load_call(sc));
+static const struct read_ahead_ops rows_ops = { on_rows_ready, on_too_large,
+						on_job_row, on_jobs_synced };
+
+static void start_read_ahead(struct shard_ctl *sc)
+{
+	int64_t bytes_max = sc->f->set.read_ahead_bytes_max;
+
+	sc->ahead = read_ahead_start(sc, sc->f, sc->shard,
+				     bytes_max ? bytes_max : AHEAD_BYTES_MAX,
+				     &rows_ops, sc);
+	sc->ahead_workers =
+		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
+	sc->ahead_list_ms = -1;
+	log_ahead(sc, "begun");
 }
 
-static void retry_progress(void *priv)
+void shard_ctl_named(bool named, void *priv)
 {
 	struct shard_ctl *sc = priv;
+	const struct fleet_directory *d = &sc->f->directory;
 
-	sc->place_timer = NULL;
-	read_progress(sc);
+	if (named == (sc->ahead != NULL))
+		return;
+	if (!named)
+		log_ahead(sc, "dropped");
+	if (named)
+		start_read_ahead(sc);
+	else
+		shard_ctl_drop_ahead(sc);
+	d->ops->subscribe(d->self, named);
 }
 
-static void add_progress(struct shard_ctl *sc, const struct rows_answer *ans)
+struct read_ahead_size shard_ctl_ahead_size(const struct shard_ctl *sc)
 {
-	page_size_note(&sc->progress_page, ans);
-	for (int32_t i = 0; i < ans->n; i++) {
-		json_t *j = ans->rows[i].value
-				    ? json_loads(ans->rows[i].value, 0, NULL)
-				    : NULL;
-
-		if (j)
-			g_hash_table_replace(sc->loaded_progress,
-					     g_strdup(ans->rows[i].key), j);
-		else
-			log_event(LOG_ROW_UNUSABLE,
-				  "table=progress key=%s why=\"not JSON\"",
-				  ans->rows[i].key);
-	}
-	talloc_free(sc->progress_from);
-	sc->progress_from = NULL;
-	if (!ans->more || !ans->n) {
-		watch_jobs(sc);
-		return;
-	}
-	sc->progress_from = talloc_asprintf(sc->term_ctx, "%s%c",
-					    ans->rows[ans->n - 1].key, 1);
-	read_progress(sc);
+	if (sc->is_owner || !sc->ahead)
+		return (struct read_ahead_size){ 0 };
+	return read_ahead_size(sc->ahead);
 }
 
-static void on_progress(const struct rows_answer *ans, void *priv)
+void shard_ctl_drop_ahead(struct shard_ctl *sc)
 {
-	struct shard_ctl *sc = finish_load_call(priv);
+	TALLOC_FREE(sc->ahead);
+	g_clear_pointer(&sc->ahead_workers, g_hash_table_destroy);
+}
 
-	if (!sc)
-		return;
-	/* An answer older than our claim could lack the last commit of the
-	 * previous owner. */
-	if (ans->result == ROWS_OK && ans->version >= sc->acquired_version) {
-		add_progress(sc, ans);
+void shard_ctl_ahead_listed(struct shard_ctl *sc,
+			    const struct sched_worker_row *row)
+{
+	struct sched_worker_row *copy;
+
+	if (!sc->ahead_workers)
 		return;
-	}
-	TALLOC_FREE(sc->place_timer);
-	sc->place_timer =
-		tmr_after(sc->f->timers, SHARD_CTL_TICK_MS, retry_progress, sc);
+	copy = g_memdup2(row, sizeof(*row));
+	g_hash_table_replace(sc->ahead_workers, copy->id, copy);
 }
 
-static void read_progress(struct shard_ctl *sc)
+void shard_ctl_ahead_unlisted(struct shard_ctl *sc, const char *id)
 {
-	char part[SHARD_CTL_NAME_MAX];
-	struct rows_range range = {
-		.table = SHARD_CTL_PROGRESS_TABLE,
-		.part = shard_ctl_state_part(sc->shard, part),
-		.from = sc->progress_from,
-		.limit = page_size_rows(&sc->progress_page),
-	};
+	if (sc->ahead_workers)
+		g_hash_table_remove(sc->ahead_workers, id);
+}
 
-	sc->f->rows.ops->read(sc->f->rows.self, &range, on_progress,
-			      new_load_call(sc));
+void shard_ctl_ahead_list_synced(struct shard_ctl *sc)
+{
+	sc->ahead_list_ms = clk_mono_ms(sc->f->clk);
+}
+
+/* Uses the list of workers that is followed already, unless the store hasn't
+ * confirmed it of late; then it is read again. */
+static void use_list(struct shard_ctl *sc)
+{
+	const struct fleet_directory *d = &sc->f->directory;
+	int64_t now = clk_mono_ms(sc->f->clk);
+	GHashTableIter it;
+	gpointer row;
+
+	if (sc->ahead_list_ms < 0 ||
+	    now - sc->ahead_list_ms > LIST_AGE_MAX_MS) {
+		d->ops->subscribe(d->self, false);
+		d->ops->subscribe(d->self, true);
+		return;
+	}
+	g_hash_table_iter_init(&it, sc->ahead_workers);
+	while (g_hash_table_iter_next(&it, NULL, &row))
+		sched_worker_listed(&sc->sched, row, now);
+	sc->workers_synced = true;
 }
 
 /* The shard is activated without waiting for this read, which is not repeated:
@@ -394,6 +408,18 @@
 
 void shard_ctl_load(struct shard_ctl *sc)
 {
+	const struct fleet_directory *d = &sc->f->directory;
+
+	sc->was_ahead = (struct read_ahead_size){ 0 };
+	if (sc->ahead) {
+		sc->was_ahead = read_ahead_size(sc->ahead);
+		use_list(sc);
+		g_clear_pointer(&sc->ahead_workers, g_hash_table_destroy);
+	} else {
+		sc->ahead = read_ahead_start(sc, sc->f, sc->shard,
+					     AHEAD_BYTES_MAX, &rows_ops, sc);
+		d->ops->subscribe(d->self, true);
+	}
 	read_learned(sc);
-	read_roster(sc);
+	read_ahead_require(sc->ahead, sc->acquired_version);
 }
--- a/src/state/incarnation.c
+++ b/src/state/incarnation.c
@@ -35,15 +35,19 @@
 			      "started_ms", (json_int_t)inc->started_ms,
 			      "strength_milli", (json_int_t)inc->cpu_milli,
 			      "trip_ms", (json_int_t)inc->rtt_ms);
-	char *text = json_dumps(j, JSON_COMPACT);
 	struct rows_change change = { .table = INCARNATION_TABLE,
-				      .key = inc->vm,
-				      .value = text };
+				      .key = inc->vm };
 	char part[PART_MAX];
+	char *text;
 	struct rows_tx tx = { .part = incarnation_part(shard, part),
 			      .n = 1,
 			      .changes = &change };
 
+	if (inc->ready_epoch)
+		json_object_set_new(j, "ready_epoch",
+				    json_integer(inc->ready_epoch));
+	text = json_dumps(j, JSON_COMPACT);
+	change.value = text;
 	rows->ops->commit(rows->self, &tx, done, priv);
 	free(text);
 	json_decref(j);
@@ -85,10 +89,17 @@
 	out->cpu_milli =
 		json_integer_value(json_object_get(j, "strength_milli"));
 	out->rtt_ms = json_integer_value(json_object_get(j, "trip_ms"));
+	out->ready_epoch =
+		json_integer_value(json_object_get(j, "ready_epoch"));
 	json_decref(j);
 	return id;
 }
 
+bool incarnation_has_cpu(int64_t cpu_milli, int64_t max_cpu_milli)
+{
+	return cpu_milli * 100 >= max_cpu_milli * CPU_MIN_PERCENT;
+}
+
 static bool is_eligible(const struct incarnation *inc,
 			const struct incarnation *self, int64_t max_cpu_milli,
 			int64_t now_ms)
@@ -96,7 +107,7 @@
 	if (!strcmp(inc->vm, self->vm) ||
 	    now_ms - inc->started_ms > RECENT_START_MS)
 		return false;
-	return inc->cpu_milli * 100 >= max_cpu_milli * CPU_MIN_PERCENT &&
+	return incarnation_has_cpu(inc->cpu_milli, max_cpu_milli) &&
 	       inc->rtt_ms <= self->rtt_ms * RTT_MAX_FACTOR;
 }
 
@@ -119,3 +130,15 @@
 	}
 	return found;
 }
+
+bool incarnation_find(const struct rows_answer *ans, const char *vm,
+		      const char *id, struct incarnation *out)
+{
+	for (int32_t i = 0; i < ans->n; i++) {
+		if (parse(&ans->rows[i], out) && !strcmp(out->vm, vm) &&
+		    !strcmp(out->id, id))
+			return true;
+	}
+	memset(out, 0, sizeof(*out));
+	return false;
+}
--- a/src/state/incarnation.h
+++ b/src/state/incarnation.h
@@ -19,6 +19,8 @@
 	int64_t started_ms; /* by the store's clock */
 	int64_t cpu_milli; /* CPU capacity of the VM, in thousandths of a core
 			    */
+	int64_t ready_epoch; /* it has read the rows of the owner with this
+				epoch; 0: of none */
 	int64_t rtt_ms; /* shortest round trip to the store so far */
 };
 
@@ -43,4 +45,11 @@
 			const struct incarnation *self, int64_t max_cpu_milli,
 			struct incarnation *out);
 
+/* Returns whether a VM has enough CPU capacity to be a successor. */
+bool incarnation_has_cpu(int64_t cpu_milli, int64_t max_cpu_milli);
+
+/* Finds the row of this run of `vm`. Returns false if there is none. */
+bool incarnation_find(const struct rows_answer *ans, const char *vm,
+		      const char *id, struct incarnation *out);
+
 #endif
--- a/src/state/owner.c
+++ b/src/state/owner.c
@@ -7,6 +7,7 @@
 #include <talloc.h>
 
 #include "base/log.h"
+#include "state/incarnation.h"
 #include "state/owner_int.h"
 
 #define OWNER_TABLE "owners"
@@ -15,7 +16,8 @@
  * to it wins: each commit takes a round trip. */
 #define CLAIM_WAIT_RTTS 8
 /* Within OWNER_RESTART_WINDOW_MS of its start a VM polls this many times as
- * often, because it is the one that a stopping owner names as successor. */
+ * often, because it is the one that a stopping owner names as successor, and
+ * while it is named. */
 #define STARTUP_POLL_FACTOR 4
 /* Other VMs delay their claim by this part of the poll interval in favour of a
  * named successor: its next poll, and the round trips of poll and claim. */
@@ -89,6 +91,8 @@
 		return;
 	}
 	o->phase = OWNER_OWNING;
+	o->named = false;
+	o->ready_epoch = 0;
 	if (old_phase == OWNER_CLAIMING) {
 		o->gained_store_ms = o->store_ms;
 		log_event(LOG_SHARD_GAINED, "part=%s epoch=%lld from=%s",
@@ -217,6 +221,7 @@
 	n = o->ops->collect(o->changes + 1, OWNER_COMMIT_ROWS_MAX - 1, o->priv);
 	o->n_changes = n + 1;
 	/* Releases only once all collected changes fit into this commit. */
+	o->row.stopping = o->stopping && !o->has_successor;
 	o->row.released = o->releasing && n < OWNER_COMMIT_ROWS_MAX - 1;
 	if (o->row.released)
 		o->row.handover = o->ops->get_handover(o, o->priv);
@@ -290,6 +295,8 @@
 	o->row.epoch++;
 	o->row.released = false;
 	*o->row.successor = '\0';
+	o->row.stopping = false;
+	o->row.starts_end_ms = 0;
 	if (o->row.max_cpu_milli < o->lim.cpu_milli)
 		o->row.max_cpu_milli = o->lim.cpu_milli;
 	o->n_changes = 1;
@@ -297,12 +304,46 @@
 	start_commit(o);
 }
 
-static bool is_successor(const struct owner *o)
+static bool names_us(const struct owner *o)
 {
-	return o->row.released && !strcmp(o->row.successor, o->vm) &&
+	return !strcmp(o->row.successor, o->vm) &&
 	       !strcmp(o->row.successor_incarnation, o->incarnation);
 }
 
+static bool is_successor(const struct owner *o)
+{
+	return o->row.released && names_us(o);
+}
+
+/* Whether a stopping owner, which waits for a VM that is back, names this one
+ * next unless there is a better one. Like it, by the store's clock. */
+static bool is_likely(const struct owner *o)
+{
+	return o->row.stopping && (!o->row.released || !*o->row.successor) &&
+	       o->started_store_ms &&
+	       o->store_ms - o->started_store_ms < OWNER_RESTART_WINDOW_MS &&
+	       incarnation_has_cpu(o->lim.cpu_milli, o->row.max_cpu_milli);
+}
+
+/* A successor that was named before the release learns of it. */
+static void update_named(struct owner *o)
+{
+	bool named = o->phase == OWNER_WATCHING && !o->stopping &&
+		     (names_us(o) || is_likely(o));
+
+	if (named == o->named)
+		return;
+	o->named = named;
+	if (!named && o->ready_epoch) {
+		o->ready_epoch = 0;
+		o->published = false;
+	}
+	if (o->ops->named)
+		o->ops->named(named, o->priv);
+	else if (named)
+		owner_set_ready(o);
+}
+
 static int64_t claim_wait_ms(const struct owner *o)
 {
 	int64_t wait = owner_row_claim_delay_ms(&o->row, o->lim.cpu_milli,
@@ -310,6 +351,10 @@
 
 	if (is_successor(o))
 		return 0;
+	/* Others would have to read the rows yet. */
+	if (!*o->row.successor && o->ready_epoch &&
+	    o->ready_epoch == o->row.epoch)
+		return 0;
 	if (o->row.released && *o->row.successor)
 		wait += o->lim.poll_ms * SUCCESSOR_WAIT_PERCENT / 100;
 	return wait + o->rtt_ms * CLAIM_WAIT_RTTS;
@@ -319,7 +364,8 @@
 {
 	bool young = now_ms - o->started_ms < OWNER_RESTART_WINDOW_MS;
 
-	return young ? o->lim.poll_ms / STARTUP_POLL_FACTOR : o->lim.poll_ms;
+	return young || o->named ? o->lim.poll_ms / STARTUP_POLL_FACTOR
+				 : o->lim.poll_ms;
 }
 
 /* A poll in flight. There may be two: a refused claim schedules the next one
@@ -361,6 +407,7 @@
 	o->row_read = true;
 	o->read_sent_ms = sent_ms;
 	owner_publish(o, ans->now_ms);
+	update_named(o);
 	if (o->phase == OWNER_WATCHING && !o->stopping && !o->claim_timer &&
 	    is_claimable(o, now) && now >= o->no_claim_until_ms)
 		o->claim_timer =
--- a/src/state/owner.h
+++ b/src/state/owner.h
@@ -45,6 +45,12 @@
 	/* Called for the commit that releases the shard. Returns JSON for
 	 * the successor, allocated from `ctx`, or NULL. */
 	char *(*get_handover)(void *ctx, void *priv);
+	/* The owner, another process, names this one as its successor or is
+	 * likely to, or no longer so. Called at least when that changes. Until
+	 * this process claims the shard it may read the rows in advance; when
+	 * they are read it calls owner_set_ready. NULL: there is nothing to
+	 * read. */
+	void (*named)(bool named, void *priv);
 };
 
 /* Starts to poll at once. Returns a talloc child of `ctx`. */
@@ -61,13 +67,18 @@
 /* Requests a commit soon, because there are changes to collect. */
 void owner_request_commit(struct owner *o);
 
+/* Tells the owner that this process, its named successor, has read the rows of
+ * the shard. */
+void owner_set_ready(struct owner *o);
+
 /*
  * Called when the process is about to stop; it doesn't claim again. An owner
  * commits its changes, then releases the shard, which others may claim at once.
  * If VMs were restarted recently, it names the last of them as its successor,
  * and others claim only if that one doesn't. Unless one was restarted just now,
  * the owner goes on for up to `successor_wait_ms` until one is: in a rolling
- * restart, any VM not yet restarted may be the next to stop.
+ * restart, any VM not yet restarted may be the next to stop. It also goes on
+ * until its successor is ready, within limits.
  */
 void owner_release(struct owner *o, int64_t successor_wait_ms);
 
--- a/src/state/owner_int.h
+++ b/src/state/owner_int.h
@@ -56,10 +56,19 @@
 	bool seeking; /* a read for owner_seek_stronger() is under way */
 	int64_t seek_no_claim_ms; /* its argument */
 	int64_t gained_store_ms; /* the store's clock when we took over */
+	int64_t started_store_ms; /* the store's clock at our start; 0: unknown
+				   */
+	/* Epoch of the owner whose rows we have read, 0: none; and the one in
+	 * the row of our incarnation that is being written. */
+	int64_t ready_epoch;
+	int64_t publishing_epoch;
+	bool named; /* as the successor, by the row last read */
 	bool publishing; /* our incarnation's row is being written */
 	bool published; /* it was written, or is no longer wanted */
 	bool stopping; /* never claims again */
 	int64_t successor_wait_end_ms; /* of a stopping owner */
+	bool has_successor; /* it releases when the one in `row` is ready */
+	int64_t named_ms; /* when that one was named */
 	struct tmr *wait_timer; /* set during that wait */
 	int64_t no_claim_until_ms; /* after a yield; 0: release for good */
 	int32_t n_changes;
--- a/src/state/owner_release.c
+++ b/src/state/owner_release.c
@@ -11,6 +11,10 @@
 /* A stopping owner reads the incarnations this many times per poll interval. At
  * the end of its wait it releases the shard even if reads went unanswered. */
 #define LIST_READS_PER_POLL 2
+/* A stopping owner waits for so many poll intervals until the successor that it
+ * named is ready: a load took up to 2.2 s. One that is gone, or runs a release
+ * that doesn't read in advance, must not hold up the restart for longer. */
+#define READY_WAIT_POLLS 6
 /* A VM is much stronger with so many times the processor: a change of owner
  * takes a second or two. */
 #define MUCH_STRONGER 2
@@ -29,8 +33,10 @@
 {
 	struct owner *o = priv;
 
-	/* If this failed, the next answered poll tries again. */
-	o->published |= ans->result == ROWS_OK;
+	/* If this failed, or the row has changed meanwhile, the next answered
+	 * poll tries again. */
+	o->published |=
+		ans->result == ROWS_OK && o->publishing_epoch == o->ready_epoch;
 	o->publishing = false;
 }
 
@@ -41,10 +47,26 @@
 	if (o->published || o->publishing || o->phase != OWNER_WATCHING)
 		return;
 	o->publishing = true;
-	inc.started_ms = store_now_ms;
+	o->publishing_epoch = o->ready_epoch;
+	if (!o->started_store_ms)
+		o->started_store_ms = store_now_ms;
+	inc.started_ms = o->started_store_ms;
+	inc.ready_epoch = o->ready_epoch;
 	incarnation_publish(&o->rows, o->part, &inc, on_published, o);
 }
 
+void owner_set_ready(struct owner *o)
+{
+	/* An incarnation that was withdrawn stays so. */
+	if (o->stopping || !o->named)
+		return;
+	o->ready_epoch = o->row.epoch;
+	o->published = false;
+	/* The next poll claims without a delay, if the shard is free. */
+	TALLOC_FREE(o->claim_timer);
+	owner_publish(o, o->store_ms);
+}
+
 /* A row that stays makes the others wait for this VM at the next release. */
 static void on_unpublished(const struct rows_answer *ans, void *priv)
 {
@@ -65,6 +87,27 @@
 	owner_schedule_commit(o);
 }
 
+/* Names `next`, whose row the next commit shows it. */
+static void name_successor(struct owner *o, const struct incarnation *next)
+{
+	if (!strcmp(o->row.successor, next->vm) &&
+	    !strcmp(o->row.successor_incarnation, next->id))
+		return;
+	snprintf(o->row.successor, sizeof(o->row.successor), "%s", next->vm);
+	snprintf(o->row.successor_incarnation,
+		 sizeof(o->row.successor_incarnation), "%s", next->id);
+	o->named_ms = clk_mono_ms(o->clk);
+	owner_request_commit(o);
+}
+
+static bool is_ready(const struct owner *o, const struct incarnation *next)
+{
+	int64_t named_for_ms = clk_mono_ms(o->clk) - o->named_ms;
+
+	return next->ready_epoch == o->row.epoch ||
+	       named_for_ms >= o->lim.poll_ms * READY_WAIT_POLLS;
+}
+
 static void on_incarnations(const struct rows_answer *ans, void *priv)
 {
 	struct owner *o = priv;
@@ -75,12 +118,20 @@
 	/* The answer is late, or the shard has another owner by now. */
 	if (!o->wait_timer || ans->result != ROWS_OK)
 		return;
-	found = incarnation_choose(ans, &self, o->row.max_cpu_milli, &next);
-	snprintf(o->row.successor, sizeof(o->row.successor), "%s", next.vm);
-	snprintf(o->row.successor_incarnation,
-		 sizeof(o->row.successor_incarnation), "%s", next.id);
-	if ((found &&
-	     ans->now_ms - next.started_ms <= OWNER_RESTART_WINDOW_MS) ||
+	/* The one that prepares is kept, as long as it is up: VMs that were
+	 * restarted after it would begin anew. */
+	o->has_successor =
+		o->has_successor &&
+		incarnation_find(ans, o->row.successor,
+				 o->row.successor_incarnation, &next);
+	if (!o->has_successor) {
+		found = incarnation_choose(ans, &self, o->row.max_cpu_milli,
+					   &next);
+		o->has_successor = found && ans->now_ms - next.started_ms <=
+						    OWNER_RESTART_WINDOW_MS;
+		name_successor(o, &next);
+	}
+	if ((o->has_successor && is_ready(o, &next)) ||
 	    clk_mono_ms(o->clk) >= o->successor_wait_end_ms)
 		start_release(o);
 }
@@ -174,6 +225,7 @@
 	if (o->phase == OWNER_OWNING && !o->releasing) {
 		o->successor_wait_end_ms =
 			clk_mono_ms(o->clk) + successor_wait_ms;
+		owner_request_commit(o);
 		read_incarnations(o);
 		return;
 	}
--- a/src/state/owner_row.c
+++ b/src/state/owner_row.c
@@ -82,6 +82,9 @@
 		json_integer_value(json_object_get(j, "renews_ms"));
 	out->long_leases_ms =
 		num_clamp(json_object_get(j, "long_leases_ms"), 0, NUM_MAX, 0);
+	out->stopping = json_is_true(json_object_get(j, "stopping"));
+	out->starts_end_ms =
+		num_clamp(json_object_get(j, "starts_end_ms"), 0, NUM_MAX, 0);
 	if (is_counts(pending)) {
 		out->pending = text_of(ctx, pending);
 		out->pending_ms = num_clamp(json_object_get(j, "pending_ms"), 0,
@@ -131,6 +134,11 @@
 	if (row->long_leases_ms)
 		json_object_set_new(j, "long_leases_ms",
 				    json_integer(row->long_leases_ms));
+	if (row->stopping)
+		json_object_set_new(j, "stopping", json_true());
+	if (row->starts_end_ms)
+		json_object_set_new(j, "starts_end_ms",
+				    json_integer(row->starts_end_ms));
 	if (*row->successor) {
 		json_object_set_new(j, "successor",
 				    json_string(row->successor));
--- a/src/state/owner_row.h
+++ b/src/state/owner_row.h
@@ -17,6 +17,7 @@
 	bool released; /* may be claimed at once */
 	char successor[OWNER_VM_MAX]; /* VM that claims first; "": none */
 	char successor_incarnation[32];
+	bool stopping; /* the owner is, and has no successor yet */
 	int64_t max_cpu_milli; /* largest CPU capacity of any owner so far */
 	int64_t lease_ms; /* longest lease that any owner grants; 0: unknown */
 	int64_t previous_renews_ms; /* earlier owners may renew leases for this
@@ -43,6 +44,9 @@
 	 * rates, of the same time; see sched_org_pack_overload(). NULL: none,
 	 * or unknown. */
 	char *overload;
+	/* The store's clock when an owner that gives the shard up stopped
+	 * starting tasks; 0: it hasn't, or unknown. */
+	int64_t starts_end_ms;
 	char *handover; /* JSON for the successor, set on release, or NULL */
 };
 
--- a/src/state/row_watch.c
+++ b/src/state/row_watch.c
@@ -368,3 +368,8 @@
 {
 	return w->sent_ms;
 }
+
+void row_watch_set_gap(struct row_watch *w, int64_t gap_ms)
+{
+	w->opt.gap_ms = gap_ms;
+}
--- a/src/state/row_watch.h
+++ b/src/state/row_watch.h
@@ -39,6 +39,9 @@
  */
 void row_watch_require(struct row_watch *w, int64_t version);
 
+/* Changes the `gap_ms` of the options, from the next call on. */
+void row_watch_set_gap(struct row_watch *w, int64_t gap_ms);
+
 /* Returns the sent_ms of the answer, for a read its first one, that the last
  * `synced` was called for. What changed after that may be missing. */
 int64_t row_watch_sent_ms(const struct row_watch *w);
--- a/tests/owners.c
+++ b/tests/owners.c
@@ -79,9 +79,9 @@
 	return *c->own_handover ? talloc_strdup(ctx, c->own_handover) : NULL;
 }
 
-const struct owner_ops candidate_ops = { on_gained,   on_releasing, on_lost,
-					 on_collect,  on_committed, on_fill,
-					 on_hand_over };
+const struct owner_ops candidate_ops = { on_gained,    on_releasing, on_lost,
+					 on_collect,   on_committed, on_fill,
+					 on_hand_over, NULL };
 
 void candidate_start(struct owner_fixture *f, struct candidate *c,
 		     const char *vm, const char *incarnation)
--- a/tests/unit.h
+++ b/tests/unit.h
@@ -35,6 +35,7 @@
 void unit_add_lease(void);
 void unit_add_shard_ctl(void);
 void unit_add_read_ahead(void);
+void unit_add_rolling(void);
 void unit_add_shrink(void);
 void unit_add_lives(void);
 void unit_add_odd(void);
--- a/tests/unit_tests.c
+++ b/tests/unit_tests.c
@@ -44,6 +44,7 @@
 	unit_add_lease();
 	unit_add_shard_ctl();
 	unit_add_read_ahead();
+	unit_add_rolling();
 	unit_add_shrink();
 	unit_add_lives();
 	unit_add_stale();
