--- a/src/fleet/read_ahead.c
+++ b/src/fleet/read_ahead.c
@@ -155,12 +155,29 @@
 	return true;
 }
 
+/* A large table that is read leaves all of the link to the other one. */
+static void widen_pages(struct read_ahead *ra)
+{
+	int64_t bytes = page_size_bytes_max(ra->f->set.capacity.link_kbit_s);
+
+	if (ra->tables[READ_AHEAD_PROGRESS].synced)
+		row_watch_set_page_bytes(ra->tables[READ_AHEAD_JOBS].watch,
+					 bytes);
+	if (ra->tables[READ_AHEAD_JOBS].synced &&
+	    ra->tables[READ_AHEAD_PROGRESS].watch)
+		row_watch_set_page_bytes(ra->tables[READ_AHEAD_PROGRESS].watch,
+					 bytes);
+}
+
 static void on_synced(int64_t version, int64_t store_ms, void *priv)
 {
 	struct table *t = priv;
 	struct read_ahead *ra = t->owner;
 
-	t->synced = true;
+	if (!t->synced) {
+		t->synced = true;
+		widen_pages(ra);
+	}
 	t->version = version;
 	t->store_ms = store_ms;
 	if (!t->rows) {
--- a/src/state/row_watch.c
+++ b/src/state/row_watch.c
@@ -373,3 +373,8 @@
 {
 	w->opt.gap_ms = gap_ms;
 }
+
+void row_watch_set_page_bytes(struct row_watch *w, int64_t bytes)
+{
+	w->page.bytes_max = bytes;
+}
--- a/src/state/row_watch.h
+++ b/src/state/row_watch.h
@@ -42,6 +42,9 @@
 /* Changes the `gap_ms` of the options, from the next call on. */
 void row_watch_set_gap(struct row_watch *w, int64_t gap_ms);
 
+/* Changes the `page_bytes` of the options, from the next page on. */
+void row_watch_set_page_bytes(struct row_watch *w, int64_t bytes);
+
 /* Returns the sent_ms of the answer, for a read its first one, that the last
  * `synced` was called for. What changed after that may be missing. */
 int64_t row_watch_sent_ms(const struct row_watch *w);
