--- a/tests/crowd_clients.c
+++ b/tests/crowd_clients.c
@@ -7,6 +7,7 @@
 #include <inttypes.h>
 #include <poll.h>
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -43,18 +44,22 @@
 	int n;
 };
 
-static int64_t resident_bytes(pid_t pid)
+/* Returns a value in KiB of the process's status, in bytes; 0 if it has ended.
+ */
+static int64_t status_bytes(pid_t pid, const char *key)
 {
-	g_autofree char *path = g_strdup_printf("/proc/%d/statm", (int)pid);
+	g_autofree char *path = g_strdup_printf("/proc/%d/status", (int)pid);
 	FILE *f = fopen(path, "r");
-	long long pages = 0;
-
-	if (!f)
-		return 0;
-	if (fscanf(f, "%*d %lld", &pages) != 1)
-		pages = 0;
-	fclose(f);
-	return pages * sysconf(_SC_PAGESIZE);
+	long long kib = 0;
+	char line[256];
+
+	while (f && fgets(line, sizeof(line), f)) {
+		if (g_str_has_prefix(line, key))
+			kib = strtoll(line + strlen(key), NULL, 10);
+	}
+	if (f)
+		fclose(f);
+	return kib * 1024;
 }
 
 /* Returns the bytes in the receive queues of the sockets on these ports. */
@@ -100,9 +105,11 @@
 
 	if (!now && hx_now_ms() < u->next_sample_ms)
 		return;
-	bytes = resident_bytes(u->pid) +
+	bytes = status_bytes(u->pid, "VmRSS:") +
 		unread_bytes(u->first_port, u->last_port);
 	u->memory_bytes = MAX(u->memory_bytes, bytes);
+	/* The largest resident size also between two samples. */
+	u->memory_bytes = MAX(u->memory_bytes, status_bytes(u->pid, "VmHWM:"));
 	u->descriptors = MAX(u->descriptors, count_descriptors(u->pid));
 	u->next_sample_ms = hx_now_ms() + SAMPLE_MS;
 }
@@ -115,6 +122,19 @@
 		g_string_append_printf(w, "%zx\r\n%s\r\n", chunk, data);
 }
 
+/* Adds a complete body, JSON that holds no job. */
+static void add_values(GString *w)
+{
+	GString *body = g_string_new("{\"steps\":[{}");
+
+	while (body->len < BODY_BYTES)
+		g_string_append(body, ",{}");
+	g_string_append(body, "]}");
+	g_string_append_printf(w, "Content-Length: %zu\r\n\r\n%s", body->len,
+			       body->str);
+	g_string_free(body, TRUE);
+}
+
 static void add_bytes(GString *w, size_t n)
 {
 	g_autofree char *data = g_strnfill(n, 'x');
@@ -138,6 +158,8 @@
 	if (kind == CROWD_HEADERS) {
 		g_string_append(w, "Pad: ");
 		add_bytes(w, HEADER_BYTES);
+	} else if (kind == CROWD_VALUES) {
+		add_values(w);
 	} else if (kind == CROWD_WHOLE || kind == CROWD_PIECES) {
 		g_string_append_printf(w, "Content-Length: %d\r\n\r\n",
 				       BODY_BYTES);
--- a/tests/crowd_clients.h
+++ b/tests/crowd_clients.h
@@ -16,6 +16,7 @@
 	CROWD_CHUNKED_OVER, /* far over the limit, not announced */
 	CROWD_HEADERS, /* most of a header */
 	CROWD_LINKS, /* relay links: part of a frame */
+	CROWD_VALUES, /* complete, of legal size: a list of many empty objects */
 	CROWD_KINDS
 };
 
--- a/tests/crowd_tests.c
+++ b/tests/crowd_tests.c
@@ -225,6 +225,8 @@
 	g_test_add_func("/crowd/all-at-once", test_all_at_once);
 	g_test_add_func("/crowd/second-crowd", test_second_crowd);
 	g_test_add_func("/crowd/links", test_links);
+	g_test_add_data_func("/crowd/values", GINT_TO_POINTER(CROWD_VALUES),
+			     test_alone);
 	g_test_add_func("/crowd/operators", test_operators);
 	return g_test_run();
 }
--- a/tests/unit_platform.c
+++ b/tests/unit_platform.c
@@ -1,6 +1,8 @@
 /* Tests of decoding the platform's rows, jobs and settings: valid ones, those
  * of other writers, and invalid ones. */
 #include <glib.h>
+#include <jansson.h>
+#include <stdlib.h>
 #include <string.h>
 #include <talloc.h>
 #include <unistd.h>
@@ -152,6 +154,70 @@
 	g_string_free(body, TRUE);
 }
 
+static int allocations;
+
+static void *count_malloc(size_t size)
+{
+	allocations++;
+	return malloc(size);
+}
+
+/*
+ * Guards against parsing what is no job: 1 MB of empty objects took 80 MB and
+ * 100 ms of processor time. The largest job is decoded.
+ */
+static void test_job_cost(void)
+{
+	static const char *const parts[] = { ",{}", ",1", ",\"a\"",
+					     "0000000000000000" };
+	struct err e = { 0 };
+	GString *body;
+	struct jobspec *spec;
+
+	json_set_alloc_funcs(count_malloc, free);
+	for (size_t i = 0; i < G_N_ELEMENTS(parts); i++) {
+		body = g_string_new("{\"steps\":[0");
+		while (body->len < 1000000)
+			g_string_append(body, parts[i]);
+		g_string_append(body, "]}");
+		allocations = 0;
+		g_assert_null(pf_decode_job(NULL, "0", "q", body->str,
+					    body->len, &e));
+		g_assert_cmpint(e.kind, ==, ERR_RECORD);
+		g_assert_cmpint(allocations, ==, 0);
+		g_string_free(body, TRUE);
+	}
+	json_set_alloc_funcs(malloc, free);
+	body = g_string_new("{\"spec\":\"");
+	for (int i = 0; i < 4000; i++)
+		g_string_append(body, "\\u0041");
+	g_string_append(body, "\",\"steps\":[");
+	for (int i = 0; i < JOBSPEC_STEPS_MAX; i++) {
+		g_string_append_printf(
+			body,
+			"%s{\"count\":2,\"cpu\":1000,\"mem_mb\":4096,"
+			"\"gpu\":0,\"estimate_ms\":100000,"
+			"\"checkpointed\":true,\"gang\":true,"
+			"\"colocate\":true,\"speculative\":false,"
+			"\"long_running\":false,\"fills\":false,"
+			"\"max_per_server\":1,\"max_unavailable\":1,"
+			"\"goal_ms\":100,\"requires\":\"%063d\","
+			"\"affinity\":\"%063d\",\"image\":\"%063d\","
+			"\"after\":[",
+			i ? ",\n" : "", i, i, i);
+		for (int k = 0; k < i; k++)
+			g_string_append_printf(body, "%s%d", k ? ", " : "", k);
+		g_string_append(body, "]}");
+	}
+	g_string_append(body, "]}");
+	spec = pf_decode_job(NULL, "0", "q", body->str, body->len, &e);
+	g_assert_nonnull(spec);
+	g_assert_cmpint(strlen(spec->payload), ==, 4000);
+	g_assert_cmpint(spec->steps[63].n_after, ==, 63);
+	talloc_free(spec);
+	g_string_free(body, TRUE);
+}
+
 /*
  * Guards against stored jobs with values out of range: they were read as
  * different jobs, and sums of their estimates overflowed.
@@ -501,6 +567,7 @@
 	g_test_add_func("/platform/job-not-altered", test_job_not_altered);
 	g_test_add_func("/platform/job-numbers", test_job_numbers);
 	g_test_add_func("/platform/job-too-large", test_job_too_large);
+	g_test_add_func("/platform/job-cost", test_job_cost);
 	g_test_add_func("/platform/job-row", test_job_row);
 	g_test_add_func("/platform/job-rows-in-range", test_job_rows_in_range);
 	g_test_add_func("/platform/worker-row", test_worker_row);
