Handle large requests one by one

Cause: MHD_run() reports every request that is complete, and the handler parses each in that call. Timers, other connections, the store's answers and the workers' are served when the last one is done.

Change: a request with a body over 16 KiB is handled at once only if none was in the last pause; else it waits in a queue.

Evidence: /server/large has six large requests and a small one ready at the same time.

Small requests, as callers' jobs are, take the same path as before.

--- a/src/transport/hts.c
+++ b/src/transport/hts.c
@@ -23,8 +23,6 @@
 /* Part of the budget for bodies that only small and nearly complete ones use.
  */
 #define RESERVED_SHARE 4
-/* More than twice the size of callers' jobs. */
-#define SMALL_BODY_BYTES (16 * 1024)
 /* Time in ms without a byte: more than a retransmission takes. */
 #define STALL_MS 1000
 /* Buffers grow by a quarter, in steps of at least so many bytes. */
@@ -232,7 +230,8 @@
 	bdg_complete(&x->budget);
 	hts_conn_set_state(x->conn, HTS_SERVING);
 	MHD_suspend_connection(x->conn->con);
-	x->srv->handler(&x->pub, x->srv->priv);
+	x->pub.received_ms = hts_now_ms();
+	hts_serve(x);
 }
 
 /* Returns the announced length of the body, or -1. libmicrohttpd has checked
@@ -334,6 +333,7 @@
 	TALLOC_FREE(s->fde);
 	TALLOC_FREE(s->timer);
 	TALLOC_FREE(s->check_timer);
+	hts_serve_finish(s);
 	hts_conn_stop_listening(s);
 	if (s->daemon)
 		MHD_stop_daemon(s->daemon);
@@ -362,12 +362,13 @@
 	s->header_ms = opt->header_ms ? opt->header_ms : DEFAULT_HEADER_MS;
 	s->body_ms = opt->body_ms ? opt->body_ms : DEFAULT_BODY_MS;
 	s->listen_fd = -1;
+	hts_serve_init(s);
 	cnl_init(&s->limits, connections,
 		 opt->address_max ? opt->address_max : connections);
 	bdg_init(&s->budget, &(struct bdg_limits){
 				     .total_bytes = bodies,
 				     .reserved_bytes = bodies / RESERVED_SHARE,
-				     .small_bytes = SMALL_BODY_BYTES,
+				     .small_bytes = HTS_SMALL_BODY_BYTES,
 				     .stall_ms = STALL_MS });
 	talloc_set_destructor(s, hts_destructor);
 	if (hts_conn_listen(s, opt))
--- a/src/transport/hts.h
+++ b/src/transport/hts.h
@@ -17,6 +17,9 @@
 	const char *path;
 	const char *body; /* NUL-terminated */
 	size_t body_len;
+	/* When it was complete, on the monotonic clock. Requests with bodies of
+	 * more than 16 KiB are handled one by one, so this may be long ago. */
+	int64_t received_ms;
 };
 
 /* Called on the event loop's thread. The handler must call hts_reply once, now
--- a/src/transport/hts_int.h
+++ b/src/transport/hts_int.h
@@ -10,6 +10,8 @@
 #include "transport/tmr.h"
 
 #define HTS_HEADERS_MAX 4
+/* More than twice the size of callers' jobs. */
+#define HTS_SMALL_BODY_BYTES (16 * 1024)
 
 struct hts {
 	struct tevent_context *ev;
@@ -26,6 +28,11 @@
 	int64_t body_ms;
 	uint32_t active;
 	bool run_scheduled;
+	/* Complete large requests, until the timer gives them to the handler.
+	 */
+	struct hts_exchange *waiting;
+	struct hts_exchange **waiting_end;
+	struct tmr *serve_timer;
 	/* Connections. */
 	int listen_fd; /* -1: none */
 	uint16_t port;
@@ -79,6 +86,7 @@
 	char *body;
 	size_t body_size; /* bytes allocated */
 	size_t discarded_bytes;
+	struct hts_exchange *next_waiting;
 	bool handler_called;
 	bool replied; /* status to reply_len are set */
 	unsigned int status;
@@ -91,6 +99,11 @@
 
 void hts_run(struct hts *s);
 
+void hts_serve_init(struct hts *s);
+void hts_serve_finish(struct hts *s);
+/* Calls the handler, now or later. The connection has to be suspended. */
+void hts_serve(struct hts_exchange *x);
+
 /* Opens the listening socket. Returns false with errno set. */
 bool hts_conn_listen(struct hts *s, const struct hts_options *opt);
 void hts_conn_stop_listening(struct hts *s);
--- a/tests/server_tests.c
+++ b/tests/server_tests.c
@@ -16,6 +16,9 @@
 #define BODY_MAX 5000
 #define HEADER_BYTES 16384
 #define RECEIVE_TIMEOUT_S 30
+#define LARGE_BODY 20000
+#define LARGE_BODIES 6
+#define LARGE_MS 100
 
 struct fixture {
 	struct tevent_context *ev;
@@ -23,6 +26,11 @@
 	int port;
 	int handled;
 	size_t body_len;
+	int turns; /* of a timer that fires in each turn of the loop */
+	int large; /* handled requests for /large */
+	int large_turns; /* turns when the last one was handled */
+	int large_in_turn; /* handled without a turn since the one before */
+	int small_after; /* requests for /large handled before /small */
 	void (*client)(struct fixture *f);
 	atomic_bool done;
 };
@@ -42,6 +50,15 @@
 
 	f->handled++;
 	f->body_len = req->body_len;
+	if (!strcmp(req->path, "/large")) {
+		f->large_in_turn += f->large && f->turns == f->large_turns;
+		f->large++;
+		/* The other requests arrive meanwhile. */
+		hx_sleep_ms(LARGE_MS);
+		f->large_turns = f->turns;
+	} else if (!strcmp(req->path, "/small")) {
+		f->small_after = f->large;
+	}
 	if (!strcmp(req->path, "/late")) {
 		tevent_add_timer(f->ev, f->ev, tevent_timeval_current_ofs(3, 0),
 				 reply_late, req);
@@ -69,6 +86,18 @@
 			 priv);
 }
 
+static void on_turn(struct tevent_context *ev, struct tevent_timer *timer,
+		    struct timeval now, void *priv)
+{
+	struct fixture *f = priv;
+
+	(void)timer;
+	(void)now;
+	f->turns++;
+	tevent_add_timer(ev, ev, tevent_timeval_current_ofs(0, 1000), on_turn,
+			 f);
+}
+
 /* Serves until the client's function has returned. */
 static void play(const struct hts_options *options,
 		 void (*client)(struct fixture *f), struct fixture *f)
@@ -83,12 +112,13 @@
 	f->client = client;
 	opt.ip = "127.0.0.1";
 	opt.port = (uint16_t)f->port;
-	opt.body_max = BODY_MAX;
+	opt.body_max = opt.body_max ? opt.body_max : BODY_MAX;
 	opt.idle_timeout_s = 60;
 	f->srv = hts_start(f->ev, f->ev, &opt, on_request, f, &e);
 	g_assert_nonnull(f->srv);
 	pthread_create(&thread, NULL, run_client, f);
 	on_tick(f->ev, NULL, tevent_timeval_zero(), f);
+	on_turn(f->ev, NULL, tevent_timeval_zero(), f);
 	while (!f->done)
 		tevent_loop_once(f->ev);
 	pthread_join(thread, NULL);
@@ -356,6 +386,45 @@
 	finish(&f);
 }
 
+/* Several large requests and a small one that are complete at the same time. */
+static void large(struct fixture *f)
+{
+	int fds[LARGE_BODIES];
+	int fd = dial(f);
+	g_autofree char *answer = NULL;
+
+	for (int i = 0; i < LARGE_BODIES; i++) {
+		fds[i] = dial(f);
+		say(fds[i], "POST /large HTTP/1.1\r\nHost: h\r\n"
+			    "Content-Length: 20000\r\n\r\n");
+		say_filler(fds[i], LARGE_BODY - 1);
+	}
+	hx_sleep_ms(100);
+	for (int i = 0; i < LARGE_BODIES; i++)
+		say(fds[i], "x");
+	say(fd, "GET /small HTTP/1.1\r\nHost: h\r\n\r\n");
+	answer = expect(fd, "HTTP/1.1 200");
+	for (int i = 0; i < LARGE_BODIES; i++) {
+		g_autofree char *other = expect(fds[i], "HTTP/1.1 200");
+
+		close(fds[i]);
+	}
+	close(fd);
+}
+
+/* Guards against a server that handles all large requests at once: nothing else
+ * was done, for seconds, until the last one was handled. */
+static void test_large(void)
+{
+	struct fixture f;
+
+	play(&(struct hts_options){ .body_max = LARGE_BODY }, large, &f);
+	g_assert_cmpint(f.large, ==, LARGE_BODIES);
+	g_assert_cmpint(f.large_in_turn, ==, 0);
+	g_assert_cmpint(f.small_after, <, LARGE_BODIES);
+	finish(&f);
+}
+
 void server_tests_add(void)
 {
 	g_test_add_func("/server/at-limit", test_at_limit);
@@ -364,4 +433,5 @@
 	g_test_add_func("/server/silent", test_silent);
 	g_test_add_func("/server/slow", test_slow);
 	g_test_add_func("/server/served", test_served);
+	g_test_add_func("/server/large", test_large);
 }
