Refuse for good what no row can hold

Callers that obey come back for ever, at any VM.

Cause: job_api_submit() answers JOB_API_REFUSED, the result for a store that is away, also if the job or its progress exceeds the row size. No check has the 4,000 bytes that a spec may have.

A job that is legal but whose row or progress doesn't fit is JOB_API_TOO_LARGE, 413 without Retry-After, with the remedy.

Changed check: /jobs (test_refusals_are_true) demanded JOB_API_REFUSED of the job that is too large. It now demands JOB_API_TOO_LARGE, and as before that it is never stored.

--- a/src/fleet/job_api.c
+++ b/src/fleet/job_api.c
@@ -73,9 +73,9 @@
 
 const char *job_api_result_name(enum job_api_result res)
 {
-	static const char *const names[] = { "done",   "refused", "unsure",
-					     "absent", "denied",  "id_taken",
-					     "refused" };
+	static const char *const names[] = { "done",	"refused",  "unsure",
+					     "absent",	"denied",   "id_taken",
+					     "refused", "too_large" };
 
 	return names[res];
 }
--- a/src/fleet/job_api.h
+++ b/src/fleet/job_api.h
@@ -17,6 +17,8 @@
 	JOB_API_ID_TAKEN, /* another organisation's job has the id; no effect */
 	/* As JOB_API_REFUSED: it fits no cap of its organisation. */
 	JOB_API_OVER_CAP,
+	/* No row can hold the job or its progress; no effect. */
+	JOB_API_TOO_LARGE,
 };
 
 struct job_api_answer {
--- a/src/fleet/job_submit.c
+++ b/src/fleet/job_submit.c
@@ -76,8 +76,9 @@
 		  api->f->catalog ? (long long)api->f->catalog->version : -1LL,
 		  *sub->who.org ? " org=" : "", sub->who.org);
 	api->counts.accepted += res == JOB_API_OK;
-	api->counts.refused +=
-		res == JOB_API_REFUSED || res == JOB_API_OVER_CAP;
+	api->counts.refused += res == JOB_API_REFUSED ||
+			       res == JOB_API_OVER_CAP ||
+			       res == JOB_API_TOO_LARGE;
 	api->counts.over_cap += res == JOB_API_OVER_CAP;
 	api->counts.unknown += res == JOB_API_UNKNOWN;
 	api->counts.id_taken += res == JOB_API_ID_TAKEN;
@@ -325,9 +326,9 @@
 	answer_submission(priv, JOB_API_REFUSED, "store unavailable");
 }
 
-static void refuse_too_long(void *priv)
+static void refuse_too_large(void *priv)
 {
-	answer_submission(priv, JOB_API_REFUSED,
+	answer_submission(priv, JOB_API_TOO_LARGE,
 			  "the job exceeds the row size limit");
 }
 
@@ -364,7 +365,7 @@
 	talloc_free(spec);
 	api->active++;
 	if (!fits) {
-		tmr_after(api->f->timers, 0, refuse_too_long, sub);
+		tmr_after(api->f->timers, 0, refuse_too_large, sub);
 		return;
 	}
 	if (fleet_store_unavailable(api->f)) {
--- a/src/protocol/jobspec.h
+++ b/src/protocol/jobspec.h
@@ -17,6 +17,9 @@
  * the start. */
 #define JOBSPEC_STEPS_MAX 64
 #define JOBSPEC_TASKS_MAX 5000
+/* Longest payload of a new job, in bytes. The shard's owner keeps the payloads
+ * of all jobs in memory. */
+#define JOBSPEC_PAYLOAD_MAX 4000
 /* Largest size of a task, in thousandths of a core, MiB or accelerators. No
  * worker is as large. */
 #define JOBSPEC_SIZE_MAX 1000000000000LL
--- a/tests/fleet_tests.c
+++ b/tests/fleet_tests.c
@@ -11,6 +11,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include "protocol/jobspec.h"
 #include "tests/fleet_helpers.h"
 #include "tests/http_tests.h"
 #include "tests/keys_tests.h"
@@ -444,6 +445,50 @@
 	hf_stop(&s);
 }
 
+static void expect_final(struct hf *s, const char *body, long status)
+{
+	struct hx_response resp =
+		hf_call(s, NULL, 0, "POST", "/q/00000000000000ff", body);
+
+	g_assert_cmpint(resp.status, ==, status);
+	g_assert_false(resp.has_retry_after);
+	hx_response_free(&resp);
+}
+
+/*
+ * Guards against callers that come back in vain: a job that no row can hold was
+ * answered 503 with Retry-After. A spec of the longest legal size is accepted.
+ */
+static void test_too_large(void)
+{
+	g_autofree char *longest = g_strnfill(JOBSPEC_PAYLOAD_MAX, 'x');
+	GString *steps = g_string_new("[");
+	g_autofree char *body = NULL;
+	GString *escapes = g_string_new("");
+	struct hf s;
+
+	start_cluster(&s);
+	for (int i = 0; i < JOBSPEC_NAME_MAX - 1; i++)
+		g_string_append(escapes, "\\u0001");
+	for (int i = 0; i < JOBSPEC_STEPS_MAX; i++)
+		g_string_append_printf(steps,
+				       "%s{\"count\":1,\"requires\":\"%s\","
+				       "\"affinity\":\"%s\","
+				       "\"image\":\"%s\"}",
+				       i ? "," : "", escapes->str, escapes->str,
+				       escapes->str);
+	body = g_strdup_printf("{\"spec\":\"x\",\"steps\":%s]}", steps->str);
+	expect_final(&s, body, 413);
+	g_free(body);
+	body = g_strdup_printf("{\"spec\":\"%sx\",\"steps\":" TWO_STEPS "}",
+			       longest);
+	expect_final(&s, body, 400);
+	submit(&s, TWO_STEPS, longest);
+	hf_stop(&s);
+	g_string_free(steps, TRUE);
+	g_string_free(escapes, TRUE);
+}
+
 int main(int argc, char **argv)
 {
 	g_test_init(&argc, &argv, NULL);
@@ -462,6 +507,7 @@
 			test_pending_after_owner_lost);
 	g_test_add_func("/fleet/upkeep-wave", test_upkeep_wave);
 	g_test_add_func("/fleet/odd-entries", test_odd_entries);
+	g_test_add_func("/fleet/too-large", test_too_large);
 	http_tests_add();
 	keys_tests_add();
 	server_tests_add();
--- a/tests/unit_job_api.c
+++ b/tests/unit_job_api.c
@@ -148,7 +148,8 @@
 	api_fixture_close(&fx);
 }
 
-/* JOB_API_REFUSED is returned only for jobs that are never stored. */
+/* JOB_API_REFUSED and JOB_API_TOO_LARGE are returned only for jobs that are never
+ * stored. */
 static void test_refusals_are_true(void)
 {
 	struct api_fixture fx;
@@ -165,7 +166,7 @@
 	fx.store.mode_commits = 0;
 	submit(&fx, "bbbb000000000000", large, 3000, &o);
 	await(&fx, &o);
-	g_assert_cmpint(o.ans.result, ==, JOB_API_REFUSED);
+	g_assert_cmpint(o.ans.result, ==, JOB_API_TOO_LARGE);
 	/* Any call that was still in flight is done by then. */
 	for (int i = 0; i < 100; i++) {
 		submit(&fx, "cccc000000000000", "x", 3000, &o);
