Limit the links between gd-entry and gd-sched

Cause: lnk_srv_limit() bounds the links of the relay port only. These two listeners accept any number of links, and each grows a buffer for what its peer announces.

Change: both set limits, by links_max (256) and links_mib (32). Before its first message a link may send frames of 256 KiB. Entries send a ping first to members; they now do so to schedulers too, whose first message was a call of up to a record's size.

Why it works: a crowd has not sent a complete message, so its links are closed by the announced length, after 10 s, or for newer ones; buffers are accounted as they grow.

--- a/Makefile
+++ b/Makefile
@@ -87,7 +87,7 @@
 	tests/http_tests.c tests/server_tests.c tests/keys_tests.c) $(HARNESS)
 $(B)/relay-tests: $(call obj,tests/relay_tests.c tests/fleet_helpers.c) $(HARNESS)
 $(B)/crowd-tests: $(call obj,tests/crowd_tests.c tests/crowd_clients.c \
-	tests/fleet_helpers.c) $(HARNESS)
+	tests/crowd_daemons.c tests/fleet_helpers.c) $(HARNESS)
 $(B)/gd-soak: $(call obj,$(wildcard tests/soak*.c)) $(HARNESS)
 $(B)/gd-matrix: $(call obj,tests/matrix.c tests/cell.c \
 	$(wildcard tests/cells_*.c)) $(HARNESS)
--- /dev/null
+++ b/src/daemon/link_limits.c
@@ -0,0 +1,21 @@
+/* Limits of accepted links, by the settings. */
+#include "daemon/link_limits.h"
+
+/* Every process sends a short message first, once its link is open. */
+#define UNPROVEN_FRAME_MAX (256u << 10)
+#define UNPROVEN_MAX_MS 10000
+/* Part of the links that may be unproven: after a restart all members connect
+ * at once. */
+#define UNPROVEN_SHARE 4
+
+void link_limits_set(struct lnk_srv *s, const struct settings *set)
+{
+	lnk_srv_limit(s, &(struct lnk_limits){
+				 .links_max = (uint32_t)set->links_max,
+				 .unproven_max = (uint32_t)set->links_max /
+						 UNPROVEN_SHARE,
+				 .unproven_frame_max = UNPROVEN_FRAME_MAX,
+				 .frame_max = LNK_FRAME_MAX,
+				 .received_max = set->links_mib << 20,
+				 .unproven_max_ms = UNPROVEN_MAX_MS });
+}
--- a/src/entry/entry.h
+++ b/src/entry/entry.h
@@ -89,6 +89,7 @@
 	_Atomic int64_t revision;
 	_Atomic int64_t permit; /* 1 held, 0 not */
 	_Atomic int64_t groups_owned;
+	_Atomic int64_t links_refused; /* beyond the limits */
 };
 
 /* State of the core thread. Other threads use only the fields marked so. */
--- a/src/entry/metrics.c
+++ b/src/entry/metrics.c
@@ -28,6 +28,7 @@
 	METRIC("gd_config_revision", "gauge", revision),
 	METRIC("gd_permit_held", "gauge", permit),
 	METRIC("gd_groups_owned", "gauge", groups_owned),
+	METRIC("gd_links_refused_total", "counter", links_refused),
 };
 
 static const double quantiles[] = { 0.5, 0.95, 0.99, 0.999 };
--- a/src/entry/peers.c
+++ b/src/entry/peers.c
@@ -6,6 +6,7 @@
 #include <string.h>
 
 #include "base/log.h"
+#include "daemon/link_limits.h"
 #include "entry/origin.h"
 #include "entry/owner.h"
 #include "entry/peers_int.h"
@@ -324,6 +325,7 @@
 		maintain_link(p->list[i], now_ms);
 	free_removed_peers(p, now_ms);
 	peers_update_membership(p, now_ms);
+	atomic_store(&p->e->stats.links_refused, lnk_srv_refused(p->listener));
 	tevent_add_timer(ev, p,
 			 tevent_timeval_current_ofs(
 				 p->e->settings.heartbeat_ms / 1000,
@@ -347,6 +349,7 @@
 				 p, err);
 	if (!p->listener)
 		return NULL;
+	link_limits_set(p->listener, &e->settings);
 	tevent_add_timer(e->ev, p, tevent_timeval_current(), on_tick, p);
 	return p;
 }
--- a/src/entry/schedc.c
+++ b/src/entry/schedc.c
@@ -115,6 +115,17 @@
 	talloc_free(m);
 }
 
+static void send_ping(struct scheduler *sd)
+{
+	struct msg m = { .kind = MSG_PING, .from = sd->s->e->settings.id };
+	size_t len;
+	void *data = msg_pack(sd->s, &m, &len);
+
+	sd->last_ping_ms = entry_now_ms(sd->s->e);
+	lnk_send(sd->link, data, len);
+	talloc_free(data);
+}
+
 static void on_opened(struct lnk *l, void *priv)
 {
 	struct scheduler *sd = priv;
@@ -122,6 +133,8 @@
 	(void)l;
 	sd->open = true;
 	sd->last_frame_ms = entry_now_ms(sd->s->e);
+	/* The first message has to be short, and calls may not be. */
+	send_ping(sd);
 }
 
 static void on_closed(struct lnk *l, void *priv)
@@ -146,10 +159,6 @@
 
 static void maintain_link(struct scheduler *sd, int64_t now_ms)
 {
-	struct msg m = { .kind = MSG_PING, .from = sd->s->e->settings.id };
-	size_t len;
-	void *data;
-
 	if (!sd->link) {
 		if (!sd->listed)
 			return;
@@ -163,12 +172,8 @@
 		lnk_close(sd->link);
 		return;
 	}
-	if (!sd->open || now_ms - sd->last_ping_ms < PING_MS)
-		return;
-	sd->last_ping_ms = now_ms;
-	data = msg_pack(sd->s, &m, &len);
-	lnk_send(sd->link, data, len);
-	talloc_free(data);
+	if (sd->open && now_ms - sd->last_ping_ms >= PING_MS)
+		send_ping(sd);
 }
 
 static struct scheduler *get_scheduler(struct schedc *s, const char *id)
--- a/src/fleet/fleet.c
+++ b/src/fleet/fleet.c
@@ -384,7 +384,6 @@
 {
 	const struct relay_client_counts *c =
 		relay_client_counts(f->relay_client);
-	const struct lnk_counts *l;
 
 	text = add_metric(text, "gd_relay_links",
 			  relay_client_links(f->relay_client));
@@ -399,10 +398,8 @@
 		return text;
 	text = traffic_append_metrics(
 		text, relay_server_traffic(f->relay_server), "owner");
-	l = relay_server_link_counts(f->relay_server);
 	text = add_metric(text, "gd_relay_links_refused_total",
-			  l->refused + l->evicted + l->late + l->too_long +
-				  l->no_memory);
+			  relay_server_links_refused(f->relay_server));
 	return add_metric(text, "gd_relay_late_calls_total",
 			  relay_server_dropped(f->relay_server));
 }
--- a/src/fleet/relay_server.c
+++ b/src/fleet/relay_server.c
@@ -339,9 +339,9 @@
 				      .unproven_max_ms = UNPROVEN_MAX_MS });
 }
 
-const struct lnk_counts *relay_server_link_counts(const struct relay_server *s)
+int64_t relay_server_links_refused(const struct relay_server *s)
 {
-	return lnk_srv_counts(s->srv);
+	return lnk_srv_refused(s->srv);
 }
 
 int64_t relay_server_dropped(const struct relay_server *s)
--- a/src/fleet/relay_server.h
+++ b/src/fleet/relay_server.h
@@ -29,7 +29,8 @@
 void relay_server_share_list(struct relay_server *s, struct list_share *list);
 /* Bounds the links of others, and the memory of their incomplete frames. */
 void relay_server_limit(struct relay_server *s, int64_t memory_bytes);
-const struct lnk_counts *relay_server_link_counts(const struct relay_server *s);
+/* Returns how many links were refused or closed for these bounds. */
+int64_t relay_server_links_refused(const struct relay_server *s);
 
 /* Returns the number of calls that were dropped since they were late. */
 int64_t relay_server_dropped(const struct relay_server *s);
--- a/src/protocol/settings.c
+++ b/src/protocol/settings.c
@@ -36,6 +36,8 @@
 		INT_FIELD(store_timeout_ms, 50, MINUTE_MS, 1500),              \
 		INT_FIELD(poll_ms, 20, MINUTE_MS, 500),                        \
 		INT_FIELD(shards, 1, 256, 1),                                  \
+		INT_FIELD(links_max, 16, 10000, 256),                          \
+		INT_FIELD(links_mib, 8, 100000, 32),                           \
 		INT_FIELD(log_priority, 0, 7, 6),                              \
 		INT_FIELD(advertised_port, 0, 65535, 0)
 
--- a/src/sched/main.c
+++ b/src/sched/main.c
@@ -12,6 +12,7 @@
 
 #include "base/log.h"
 #include "daemon/cmdline.h"
+#include "daemon/link_limits.h"
 #include "sched/shard_server.h"
 #include "transport/hts.h"
 #include "transport/lnk.h"
@@ -375,6 +376,8 @@
 	fprintf(f, "gd_sync_bytes_total %" PRId64 "\n", s->sync_bytes);
 	fprintf(f, "gd_sync_failures_total %" PRId64 "\n", s->sync_failures);
 	fprintf(f, "gd_calls_total %" PRId64 "\n", s->calls);
+	fprintf(f, "gd_links_refused_total %" PRId64 "\n",
+		lnk_srv_refused(d->listener));
 	fprintf(f, "gd_store_reads_total %" PRId64 "\n",
 		sto_counts(d->sto)->reads);
 	fprintf(f, "gd_store_write_rows_total %" PRId64 "\n",
@@ -432,9 +435,13 @@
 	d->config =
 		config_watch_start(d->ev, d->ev, d->sto, d->clk,
 				   d->settings.poll_ms, &config_watch_ops, d);
-	return lnk_listen(d->ev, d->ev, d->settings.ip,
-			  (uint16_t)d->settings.peer_port, &link_ops, d, err) &&
-	       hts_start(d->ev, d->ev, &http, on_metrics_request, d, err);
+	d->listener =
+		lnk_listen(d->ev, d->ev, d->settings.ip,
+			   (uint16_t)d->settings.peer_port, &link_ops, d, err);
+	if (!d->listener)
+		return false;
+	link_limits_set(d->listener, &d->settings);
+	return hts_start(d->ev, d->ev, &http, on_metrics_request, d, err);
 }
 
 static void on_term(struct tevent_context *ev, struct tevent_signal *se,
--- a/src/sched/sched_daemon.h
+++ b/src/sched/sched_daemon.h
@@ -21,6 +21,7 @@
 #include "state/sto.h"
 #include "state/config_watch.h"
 #include "transport/htc.h"
+#include "transport/lnk.h"
 
 struct shard_server;
 
@@ -53,6 +54,7 @@
 	struct shard_server
 		*servers[OWNERSHIP_SHARDS_MAX]; /* NULL: not served */
 	GPtrArray *closing_servers; /* closed servers; freed when idle */
+	struct lnk_srv *listener;
 	GHashTable *links; /* link id to link */
 	GHashTable *link_ids; /* link to link id */
 	uint64_t next_link_id;
--- a/src/transport/lnk.c
+++ b/src/transport/lnk.c
@@ -57,6 +57,14 @@
 	int64_t accepted_ms;
 };
 
+struct lnk_counts {
+	int64_t refused; /* links beyond the limits */
+	int64_t evicted; /* unproven links closed for new ones */
+	int64_t late; /* unproven links closed after their time */
+	int64_t too_long; /* links closed for their frame's length */
+	int64_t no_memory; /* links closed for received_max */
+};
+
 struct lnk_srv {
 	struct tevent_context *ev;
 	struct tevent_fd *fde;
@@ -462,9 +470,11 @@
 	tmr_after(s->timers, CHECK_INTERVAL_MS, check_links, s);
 }
 
-const struct lnk_counts *lnk_srv_counts(const struct lnk_srv *s)
+int64_t lnk_srv_refused(const struct lnk_srv *s)
 {
-	return &s->counts;
+	const struct lnk_counts *c = &s->counts;
+
+	return c->refused + c->evicted + c->late + c->too_long + c->no_memory;
 }
 
 static int srv_destructor(struct lnk_srv *s)
--- a/src/transport/lnk.h
+++ b/src/transport/lnk.h
@@ -46,18 +46,11 @@
 	int64_t unproven_max_ms; /* closed after this time */
 };
 
-struct lnk_counts {
-	int64_t refused; /* links beyond the limits */
-	int64_t evicted; /* unproven links closed for new ones */
-	int64_t late; /* unproven links closed after their time */
-	int64_t too_long; /* links closed for their frame's length */
-	int64_t no_memory; /* links closed for received_max */
-};
-
 /* Sets limits; without, there are none but LNK_FRAME_MAX. Call it before links
  * are accepted. */
 void lnk_srv_limit(struct lnk_srv *s, const struct lnk_limits *limits);
-const struct lnk_counts *lnk_srv_counts(const struct lnk_srv *s);
+/* Returns how many links were refused or closed for the limits. */
+int64_t lnk_srv_refused(const struct lnk_srv *s);
 
 /*
  * Starts to connect from the local address `source`; `opened` or `closed` is
--- a/tests/crowd_clients.c
+++ b/tests/crowd_clients.c
@@ -25,6 +25,7 @@
 /* Part of a frame of the largest size that links accept. */
 #define FRAME_BYTES (4u << 20)
 #define FRAME_PART_BYTES 262144
+#define FRAME_MOST_BYTES (FRAME_BYTES - 16)
 #define SAMPLE_MS 20
 /* Without a byte taken for this long, the server reads no more. */
 #define STALL_MS 3000
@@ -38,7 +39,8 @@
 };
 
 struct crowd {
-	GString *wires[CROWD_KINDS];
+	GString **wires; /* of each group */
+	int n_groups;
 	struct client *clients;
 	struct pollfd *polls;
 	int n;
@@ -143,18 +145,21 @@
 }
 
 /* Returns all that a client sends. */
-static GString *make_wire(enum crowd_kind kind)
+static GString *make_wire(const struct crowd_group *group)
 {
+	enum crowd_kind kind = group->kind;
 	GString *w = g_string_new("");
 	uint32_t frame = htonl(FRAME_BYTES);
 
-	if (kind == CROWD_LINKS) {
+	if (kind == CROWD_LINKS || kind == CROWD_FRAMES) {
 		g_string_append_len(w, (const char *)&frame, sizeof(frame));
-		add_bytes(w, FRAME_PART_BYTES);
+		add_bytes(w, kind == CROWD_LINKS ? FRAME_PART_BYTES
+						 : FRAME_MOST_BYTES);
 		return w;
 	}
-	g_string_append(w, "POST /q/00000000deadbeef HTTP/1.1\r\n"
-			   "Host: jobs.example\r\n");
+	g_string_append_printf(w, "POST %s HTTP/1.1\r\nHost: jobs.example\r\n",
+			       group->path ? group->path
+					   : "/q/00000000deadbeef");
 	if (kind == CROWD_HEADERS) {
 		g_string_append(w, "Pad: ");
 		add_bytes(w, HEADER_BYTES);
@@ -181,14 +186,14 @@
 	return w;
 }
 
-static int connect_to(int port)
+static int connect_to(const char *ip, int port)
 {
 	struct sockaddr_in a = { .sin_family = AF_INET,
-				 .sin_port = htons((uint16_t)port),
-				 .sin_addr.s_addr = htonl(INADDR_LOOPBACK) };
+				 .sin_port = htons((uint16_t)port) };
 	int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
 
 	g_assert_cmpint(fd, >=, 0);
+	inet_pton(AF_INET, ip ? ip : "127.0.0.1", &a.sin_addr);
 	if (connect(fd, (struct sockaddr *)&a, sizeof(a)) < 0)
 		g_assert_cmpint(errno, ==, EINPROGRESS);
 	return fd;
@@ -266,19 +271,20 @@
 
 	for (int i = 0; i < n; i++)
 		c->n += groups[i].clients;
+	c->n_groups = n;
+	c->wires = g_new0(GString *, n);
 	c->clients = g_new0(struct client, c->n);
 	c->polls = g_new0(struct pollfd, c->n);
 	for (int i = 0; i < n; i++) {
-		enum crowd_kind kind = groups[i].kind;
+		const struct crowd_group *g = &groups[i];
 
-		if (!c->wires[kind])
-			c->wires[kind] = make_wire(kind);
-		for (int k = 0; k < groups[i].clients; k++)
+		c->wires[i] = make_wire(g);
+		for (int k = 0; k < g->clients; k++)
 			c->clients[at++] = (struct client){
-				.fd = connect_to(groups[i].port),
-				.wire = c->wires[kind],
-				.piece = kind == CROWD_PIECES ? PIECE_BYTES
-							      : WRITE_BYTES,
+				.fd = connect_to(g->ip, g->port),
+				.wire = c->wires[i],
+				.piece = g->kind == CROWD_PIECES ? PIECE_BYTES
+								 : WRITE_BYTES,
 			};
 	}
 	for (;;) {
@@ -319,10 +325,9 @@
 		if (c->clients[i].fd >= 0)
 			close(c->clients[i].fd);
 	}
-	for (int i = 0; i < CROWD_KINDS; i++) {
-		if (c->wires[i])
-			g_string_free(c->wires[i], TRUE);
-	}
+	for (int i = 0; i < c->n_groups; i++)
+		g_string_free(c->wires[i], TRUE);
+	g_free(c->wires);
 	g_free(c->clients);
 	g_free(c->polls);
 	g_free(c);
--- a/tests/crowd_clients.h
+++ b/tests/crowd_clients.h
@@ -16,15 +16,19 @@
 	CROWD_CHUNKED_OVER, /* far over the limit, not announced */
 	CROWD_HEADERS, /* most of a header */
 	CROWD_LINKS, /* relay links: part of a frame */
-	CROWD_VALUES, /* complete, of legal size: a list of many empty objects */
+	CROWD_FRAMES, /* links between daemons: most of a frame */
+	CROWD_VALUES, /* complete, of legal size: a list of many empty objects
+		       */
 	CROWD_KINDS
 };
 
-/* A group of equal clients of one port on 127.0.0.1. */
+/* A group of equal clients of one port. */
 struct crowd_group {
 	enum crowd_kind kind;
 	int port;
 	int clients;
+	const char *ip; /* NULL: 127.0.0.1 */
+	const char *path; /* of HTTP requests; NULL: that of a job */
 };
 
 /* Largest values seen so far. Memory is what is resident plus what the kernel
--- /dev/null
+++ b/tests/crowd_daemons.c
@@ -0,0 +1,147 @@
+/*
+ * Crowds of clients that don't keep to the limits, against a real gd-entry and
+ * gd-sched. Each test guards against a process that ends, hangs, or takes more
+ * memory or descriptors than its part of the VM.
+ */
+#include "tests/crowd_daemons.h"
+
+#include <glib.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "tests/crowd_clients.h"
+#include "tests/harness.h"
+
+/* Half of the smallest VM, 260 MB: each VM runs both programs. */
+#define MEMORY_MIB 130
+#define DESCRIPTORS 400
+#define CLIENTS 60
+#define VM 0
+/* A call that is not answered for this long is never answered. */
+#define SERVED_MAX_MS 30000
+#define MATCH                                                                  \
+	"{\"schema\":1,\"kind\":\"service\",\"name\":\"match\",\"team\":"      \
+	"\"t\",\"safe_to_repeat\":true,\"timeout_s\":5,\"max_kb\":1000}"
+#define JOB                                                                    \
+	"{\"schema\":2,\"kind\":\"batch\",\"meta\":{\"name\":\"build-%d\","    \
+	"\"team\":\"t\"},\"spec\":{\"tasks\":1,\"cpu_milli\":100,"             \
+	"\"mem_mib\":100,\"run_ms\":10}}"
+
+struct play {
+	struct hx *x;
+	struct crowd_usage entry;
+	struct crowd_usage sched;
+	int jobs; /* submitted */
+};
+
+static void watch(struct crowd_usage *u, struct hx *x, enum hx_role role)
+{
+	*u = (struct crowd_usage){ .pid = x->daemons[role][VM],
+				   .first_port = x->peer_port[role][VM],
+				   .last_port = x->peer_port[role][VM] };
+	crowd_sample(u, true);
+	printf("# %s before: %.1f MiB, %d descriptors\n",
+	       role == HX_ENTRY ? "entry" : "sched",
+	       (double)u->memory_bytes / (1 << 20), u->descriptors);
+}
+
+static void start(struct play *p)
+{
+	static const struct hx_options opt = {
+		.site = &hx_siriwattana,
+		.vms = 3,
+		.targets = 1,
+		.workers = 1,
+	};
+
+	*p = (struct play){ .x = hx_start(&opt) };
+	g_assert_true(hx_wait_ready(p->x));
+	g_assert_true(hx_operator_call_retry(p->x, "submit", MATCH));
+	watch(&p->entry, p->x, HX_ENTRY);
+	watch(&p->sched, p->x, HX_SCHED);
+}
+
+static void fail(const char *why)
+{
+	printf("# failed: %s\n", why);
+	fflush(stdout);
+	g_test_fail();
+}
+
+static void check_process(const struct play *p, enum hx_role role,
+			  struct crowd_usage *u)
+{
+	int code;
+
+	crowd_sample(u, true);
+	printf("# %s largest: %.1f MiB of %d, %d descriptors of %d\n",
+	       role == HX_ENTRY ? "entry" : "sched",
+	       (double)u->memory_bytes / (1 << 20), MEMORY_MIB, u->descriptors,
+	       DESCRIPTORS);
+	fflush(stdout);
+	if (hx_has_ended(p->x->daemons[role][VM], &code))
+		fail("a process has ended");
+	if (u->memory_bytes > (int64_t)MEMORY_MIB << 20)
+		fail("more memory than its part of the VM");
+	if (u->descriptors > DESCRIPTORS)
+		fail("more descriptors than allowed");
+}
+
+/* An ordinary request and an ordinary job are accepted at last. */
+static void check_serves(struct play *p, const char *when)
+{
+	int64_t end = hx_now_ms() + SERVED_MAX_MS;
+	g_autofree char *job = g_strdup_printf(JOB, p->jobs++);
+	struct hx_response resp;
+	bool served = false;
+
+	while (!served && hx_now_ms() < end) {
+		resp = hx_call(p->x, VM, "match", NULL, 1, 3000,
+			       "{\"work_us\":1000,\"id\":\"q\"}");
+		served = resp.status == 200;
+		hx_response_free(&resp);
+		if (!served)
+			hx_sleep_ms(100);
+	}
+	if (!served || !hx_operator_call_retry(p->x, "submit", job))
+		fail(when);
+}
+
+static void run(struct play *p, const struct crowd_group *groups, int n,
+		struct crowd_usage *usage)
+{
+	struct crowd *c = crowd_start(groups, n, usage);
+
+	printf("# clients: %d sent all, %d disconnected\n", crowd_sent(c),
+	       crowd_closed(c));
+	check_serves(p, "no answer beside the crowd");
+	crowd_sample(usage, true);
+	crowd_stop(c);
+	check_serves(p, "no answer after the crowd");
+	check_process(p, HX_ENTRY, &p->entry);
+	check_process(p, HX_SCHED, &p->sched);
+}
+
+/* The ports between our own processes: links with most of a frame. */
+static void test_links(const void *priv)
+{
+	enum hx_role role = (enum hx_role)GPOINTER_TO_INT(priv);
+	struct play p;
+
+	start(&p);
+	run(&p,
+	    &(struct crowd_group){ .kind = CROWD_FRAMES,
+				   .port = p.x->peer_port[role][VM],
+				   .clients = CLIENTS,
+				   .ip = p.x->vm_ip[VM] },
+	    1, role == HX_ENTRY ? &p.entry : &p.sched);
+	hx_stop(p.x);
+}
+
+void crowd_daemons_add(void)
+{
+	g_test_add_data_func("/crowd/entry-links", GINT_TO_POINTER(HX_ENTRY),
+			     test_links);
+	g_test_add_data_func("/crowd/sched-links", GINT_TO_POINTER(HX_SCHED),
+			     test_links);
+}
--- a/tests/crowd_tests.c
+++ b/tests/crowd_tests.c
@@ -9,6 +9,7 @@
 #include <sys/resource.h>
 
 #include "tests/crowd_clients.h"
+#include "tests/crowd_daemons.h"
 #include "tests/fleet_helpers.h"
 
 #define MEMORY_MIB 64
@@ -134,8 +135,9 @@
 
 	start(&s, &u);
 	play(&s, &u,
-	     &(struct crowd_group){ GPOINTER_TO_INT(kind), s.vm_ports,
-				    CLIENTS },
+	     &(struct crowd_group){ .kind = GPOINTER_TO_INT(kind),
+				    .port = s.vm_ports,
+				    .clients = CLIENTS },
 	     1);
 	hf_stop(&s);
 }
@@ -146,8 +148,9 @@
 	int n = 0;
 
 	for (int kind = 0; kind < CROWD_LINKS; kind++)
-		out[n++] = (struct crowd_group){ (enum crowd_kind)kind,
-						 s->vm_ports, CLIENTS };
+		out[n++] = (struct crowd_group){ .kind = (enum crowd_kind)kind,
+						 .port = s->vm_ports,
+						 .clients = CLIENTS };
 	return n;
 }
 
@@ -183,7 +186,10 @@
 
 	start(&s, &u);
 	play(&s, &u,
-	     &(struct crowd_group){ CROWD_LINKS, s.vm_ports + 3, LINKS }, 1);
+	     &(struct crowd_group){ .kind = CROWD_LINKS,
+				    .port = s.vm_ports + 3,
+				    .clients = LINKS },
+	     1);
 	hf_stop(&s);
 }
 
@@ -195,11 +201,18 @@
 
 	start(&s, &u);
 	play(&s, &u,
-	     (struct crowd_group[]){
-		     { CROWD_WHOLE, s.vm_ports + 1, CLIENTS },
-		     { CROWD_HEADERS, s.vm_ports + 1, CLIENTS },
-		     { CROWD_HEADERS, s.vm_ports + 2, CLIENTS },
-		     { CROWD_CHUNKS, s.vm_ports + 2, CLIENTS } },
+	     (struct crowd_group[]){ { .kind = CROWD_WHOLE,
+				       .port = s.vm_ports + 1,
+				       .clients = CLIENTS },
+				     { .kind = CROWD_HEADERS,
+				       .port = s.vm_ports + 1,
+				       .clients = CLIENTS },
+				     { .kind = CROWD_HEADERS,
+				       .port = s.vm_ports + 2,
+				       .clients = CLIENTS },
+				     { .kind = CROWD_CHUNKS,
+				       .port = s.vm_ports + 2,
+				       .clients = CLIENTS } },
 	     4);
 	hf_stop(&s);
 }
@@ -228,5 +241,6 @@
 	g_test_add_data_func("/crowd/values", GINT_TO_POINTER(CROWD_VALUES),
 			     test_alone);
 	g_test_add_func("/crowd/operators", test_operators);
+	crowd_daemons_add();
 	return g_test_run();
 }
