Keep links in limits after their first frame

Seen: peers whose first frame is valid, and which then send nothing, part of a frame, or requests without reading the answers. Other processes get no link, have theirs closed with each message, or the process keeps 32 MiB of answers for each such link.

Cause: limits count incomplete input only, and they spare proven links. If the budget is used up, the link that asks for memory is closed, which is the one that makes progress; if all places are taken by silent links, new ones are refused; what a peer doesn't read isn't counted. Buffers also keep the size of the longest frame that they ever held.

Change: one budget for input and output. A proven link that has sent nothing for 10 s may be closed for a new one: members ping each other every 250 ms, owners their relays every 2.5 s at least.

--- a/Makefile
+++ b/Makefile
@@ -84,7 +84,7 @@
 	$(CC) $(SANFLAGS) -fsanitize=fuzzer -o $@ $^ $(LDLIBS)
 $(B)/path-tests: $(B)/tests/path_tests.o $(HARNESS)
 $(B)/fleet-tests: $(call obj,tests/fleet_tests.c tests/fleet_helpers.c \
-	tests/http_tests.c tests/server_tests.c tests/keys_tests.c) $(HARNESS)
+	tests/http_tests.c tests/server_tests.c tests/keys_tests.c tests/link_tests.c) $(HARNESS)
 $(B)/relay-tests: $(call obj,tests/relay_tests.c tests/fleet_helpers.c) $(HARNESS)
 $(B)/crowd-tests: $(call obj,tests/crowd_tests.c tests/crowd_clients.c \
 	tests/crowd_daemons.c tests/fleet_helpers.c) $(HARNESS)
--- a/src/daemon/link_limits.c
+++ b/src/daemon/link_limits.c
@@ -4,6 +4,8 @@
 /* Every process sends a short message first, once its link is open. */
 #define UNPROVEN_FRAME_MAX (256u << 10)
 #define UNPROVEN_MAX_MS 10000
+/* Members ping each other several times a second. */
+#define SILENT_MS 10000
 /* Part of the links that may be unproven: after a restart all members connect
  * at once. */
 #define UNPROVEN_SHARE 4
@@ -16,6 +18,7 @@
 						 UNPROVEN_SHARE,
 				 .unproven_frame_max = UNPROVEN_FRAME_MAX,
 				 .frame_max = LNK_FRAME_MAX,
-				 .received_max = set->links_mib << 20,
-				 .unproven_max_ms = UNPROVEN_MAX_MS });
+				 .buffers_max = set->links_mib << 20,
+				 .unproven_max_ms = UNPROVEN_MAX_MS,
+				 .silent_ms = SILENT_MS });
 }
--- a/src/fleet/relay_server.c
+++ b/src/fleet/relay_server.c
@@ -22,6 +22,8 @@
 /* Owners send a call or a ping within CHECK_INTERVAL_MS of relay_client.c. */
 #define UNPROVEN_MAX 16
 #define UNPROVEN_MAX_MS 10000
+/* Several times as long as an owner lets a link be silent. */
+#define SILENT_MS 10000
 /* A call holds at most two values of a row (64 KiB): payload and checkpoint. */
 #define UNPROVEN_FRAME_MAX (256u << 10)
 #define FRAME_MAX (1u << 20)
@@ -335,8 +337,9 @@
 				      .unproven_max = UNPROVEN_MAX,
 				      .unproven_frame_max = UNPROVEN_FRAME_MAX,
 				      .frame_max = FRAME_MAX,
-				      .received_max = memory_bytes,
-				      .unproven_max_ms = UNPROVEN_MAX_MS });
+				      .buffers_max = memory_bytes,
+				      .unproven_max_ms = UNPROVEN_MAX_MS,
+				      .silent_ms = SILENT_MS });
 }
 
 int64_t relay_server_links_refused(const struct relay_server *s)
--- a/src/transport/lnk.h
+++ b/src/transport/lnk.h
@@ -42,8 +42,12 @@
 	uint32_t unproven_max; /* the oldest one is closed for a new one */
 	uint32_t unproven_frame_max; /* bytes */
 	uint32_t frame_max; /* bytes, at most LNK_FRAME_MAX */
-	int64_t received_max; /* bytes of incomplete frames of all links */
+	/* Bytes of buffers of all links, for incomplete frames and for what
+	 * their peers have not read. */
+	int64_t buffers_max;
 	int64_t unproven_max_ms; /* closed after this time */
+	int64_t silent_ms; /* without a byte for this long, a proven link may be
+			    * closed for a new one */
 };
 
 /* Sets limits; without, there are none but LNK_FRAME_MAX. Call it before links
--- a/tests/fleet_tests.c
+++ b/tests/fleet_tests.c
@@ -511,5 +511,6 @@
 	http_tests_add();
 	keys_tests_add();
 	server_tests_add();
+	link_tests_add();
 	return g_test_run();
 }
