Close connections whose clients don't read the answers

Cause: a connection counts as being served until its answer is sent, and such are closed by no limit. With the client's and the kernel's buffers full, that is never; libmicrohttpd closes it after 60 s without a byte, and reading a byte now and then extends that. The callers' port has 100 connections here, the load balancer's 16.

Change: once the handler has replied, the connection is in a state of its own, inactive while the client acknowledges no byte (TCP_INFO). After 1 s it may be closed for a new one, after 10 s it is closed, and after 60 s in any case.

--- a/src/transport/hts.c
+++ b/src/transport/hts.c
@@ -402,6 +402,7 @@
 	struct hts_exchange *x = (struct hts_exchange *)req;
 
 	store_reply(x, status, type, body, len);
+	hts_conn_set_state(x->conn, HTS_SENDING);
 	MHD_resume_connection(x->conn->con);
 	schedule_run(x->srv);
 }
--- a/src/transport/hts.h
+++ b/src/transport/hts.h
@@ -41,6 +41,7 @@
 	int64_t bodies_bytes; /* memory for all bodies: 64 MiB */
 	int64_t header_ms; /* time for a header, from its first byte: 10 s */
 	int64_t body_ms; /* time for a body: 20 s */
+	uint32_t send_buffer; /* bytes, doubled by the kernel: 64 KiB */
 	bool share_port; /* lets other servers listen on the port too */
 };
 
@@ -51,12 +52,13 @@
 	int64_t evicted; /* inactive ones closed for new ones */
 	int64_t late_headers; /* closed */
 	int64_t late_bodies; /* status 408 */
+	int64_t unread; /* closed, as they don't read the answer */
 	int64_t long_bodies; /* status 413 */
 	int64_t no_memory; /* status 503: the budget for bodies is used up */
 };
 
-/* Memory that a connection takes at most without its body, in bytes: buffers
- * for headers, and the kernel's receive buffer. */
+/* Memory that a connection takes at most, without its body and send buffer,
+ * in bytes: buffers for headers, and the kernel's receive buffer. */
 #define HTS_CONNECTION_BYTES ((48 + 64 + 4) * 1024)
 
 /* Returns a talloc child of `ctx`, or NULL with `e` filled in. */
--- a/src/transport/hts_conn.c
+++ b/src/transport/hts_conn.c
@@ -26,6 +26,10 @@
  * reported again at once. */
 #define ACCEPT_PAUSE_MS 100
 #define CHECK_INTERVAL_MS 500
+/* A client has so long in ms for the next bytes of its answer, and for all. */
+#define UNREAD_MAX_MS 10000
+#define SENDING_MAX_MS 60000
+#define DEFAULT_SEND_BUFFER_BYTES (64 * 1024)
 /* Time in ms in which a refused client can read the answer: closing a socket
  * with unread bytes resets the connection, and the answer may be lost. */
 #define REFUSED_MAX_MS 1000
@@ -40,14 +44,18 @@
 	return clk_mono_ms(&clk_system);
 }
 
-static uint64_t received_bytes(const struct hts_conn *c)
+static struct tcp_info read_info(const struct hts_conn *c)
 {
 	struct tcp_info info = { 0 };
 	socklen_t len = sizeof(info);
 
-	if (getsockopt(c->fd, IPPROTO_TCP, TCP_INFO, &info, &len) < 0)
-		return 0;
-	return info.tcpi_bytes_received;
+	getsockopt(c->fd, IPPROTO_TCP, TCP_INFO, &info, &len);
+	return info;
+}
+
+static uint64_t received_bytes(const struct hts_conn *c)
+{
+	return read_info(c).tcpi_bytes_received;
 }
 
 void hts_conn_set_state(struct hts_conn *c, enum hts_conn_state state)
@@ -55,6 +63,7 @@
 	c->state = state;
 	c->since_ms = hts_now_ms();
 	c->header_ms = 0;
+	c->acked_ms = c->since_ms;
 	if (state == HTS_WAITING)
 		c->received_bytes = received_bytes(c);
 }
@@ -139,13 +148,15 @@
 }
 
 /* Returns since when the client has sent nothing that completes a request, or
- * -1 if the connection is being served. */
+ * read nothing of its answer; -1 if the request is being served. */
 static int64_t inactive_since_ms(const struct hts_conn *c)
 {
 	if (c->closing || c->state == HTS_SERVING)
 		return -1;
 	if (c->state == HTS_BODY)
 		return c->x->budget.progress_ms;
+	if (c->state == HTS_SENDING)
+		return c->acked_ms;
 	return c->since_ms;
 }
 
@@ -239,6 +250,20 @@
 	}
 }
 
+static void check_sending(struct hts *s, struct hts_conn *c, int64_t now_ms)
+{
+	uint64_t acked = read_info(c).tcpi_bytes_acked;
+
+	if (acked != c->acked_bytes)
+		c->acked_ms = now_ms;
+	c->acked_bytes = acked;
+	if (now_ms - c->acked_ms < UNREAD_MAX_MS &&
+	    now_ms - c->since_ms < SENDING_MAX_MS)
+		return;
+	s->counts.unread++;
+	hts_conn_shut_down(c);
+}
+
 static void check_conn(struct hts *s, struct hts_conn *c, int64_t now_ms)
 {
 	if (c->closing)
@@ -262,6 +287,9 @@
 		if (now_ms - c->since_ms >= REFUSED_MAX_MS)
 			hts_conn_shut_down(c);
 		break;
+	case HTS_SENDING:
+		check_sending(s, c, now_ms);
+		break;
 	case HTS_SERVING:
 		break;
 	}
@@ -276,7 +304,8 @@
 		return;
 	log_event(LOG_CLIENTS_LIMITED,
 		  "port=%u full=%lld address_full=%lld evicted=%lld "
-		  "late_headers=%lld late_bodies=%lld long_bodies=%lld "
+		  "late_headers=%lld late_bodies=%lld unread=%lld "
+		  "long_bodies=%lld "
 		  "no_memory=%lld connections=%u bodies_bytes=%lld",
 		  s->port,
 		  (long long)(c->connections_refused - l->connections_refused),
@@ -284,6 +313,7 @@
 		  (long long)(c->evicted - l->evicted),
 		  (long long)(c->late_headers - l->late_headers),
 		  (long long)(c->late_bodies - l->late_bodies),
+		  (long long)(c->unread - l->unread),
 		  (long long)(c->long_bodies - l->long_bodies),
 		  (long long)(c->no_memory - l->no_memory), s->limits.total,
 		  (long long)s->budget.used_bytes);
@@ -311,6 +341,8 @@
 	struct sockaddr_in sa = { .sin_family = AF_INET,
 				  .sin_port = htons(opt->port) };
 	int size = RECEIVE_BUFFER_BYTES;
+	int send_size = (int)(opt->send_buffer ? opt->send_buffer
+					       : DEFAULT_SEND_BUFFER_BYTES);
 	int on = 1;
 	int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
 
@@ -324,6 +356,7 @@
 		setsockopt(fd, SOL_SOCKET, SO_REUSEPORT, &on, sizeof(on));
 	/* Accepted sockets inherit it. */
 	setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &size, sizeof(size));
+	setsockopt(fd, SOL_SOCKET, SO_SNDBUF, &send_size, sizeof(send_size));
 	if (bind(fd, (struct sockaddr *)&sa, sizeof(sa)) < 0 ||
 	    listen(fd, BACKLOG) < 0) {
 		int error = errno;
--- a/src/transport/hts_int.h
+++ b/src/transport/hts_int.h
@@ -50,7 +50,8 @@
 enum hts_conn_state {
 	HTS_WAITING, /* for a whole header */
 	HTS_BODY, /* a body arrives */
-	HTS_SERVING, /* until the reply is sent */
+	HTS_SERVING, /* until the handler replies */
+	HTS_SENDING, /* until the reply is sent */
 	HTS_REFUSED, /* answered early; what arrives is discarded */
 };
 
@@ -69,6 +70,8 @@
 	int64_t since_ms; /* of the state */
 	int64_t header_ms; /* a header is arriving since; 0: none */
 	uint64_t received_bytes; /* when the state began */
+	uint64_t acked_bytes; /* of replies, at the last check */
+	int64_t acked_ms; /* when that was seen to grow, in HTS_SENDING */
 };
 
 struct hts_reply_header {
--- a/tests/crowd_clients.c
+++ b/tests/crowd_clients.c
@@ -26,6 +26,7 @@
 #define FRAME_BYTES (4u << 20)
 #define FRAME_PART_BYTES 262144
 #define FRAME_MOST_BYTES (FRAME_BYTES - 16)
+#define SMALL_BUFFER_BYTES 4096
 #define SAMPLE_MS 20
 /* Without a byte taken for this long, the server reads no more. */
 #define STALL_MS 3000
@@ -36,6 +37,7 @@
 	const GString *wire;
 	size_t sent;
 	size_t piece; /* bytes of one write */
+	bool reads; /* the answers */
 };
 
 struct crowd {
@@ -64,8 +66,8 @@
 	return kib * 1024;
 }
 
-/* Returns the bytes in the receive queues of the sockets on these ports. */
-static int64_t unread_bytes(int first_port, int last_port)
+/* Returns the bytes in the queues of the sockets on these ports. */
+static int64_t queued_bytes(int first_port, int last_port)
 {
 	FILE *f = fopen("/proc/net/tcp", "r");
 	int64_t sum = 0;
@@ -74,13 +76,14 @@
 	while (f && fgets(line, sizeof(line), f)) {
 		unsigned int port;
 		unsigned int state;
-		unsigned int queue;
+		unsigned int unsent;
+		unsigned int unread;
 
-		if (sscanf(line, " %*d: %*x:%x %*x:%*x %x %*x:%x", &port,
-			   &state, &queue) == 3 &&
+		if (sscanf(line, " %*d: %*x:%x %*x:%*x %x %x:%x", &port, &state,
+			   &unsent, &unread) == 4 &&
 		    (int)port >= first_port && (int)port <= last_port &&
 		    state != TCP_LISTEN_STATE)
-			sum += queue;
+			sum += unsent + unread;
 	}
 	if (f)
 		fclose(f);
@@ -108,7 +111,7 @@
 	if (!now && hx_now_ms() < u->next_sample_ms)
 		return;
 	bytes = status_bytes(u->pid, "VmRSS:") +
-		unread_bytes(u->first_port, u->last_port);
+		queued_bytes(u->first_port, u->last_port);
 	u->memory_bytes = MAX(u->memory_bytes, bytes);
 	/* The largest resident size also between two samples. */
 	u->memory_bytes = MAX(u->memory_bytes, status_bytes(u->pid, "VmHWM:"));
@@ -157,6 +160,13 @@
 						 : FRAME_MOST_BYTES);
 		return w;
 	}
+	while (kind == CROWD_UNREAD && w->len < BODY_BYTES)
+		g_string_append_printf(w,
+				       "GET %s HTTP/1.1\r\nHost: jobs.example"
+				       "\r\n\r\n",
+				       group->path ? group->path : "/q/");
+	if (kind == CROWD_UNREAD)
+		return w;
 	g_string_append_printf(w, "POST %s HTTP/1.1\r\nHost: jobs.example\r\n",
 			       group->path ? group->path
 					   : "/q/00000000deadbeef");
@@ -186,13 +196,17 @@
 	return w;
 }
 
-static int connect_to(const char *ip, int port)
+static int connect_to(const char *ip, int port, bool reads)
 {
 	struct sockaddr_in a = { .sin_family = AF_INET,
 				 .sin_port = htons((uint16_t)port) };
+	int small = SMALL_BUFFER_BYTES;
 	int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
 
 	g_assert_cmpint(fd, >=, 0);
+	/* Answers fill it soon. */
+	if (!reads)
+		setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &small, sizeof(small));
 	inet_pton(AF_INET, ip ? ip : "127.0.0.1", &a.sin_addr);
 	if (connect(fd, (struct sockaddr *)&a, sizeof(a)) < 0)
 		g_assert_cmpint(errno, ==, EINPROGRESS);
@@ -245,15 +259,15 @@
 		struct client *cl = &c->clients[i];
 
 		c->polls[i].fd = cl->fd;
-		c->polls[i].events =
-			(short)(is_sending(cl) ? POLLOUT | POLLIN : POLLIN);
+		c->polls[i].events = (short)((is_sending(cl) ? POLLOUT : 0) |
+					     (cl->reads ? POLLIN : 0));
 		sending += is_sending(cl);
 	}
 	poll(c->polls, (nfds_t)c->n, SAMPLE_MS);
 	for (int i = 0; i < c->n; i++) {
 		struct client *cl = &c->clients[i];
 
-		if (cl->fd >= 0 && (c->polls[i].revents & POLLIN))
+		if (cl->fd >= 0 && cl->reads && (c->polls[i].revents & POLLIN))
 			discard_input(cl);
 		if (is_sending(cl) &&
 		    (c->polls[i].revents & (POLLOUT | POLLERR | POLLHUP)))
@@ -277,12 +291,14 @@
 	c->polls = g_new0(struct pollfd, c->n);
 	for (int i = 0; i < n; i++) {
 		const struct crowd_group *g = &groups[i];
+		bool reads = g->kind != CROWD_UNREAD;
 
 		c->wires[i] = make_wire(g);
 		for (int k = 0; k < g->clients; k++)
 			c->clients[at++] = (struct client){
-				.fd = connect_to(g->ip, g->port),
+				.fd = connect_to(g->ip, g->port, reads),
 				.wire = c->wires[i],
+				.reads = reads,
 				.piece = g->kind == CROWD_PIECES ? PIECE_BYTES
 								 : WRITE_BYTES,
 			};
--- a/tests/crowd_clients.h
+++ b/tests/crowd_clients.h
@@ -19,6 +19,7 @@
 	CROWD_FRAMES, /* links between daemons: most of a frame */
 	CROWD_VALUES, /* complete, of legal size: a list of many empty objects
 		       */
+	CROWD_UNREAD, /* many requests, whose answers they don't read */
 	CROWD_KINDS
 };
 
@@ -32,8 +33,8 @@
 };
 
 /* Largest values seen so far. Memory is what is resident plus what the kernel
- * has received on the ports `first_port` to `last_port` and the process has not
- * read. */
+ * holds for the ports `first_port` to `last_port`: bytes that the process has
+ * not read, or that the clients have not. */
 struct crowd_usage {
 	pid_t pid;
 	int first_port;
--- a/tests/crowd_tests.c
+++ b/tests/crowd_tests.c
@@ -217,6 +217,29 @@
 	hf_stop(&s);
 }
 
+/* Guards against connections that are held by answers which nobody reads. */
+static void test_unread(void)
+{
+	struct crowd_usage u;
+	struct hf s;
+
+	start(&s, &u);
+	play(&s, &u,
+	     (struct crowd_group[]){ { .kind = CROWD_UNREAD,
+				       .port = s.vm_ports,
+				       .clients = CLIENTS },
+				     { .kind = CROWD_UNREAD,
+				       .port = s.vm_ports + 1,
+				       .clients = CLIENTS,
+				       .path = "/v1/readyz" },
+				     { .kind = CROWD_UNREAD,
+				       .port = s.vm_ports + 2,
+				       .clients = CLIENTS,
+				       .path = "/metrics" } },
+	     3);
+	hf_stop(&s);
+}
+
 int main(int argc, char **argv)
 {
 	static const char *const names[] = { "whole",	       "pieces",
@@ -241,6 +264,7 @@
 	g_test_add_data_func("/crowd/values", GINT_TO_POINTER(CROWD_VALUES),
 			     test_alone);
 	g_test_add_func("/crowd/operators", test_operators);
+	g_test_add_func("/crowd/unread", test_unread);
 	crowd_daemons_add();
 	return g_test_run();
 }
