Refuse jobs for which their owner has no memory

Seen: 120 clients submit a job of 200 bytes each, and 120 more.

Cause: the owner keeps 96 bytes for each task from the moment when it reads a job, and a job may have 5,000 tasks. Nothing bounds the sum. A schedule multiplies that by up to 64 rounds.

Change: the owner accounts for its jobs (sched_memory.c) against a quarter of limits.memory_mb, and its row says how much each VM may add: a part of what is left. VMs add up what they accepted in the last four seconds, which the row may not count yet, and refuse what is beyond, with Retry-After (the refusal is stored like others, so it stays true). Jobs over 16 KiB (50 tasks take 7) leave a quarter free. Without a known room, after a loss of the owner or beside one of an earlier release, a VM accepts a 64th. A scheduled job opens further rounds at a time only within the limit.

Ordinary callers don't meet it: 260 MB leave 65 MiB for jobs, which is some 13,000 jobs of two steps of 10 tasks; 1,112 jobs were seen at a time.

--- a/src/coordination/sched.h
+++ b/src/coordination/sched.h
@@ -53,6 +53,13 @@
 /* Returns whether a stored progress row is of a job that has ended. */
 bool sched_progress_has_ended(const json_t *progress);
 
+/* Return the memory that a job takes at its shard's owner, in bytes, roughly:
+ * without rounds, and for each round. */
+int64_t sched_job_bytes(const struct jobspec *spec);
+int64_t sched_round_bytes(const struct jobspec *spec);
+/* Returns what each of `vms` VMs may add until the next answer. */
+struct sched_job_room sched_job_room(const struct sched *s, int64_t vms);
+
 /* Returns whether the progress of such a job, at least as a summary, fits in a
  * row. */
 bool sched_fits_in_row(const struct jobspec *spec, int64_t row_bytes);
--- a/src/coordination/sched_int.h
+++ b/src/coordination/sched_int.h
@@ -38,6 +38,14 @@
 void sched_count_added(struct sched *s, const struct sched_job *job);
 void sched_count_removed(struct sched *s, const struct sched_job *job);
 
+/* Account for the memory of a job: after its rounds have changed, and before it
+ * is removed. */
+void sched_charge(struct sched *s, struct sched_job *job);
+void sched_uncharge(struct sched *s, struct sched_job *job);
+/* Returns false if memory is too short for a further round. The first one is
+ * always opened. */
+bool sched_may_open_round(const struct sched *s, const struct sched_job *job);
+
 /* Returns how many rounds of the job may exist that are not done. */
 int64_t sched_rounds_open_max(const struct sched *s,
 			      const struct jobspec *spec);
--- a/src/coordination/sched_job.c
+++ b/src/coordination/sched_job.c
@@ -83,6 +83,8 @@
 	while (*at)
 		at = &(*at)->next;
 	*at = round;
+	job->rounds_open++;
+	sched_charge(s, job);
 	for (int32_t i = 0; i < job->spec->n_steps; i++)
 		sched_update_ready(s, &round->steps[i]);
 	return round;
@@ -105,7 +107,7 @@
 		int64_t due = spec->first_due_ms +
 			      job->next_round * spec->interval_ms;
 
-		if (wall_ms < due)
+		if (wall_ms < due || !sched_may_open_round(s, job))
 			return;
 		sched_create_round(s, job, job->next_round++,
 				   now_ms - (wall_ms - due));
@@ -172,6 +174,8 @@
 	while (*at != round)
 		at = &(*at)->next;
 	*at = round->next;
+	round->job->rounds_open--;
+	sched_charge(s, round->job);
 	talloc_free(round);
 }
 
@@ -300,6 +304,7 @@
 			    jobspec_critical_path_ms(job->spec, i));
 	g_hash_table_insert(s->jobs, job->spec->id, job);
 	sched_count_added(s, job);
+	sched_charge(s, job);
 	if (progress) {
 		sched_restore_progress(s, job, progress, now_ms, wall_ms);
 		s->check_attempts = true;
@@ -339,6 +344,7 @@
 		g_queue_unlink(&s->dirty_jobs, &job->dirty_link);
 	sched_org_job_removed(s, job);
 	sched_count_removed(s, job);
+	sched_uncharge(s, job);
 	g_hash_table_remove(s->jobs, id);
 	talloc_free(job);
 }
--- a/src/coordination/sched_types.h
+++ b/src/coordination/sched_types.h
@@ -237,6 +237,8 @@
 	int64_t next_round; /* first round that is not created yet */
 	int64_t rounds_done;
 	struct sched_round *rounds;
+	int32_t rounds_open; /* length of `rounds` */
+	int64_t charged_bytes; /* part of sched.job_bytes */
 	bool dirty; /* progress has changed since it was last stored */
 	bool inherited; /* a previous owner may have started tasks */
 	int32_t n_runs; /* of all its tasks */
@@ -376,8 +378,18 @@
 	int64_t off_rack_factor_milli;
 	int64_t impact_ms; /* interference that lasts longer does harm */
 	int64_t row_bytes; /* longest progress row; 0: any length */
+	int64_t memory_bytes; /* for jobs; 0: any */
 };
 
+/* Memory that one VM may fill with new jobs, in bytes. */
+struct sched_job_room {
+	int64_t small; /* with jobs up to SCHED_SMALL_JOB_BYTES */
+	int64_t large; /* with others, of the same room */
+};
+
+/* Most ordinary jobs are smaller: two steps of some 50 tasks. */
+#define SCHED_SMALL_JOB_BYTES (16 * 1024)
+
 /* Start commands that may be sent at once. */
 struct sched_start_room {
 	int64_t bytes;
@@ -468,6 +480,7 @@
 	GHashTable *mean_work; /* queue to double; see sched_rank.c */
 	GHashTable *domains_out; /* names of failure domains out of service */
 	GHashTable *jobs; /* id to struct sched_job */
+	int64_t job_bytes; /* memory of all jobs, roughly */
 	GHashTable *queued; /* queue to number of queued jobs, if not 0 */
 	GHashTable *workers; /* id to struct sched_worker */
 	GPtrArray *worker_list;
--- a/src/fleet/admission.c
+++ b/src/fleet/admission.c
@@ -18,6 +18,10 @@
 /* A caller returns at least this long after a refusal, in ms: half of
  * RETRY_AFTER_MIN_MS, since clocks are read with some error. */
 #define RETURN_MIN_MS 1000
+/* Part of the memory for all jobs that one VM may fill in a few seconds while
+ * the owner's room is not known: after a loss of the owner, or beside one of an
+ * earlier release. */
+#define UNKNOWN_ROOM_PART 64
 /* Retry-After of jobs that exceed a cap, in ms. Only another configuration can
  * let them run. */
 #define CAP_RETRY_AFTER_MS 30000
@@ -190,14 +194,62 @@
 		  (long long)row->seq);
 }
 
-void admission_check(const struct fleet *f, const struct jobspec *spec,
-		     struct admission *out)
+/* Forgets what was accepted before the last seconds, and returns the rest. */
+static int64_t lately_accepted(struct admission_memory *m, int64_t now_s)
+{
+	int64_t sum = 0;
+
+	if (now_s - m->last_s > ADMISSION_SECONDS)
+		m->last_s = now_s - ADMISSION_SECONDS;
+	while (m->last_s < now_s)
+		m->bytes[++m->last_s % ADMISSION_SECONDS] = 0;
+	for (int i = 0; i < ADMISSION_SECONDS; i++)
+		sum += m->bytes[i];
+	return sum;
+}
+
+void admission_decide_memory(struct admission_memory *m,
+			     const struct owner_row *row, int64_t age_ms,
+			     int64_t limit_bytes, const struct jobspec *spec,
+			     int64_t now_ms, struct admission *out)
+{
+	bool known = row && row->has_job_room && age_ms >= 0 &&
+		     age_ms <= ROOM_AGE_MAX_MS;
+	int64_t bytes = sched_job_bytes(spec) + sched_round_bytes(spec);
+	int64_t accepted = lately_accepted(m, now_ms / 1000);
+	int64_t room = limit_bytes / UNKNOWN_ROOM_PART;
+
+	if (!limit_bytes)
+		return;
+	if (known)
+		room = bytes > SCHED_SMALL_JOB_BYTES ? row->large_job_room
+						     : row->small_job_room;
+	if (accepted + bytes <= room) {
+		m->bytes[m->last_s % ADMISSION_SECONDS] += bytes;
+		return;
+	}
+	out->refused = true;
+	out->why = "no memory at the owner";
+	out->retry_after_ms = spread_ms(
+		spec->id, MAX(RETRY_AFTER_MIN_MS, ADMISSION_SECONDS * 1000));
+	log_event(LOG_JOB,
+		  "job=%s queue=%s what=memory outcome=refused bytes=%lld "
+		  "accepted_bytes=%lld room_bytes=%lld known=%d "
+		  "retry_after_ms=%lld age_ms=%lld",
+		  spec->id, spec->queue, (long long)bytes, (long long)accepted,
+		  (long long)room, known, (long long)out->retry_after_ms,
+		  (long long)age_ms);
+}
+
+void admission_check(const struct fleet *f, struct admission_memory *m,
+		     const struct jobspec *spec, struct admission *out)
 {
 	const struct catalog_queue *q =
 		f->catalog ? catalog_find_queue(f->catalog, spec->queue) : NULL;
 	const struct shard_ctl *sc;
 	const struct owner_row *row;
 	int64_t changed_ms;
+	int64_t age_ms;
 
 	admission_check_cap(f->catalog, spec, out);
 	if (out->refused)
@@ -206,11 +258,15 @@
 	if (!q || !sc)
 		return;
 	row = shard_ctl_owner_row(sc, &changed_ms);
-	admission_decide(row, shard_ctl_pending_age_ms(sc), q->pool, spec, out);
+	age_ms = shard_ctl_pending_age_ms(sc);
+	admission_decide(row, age_ms, q->pool, spec, out);
 	if (!out->refused && *spec->org)
 		admission_decide_overload(
-			row, shard_ctl_pending_age_ms(sc), q->pool,
+			row, age_ms, q->pool,
 			catalog_find_org(f->catalog, spec->org), spec, out);
+	if (!out->refused)
+		admission_decide_memory(m, row, age_ms, f->set.job_memory_bytes,
+					spec, clk_mono_ms(f->clk), out);
 }
 
 json_t *admission_pack_refusal(int64_t at_ms)
--- a/src/fleet/admission.h
+++ b/src/fleet/admission.h
@@ -15,15 +15,34 @@
 	const char *why; /* static text, valid if refused */
 };
 
+/* Memory of the jobs that this VM has accepted lately: the owner's row may not
+ * count them yet. */
+#define ADMISSION_SECONDS 4
+struct admission_memory {
+	int64_t bytes[ADMISSION_SECONDS]; /* by second, in turn */
+	int64_t last_s; /* of the monotonic clock */
+};
+
+/*
+ * Refuses a job for which the owner has no memory, by its row of this age; -1:
+ * unknown. `limit_bytes` is what an owner has for all jobs; 0: any. Counts the
+ * job if it is not refused.
+ */
+void admission_decide_memory(struct admission_memory *m,
+			     const struct owner_row *row, int64_t age_ms,
+			     int64_t limit_bytes, const struct jobspec *spec,
+			     int64_t now_ms, struct admission *out);
+
 /*
  * Refuses a job that exceeds a cap, see admission_check_cap(), and one with
  * long-running tasks for which the pool has no room, since they would keep
  * others from running for as long as they last. Accepts the latter if the room
  * is not known, or what is known is older than 2 s. Then does what
- * admission_decide_overload() does.
+ * admission_decide_overload() and admission_decide_memory() do; `m` is that of
+ * the job's shard.
  */
-void admission_check(const struct fleet *f, const struct jobspec *spec,
-		     struct admission *out);
+void admission_check(const struct fleet *f, struct admission_memory *m,
+		     const struct jobspec *spec, struct admission *out);
 
 /*
  * Refuses a job with a task, or a gang as a whole, that exceeds the cap of its
--- a/src/fleet/fleet.h
+++ b/src/fleet/fleet.h
@@ -37,6 +37,7 @@
 	int64_t relay_memory_bytes; /* for frames of others; 0: no limit */
 	int64_t ended_retention_ms; /* how long ended jobs stay known */
 	int64_t row_bytes_max; /* maximum length of a row's value */
+	int64_t job_memory_bytes; /* for a shard's jobs at its owner; 0: any */
 	/* Limit of the rows that a named successor reads in advance; 0: that of
 	 * all VMs. */
 	int64_t read_ahead_bytes_max;
--- a/src/fleet/job_api_int.h
+++ b/src/fleet/job_api_int.h
@@ -3,6 +3,7 @@
 #define JOB_API_INT_H
 
 #include "base/hist.h"
+#include "fleet/admission.h"
 #include "fleet/job_api.h"
 #include "fleet/shard_ctl.h"
 
@@ -28,6 +29,7 @@
 struct job_api {
 	struct fleet *f;
 	struct submit_queue queues[FLEET_SHARDS_MAX][SHARD_CTL_JOB_PARTS];
+	struct admission_memory memory[FLEET_SHARDS_MAX];
 	int32_t active;
 	struct job_api_counts counts;
 	struct hist accept_times;
--- a/src/fleet/job_submit.c
+++ b/src/fleet/job_submit.c
@@ -345,13 +345,14 @@
 		snprintf(spec->org, sizeof(spec->org), "%s", who->org);
 	}
 	spec->accepted_ms = now_ms(api) + api->f->store_offset_ms;
-	admission_check(api->f, spec, &sub->admission);
+	sub->shard = fleet_shard_of(api->f, spec->id);
+	admission_check(api->f, &api->memory[sub->shard], spec,
+			&sub->admission);
 	row = sub->admission.refused ? admission_pack_refusal(spec->accepted_ms)
 				     : jobspec_pack(spec);
 	snprintf(sub->id, sizeof(sub->id), "%s", spec->id);
 	snprintf(sub->queue, sizeof(sub->queue), "%s", spec->queue);
 	sub->api = api;
-	sub->shard = fleet_shard_of(api->f, spec->id);
 	sub->part = shard_ctl_job_part_of(spec->id);
 	sub->row_value = json_dumps(row, JSON_COMPACT);
 	sub->received_ms = now_ms(api);
--- a/src/fleet/relay_client.c
+++ b/src/fleet/relay_client.c
@@ -570,6 +570,11 @@
 	return &c->traffic;
 }
 
+int32_t relay_client_known(const struct relay_client *c)
+{
+	return c ? (int32_t)g_hash_table_size(c->relays) : 0;
+}
+
 int32_t relay_client_links(const struct relay_client *c)
 {
 	return (int32_t)c->open->len;
--- a/src/fleet/relay_client.h
+++ b/src/fleet/relay_client.h
@@ -51,5 +51,7 @@
 const struct traffic *relay_client_traffic(const struct relay_client *c);
 /* Returns the number of open links. */
 int32_t relay_client_links(const struct relay_client *c);
+/* Returns the number of other VMs that relay or did; 0 if `c` is NULL. */
+int32_t relay_client_known(const struct relay_client *c);
 
 #endif
--- a/src/fleet/shard_ctl.c
+++ b/src/fleet/shard_ctl.c
@@ -417,6 +417,7 @@
 	sched_init(&sc->sched, &sched_ops, sc, &f->set.sched,
 		   owner_epoch(sc->owner), mono_ms(sc));
 	sc->sched.lim.row_bytes = f->set.row_bytes_max;
+	sc->sched.lim.memory_bytes = f->set.job_memory_bytes;
 	init_from_previous(sc, prev_row);
 	update_ownership(sc);
 	sched_configure(&sc->sched, f->catalog, f->domains_out);
--- a/src/fleet/shard_ctl_commit.c
+++ b/src/fleet/shard_ctl_commit.c
@@ -5,6 +5,7 @@
 #include <talloc.h>
 
 #include "base/log.h"
+#include "fleet/relay_client.h"
 #include "fleet/shard_ctl_int.h"
 
 /* Interval in ms at which learned interference is stored. A successor that
@@ -22,6 +23,11 @@
 #define ROOMS_PART 8
 #define GRANTS_PART 16
 #define OVERLOAD_PART 16
+/* Parts into which the memory left for jobs is divided: one for each VM, but a
+ * job of the most tasks fits into one where VMs have 160 MB. On larger sites
+ * VMs that are all crowded at once may exceed the limit together. */
+#define JOB_ROOM_PARTS_MIN 16
+#define JOB_ROOM_PARTS_MAX 32
 /* Estimated size of one run in the handover, by which the number of runs is
  * limited: ids of 16 characters and four numbers. */
 #define HANDOVER_RUN_BYTES 50
@@ -251,6 +257,17 @@
 		row->grants = text_if_fits(sc, grants, INT64_MAX);
 }
 
+static void fill_job_room(const struct shard_ctl *sc, struct owner_row *row)
+{
+	int64_t vms = relay_client_known(sc->f->relay_client);
+	struct sched_job_room room = sched_job_room(
+		&sc->sched, CLAMP(vms, JOB_ROOM_PARTS_MIN, JOB_ROOM_PARTS_MAX));
+
+	row->has_job_room = sc->sched.lim.memory_bytes > 0;
+	row->small_job_room = room.small;
+	row->large_job_room = room.large;
+}
+
 void shard_ctl_fill_row(struct owner_row *row, void *priv)
 {
 	struct shard_ctl *sc = priv;
@@ -285,6 +302,7 @@
 	talloc_free(row->rooms);
 	row->rooms = text_if_fits(sc, pack_rooms(&sc->sched),
 				  sc->f->set.row_bytes_max / ROOMS_PART);
+	fill_job_room(sc, row);
 	talloc_free(row->overload);
 	overload = sched_org_pack_overload(&sc->sched, clk_mono_ms(sc->f->clk),
 					   sc->jobs_store_ms);
--- a/src/state/owner.c
+++ b/src/state/owner.c
@@ -279,6 +279,7 @@
 	o->previous = o->row;
 	o->row.handover = NULL;
 	o->row.rooms = NULL;
+	o->row.has_job_room = false;
 	o->row.overload = NULL;
 	o->row.long_leases_ms = left_ms(o->previous_long_leases_end_ms, now);
 	if (o->row.lease_ms < o->lim.lease_ms)
--- a/src/state/owner_row.c
+++ b/src/state/owner_row.c
@@ -67,6 +67,7 @@
 	json_t *j = text ? json_loads(text, 0, NULL) : NULL;
 	json_t *pending = json_object_get(j, "pending");
 	const json_t *handover = json_object_get(j, "handed");
+	const json_t *room = json_object_get(j, "job_room");
 
 	owner_row_clear(out);
 	if (handover)
@@ -93,6 +94,10 @@
 	}
 	if (is_rooms(json_object_get(j, "rooms")))
 		out->rooms = text_of(ctx, json_object_get(j, "rooms"));
+	out->has_job_room = num_integer(json_array_get(room, 0), 0, NUM_MAX,
+					&out->small_job_room) &&
+			    num_integer(json_array_get(room, 1), 0, NUM_MAX,
+					&out->large_job_room);
 	if (json_is_object(json_object_get(j, "grants")))
 		out->grants = text_of(ctx, json_object_get(j, "grants"));
 	if (json_is_object(json_object_get(j, "overload")))
@@ -162,6 +167,11 @@
 	if (row->rooms)
 		json_object_set_new(j, "rooms",
 				    json_loads(row->rooms, 0, NULL));
+	if (row->has_job_room)
+		json_object_set_new(j, "job_room",
+				    json_pack("[I,I]",
+					      (json_int_t)row->small_job_room,
+					      (json_int_t)row->large_job_room));
 	if (row->grants)
 		json_object_set_new(j, "grants",
 				    json_loads(row->grants, 0, NULL));
--- a/src/state/owner_row.h
+++ b/src/state/owner_row.h
@@ -37,6 +37,11 @@
 	 * further long-running jobs may take, and how much becomes free in a
 	 * second, in thousandths of a core. NULL: unknown. */
 	char *rooms;
+	/* Memory that each VM may fill with new jobs until the next row, of the
+	 * same time, in bytes: with small jobs, and with others. */
+	bool has_job_room;
+	int64_t small_job_room;
+	int64_t large_job_room;
 	/* JSON object of organisation to its grant, see org_caps_pack(); NULL:
 	 * none. A claim keeps those of the row that it replaces. */
 	char *grants;
--- a/tests/crowd_clients.c
+++ b/tests/crowd_clients.c
@@ -27,6 +27,8 @@
 #define FRAME_PART_BYTES 262144
 #define FRAME_MOST_BYTES (FRAME_BYTES - 16)
 #define SMALL_BUFFER_BYTES 4096
+/* First job id of the crowd. */
+#define TASKS_ID 0x40000000
 #define SAMPLE_MS 20
 /* Without a byte taken for this long, the server reads no more. */
 #define STALL_MS 3000
@@ -41,8 +43,7 @@
 };
 
 struct crowd {
-	GString **wires; /* of each group */
-	int n_groups;
+	GPtrArray *wires; /* what clients send */
 	struct client *clients;
 	struct pollfd *polls;
 	int n;
@@ -147,8 +148,27 @@
 	g_string_append_len(w, data, (gssize)n);
 }
 
+/* Adds a job that no worker has room for, so that all its tasks wait. */
+static void add_tasks(GString *w, int number)
+{
+	static const char body[] =
+		"{\"spec\":\"x\",\"steps\":[{\"count\":5000,"
+		"\"cpu\":9000000,\"mem_mb\":100,\"estimate_ms\":100}]}";
+
+	g_string_append_printf(
+		w,
+		"POST /q/%016x HTTP/1.1\r\nHost: jobs.example\r\n"
+		"Content-Length: %zu\r\n\r\n%s",
+		TASKS_ID + number, strlen(body), body);
+}
+
+static void free_wire(gpointer wire)
+{
+	g_string_free(wire, TRUE);
+}
+
 /* Returns all that a client sends. */
-static GString *make_wire(const struct crowd_group *group)
+static GString *make_wire(const struct crowd_group *group, int number)
 {
 	enum crowd_kind kind = group->kind;
 	GString *w = g_string_new("");
@@ -167,12 +187,22 @@
 				       group->path ? group->path : "/q/");
 	if (kind == CROWD_UNREAD)
 		return w;
+	if (kind == CROWD_TASKS) {
+		add_tasks(w, number);
+		return w;
+	}
 	g_string_append_printf(w, "POST %s HTTP/1.1\r\nHost: jobs.example\r\n",
 			       group->path ? group->path
 					   : "/q/00000000deadbeef");
 	if (kind == CROWD_HEADERS) {
 		g_string_append(w, "Pad: ");
 		add_bytes(w, HEADER_BYTES);
+	} else if (kind == CROWD_CALLS) {
+		g_string_append_printf(
+			w, "Content-Length: %d\r\n\r\n%s", BODY_BYTES,
+			"{\"work_us\":3000000,\"id\":\"q\",\"pad\":\"");
+		add_bytes(w, BODY_BYTES - strlen(strstr(w->str, "{")) - 2);
+		g_string_append(w, "\"}");
 	} else if (kind == CROWD_VALUES) {
 		add_values(w);
 	} else if (kind == CROWD_WHOLE || kind == CROWD_PIECES) {
@@ -285,23 +315,26 @@
 
 	for (int i = 0; i < n; i++)
 		c->n += groups[i].clients;
-	c->n_groups = n;
-	c->wires = g_new0(GString *, n);
+	c->wires = g_ptr_array_new_with_free_func(free_wire);
 	c->clients = g_new0(struct client, c->n);
 	c->polls = g_new0(struct pollfd, c->n);
 	for (int i = 0; i < n; i++) {
 		const struct crowd_group *g = &groups[i];
 		bool reads = g->kind != CROWD_UNREAD;
 
-		c->wires[i] = make_wire(g);
-		for (int k = 0; k < g->clients; k++)
+		for (int k = 0; k < g->clients; k++) {
+			/* Only jobs differ. */
+			if (!k || g->kind == CROWD_TASKS)
+				g_ptr_array_add(c->wires,
+						make_wire(g, g->first + k));
 			c->clients[at++] = (struct client){
 				.fd = connect_to(g->ip, g->port, reads),
-				.wire = c->wires[i],
+				.wire = c->wires->pdata[c->wires->len - 1],
 				.reads = reads,
 				.piece = g->kind == CROWD_PIECES ? PIECE_BYTES
 								 : WRITE_BYTES,
 			};
+		}
 	}
 	for (;;) {
 		bool progress = false;
@@ -341,9 +374,7 @@
 		if (c->clients[i].fd >= 0)
 			close(c->clients[i].fd);
 	}
-	for (int i = 0; i < c->n_groups; i++)
-		g_string_free(c->wires[i], TRUE);
-	g_free(c->wires);
+	g_ptr_array_unref(c->wires);
 	g_free(c->clients);
 	g_free(c->polls);
 	g_free(c);
--- a/tests/crowd_clients.h
+++ b/tests/crowd_clients.h
@@ -20,6 +20,8 @@
 	CROWD_VALUES, /* complete, of legal size: a list of many empty objects
 		       */
 	CROWD_UNREAD, /* many requests, whose answers they don't read */
+	CROWD_TASKS, /* complete: a job of its own, with the most tasks */
+	CROWD_CALLS, /* complete: a request of legal size that runs for long */
 	CROWD_KINDS
 };
 
@@ -30,6 +32,7 @@
 	int clients;
 	const char *ip; /* NULL: 127.0.0.1 */
 	const char *path; /* of HTTP requests; NULL: that of a job */
+	int first; /* number of the first job */
 };
 
 /* Largest values seen so far. Memory is what is resident plus what the kernel
--- a/tests/crowd_tests.c
+++ b/tests/crowd_tests.c
@@ -19,6 +19,8 @@
 #define CLIENTS 120
 #define LINKS 400
 #define GROUPS_MAX 8
+/* After this time an accepted job is known everywhere, in ms. */
+#define VISIBLE_MS 3000
 /* A call that is not answered for this long is never answered. */
 #define SERVED_MAX_MS 30000
 #define ONE_STEP                                                               \
@@ -217,6 +219,31 @@
 	hf_stop(&s);
 }
 
+/*
+ * Guards against small jobs that take much memory at the shard's owner: 200
+ * bytes for 5,000 tasks.
+ */
+static void test_tasks(void)
+{
+	struct crowd_usage u;
+	struct hf s;
+
+	start(&s, &u);
+	for (int i = 0; i < 2; i++) {
+		play(&s, &u,
+		     &(struct crowd_group){ .kind = CROWD_TASKS,
+					    .port = s.vm_ports,
+					    .clients = CLIENTS,
+					    .first = i * CLIENTS },
+		     1);
+		/* The owner has read the accepted ones by then. */
+		hx_sleep_ms(VISIBLE_MS);
+		check_serves(&s, "no answer once the jobs are loaded");
+		check(&s, &u);
+	}
+	hf_stop(&s);
+}
+
 /* Guards against connections that are held by answers which nobody reads. */
 static void test_unread(void)
 {
@@ -264,6 +291,7 @@
 	g_test_add_data_func("/crowd/values", GINT_TO_POINTER(CROWD_VALUES),
 			     test_alone);
 	g_test_add_func("/crowd/operators", test_operators);
+	g_test_add_func("/crowd/tasks", test_tasks);
 	g_test_add_func("/crowd/unread", test_unread);
 	crowd_daemons_add();
 	return g_test_run();
--- a/tests/unit.h
+++ b/tests/unit.h
@@ -17,6 +17,7 @@
 void unit_add_shard(void);
 void unit_add_stale(void);
 void unit_add_job_api(void);
+void unit_add_job_memory(void);
 void unit_add_platform(void);
 void unit_add_fuzz(void);
 void unit_add_policy(void);
--- a/tests/unit_job_api.c
+++ b/tests/unit_job_api.c
@@ -148,8 +148,8 @@
 	api_fixture_close(&fx);
 }
 
-/* JOB_API_REFUSED and JOB_API_TOO_LARGE are returned only for jobs that are never
- * stored. */
+/* JOB_API_REFUSED and JOB_API_TOO_LARGE are returned only for jobs that are
+ * never stored. */
 static void test_refusals_are_true(void)
 {
 	struct api_fixture fx;
--- a/tests/unit_tests.c
+++ b/tests/unit_tests.c
@@ -26,6 +26,7 @@
 	unit_add_protocol();
 	unit_add_shard();
 	unit_add_job_api();
+	unit_add_job_memory();
 	unit_add_platform();
 	unit_add_fuzz();
 	unit_add_policy();
