Bound gd-entry by the memory of its machine

Seen: 60 callers send a complete request of 1 MB each to a service whose targets are busy: gd-entry takes 195.5 MiB of 130, half of the smallest VM.

Cause: connections_max (2,048) and bodies_mib (64) are of one thread and know nothing of the machine. A complete body is charged once, but exists up to four times: request, copy for the core thread, message to the owner of the group, queue there. Bodies that other members forward are charged nowhere: queue_max counts requests, 2,000 a group.

Change: memory_mib, half of the machine's memory by default, bounds the values of connections_max, bodies_mib and links_mib from above. Bodies of other members' requests have an eighth of it at the owner of a group; a request beyond it is answered not run, which is true: it isn't queued. On a machine of 24 GB the defaults are as before.

The test gives memory_mib 130; its crowd and bounds are those that failed.

--- a/src/daemon/link_limits.c
+++ b/src/daemon/link_limits.c
@@ -1,6 +1,10 @@
 /* Limits of accepted links, by the settings. */
 #include "daemon/link_limits.h"
 
+#include <glib.h>
+
+#include "daemon/memory_limit.h"
+
 /* Every process sends a short message first, once its link is open. */
 #define UNPROVEN_FRAME_MAX (256u << 10)
 #define UNPROVEN_MAX_MS 10000
@@ -9,6 +13,7 @@
 /* Part of the links that may be unproven: after a restart all members connect
  * at once. */
 #define UNPROVEN_SHARE 4
+#define MEMORY_SHARE 8
 
 void link_limits_set(struct lnk_srv *s, const struct settings *set)
 {
@@ -18,7 +23,9 @@
 						 UNPROVEN_SHARE,
 				 .unproven_frame_max = UNPROVEN_FRAME_MAX,
 				 .frame_max = LNK_FRAME_MAX,
-				 .buffers_max = set->links_mib << 20,
+				 .buffers_max = MIN(set->links_mib << 20,
+						    memory_limit_bytes(set) /
+							    MEMORY_SHARE),
 				 .unproven_max_ms = UNPROVEN_MAX_MS,
 				 .silent_ms = SILENT_MS });
 }
--- a/src/entry/frontend.c
+++ b/src/entry/frontend.c
@@ -9,12 +9,19 @@
 #include <string.h>
 #include <urcu/urcu-memb.h>
 
+#include "daemon/memory_limit.h"
 #include "entry/metrics.h"
 
 #define CALL_PREFIX "/v1/call/"
 #define OPERATION_PREFIX "/v1/"
-#define BODY_MAX_BYTES (1u << 20)
+#define BODY_MAX_BYTES (1 << 20)
 #define IDLE_TIMEOUT_S 60
+/* Parts of the memory limit: connections get a third, bodies a twelfth. A body
+ * takes up to four times its size: request, copy for the core thread, message
+ * to the owner of the group, queue there. */
+#define CONNECTIONS_SHARE 3
+#define BODIES_SHARE 12
+#define CONNECTION_BYTES (HTS_CONNECTION_BYTES + 2 * HTS_SEND_BUFFER_BYTES)
 #define DEADLINE_MAX_MS (8LL * 3600 * 1000)
 
 struct frontend {
@@ -327,13 +334,18 @@
 static void *frontend_main(void *priv)
 {
 	struct frontend *f = priv;
+	const struct settings *s = &f->e->settings;
+	int64_t memory = memory_limit_bytes(s) / s->door_threads;
+	int64_t bodies = MIN(s->bodies_mib << 20, memory / BODIES_SHARE);
 	struct hts_options opt = {
-		.ip = f->e->settings.ip,
-		.port = (uint16_t)f->e->settings.http_port,
-		.body_max = BODY_MAX_BYTES,
+		.ip = s->ip,
+		.port = (uint16_t)s->http_port,
+		.body_max = (size_t)MIN(BODY_MAX_BYTES, bodies / 2),
 		.idle_timeout_s = IDLE_TIMEOUT_S,
-		.connections_max = (uint32_t)f->e->settings.connections_max,
-		.bodies_bytes = f->e->settings.bodies_mib << 20,
+		.connections_max = (uint32_t)MIN(s->connections_max,
+						 memory / CONNECTIONS_SHARE /
+							 CONNECTION_BYTES),
+		.bodies_bytes = bodies,
 		.share_port = true
 	};
 
--- a/src/entry/owner.c
+++ b/src/entry/owner.c
@@ -7,6 +7,7 @@
 #include <string.h>
 
 #include "base/log.h"
+#include "daemon/memory_limit.h"
 #include "entry/origin.h"
 #include "entry/owner_int.h"
 #include "entry/peers.h"
@@ -21,6 +22,8 @@
  * The grace time that slot.c adds to holds covers it.
  */
 #define SEND_DELAY_MAX_MS 500
+/* Part of the memory limit for bodies of requests from other members. */
+#define BODIES_SHARE 8
 
 static void send_answer(struct owner_req *r, const struct msg *m)
 {
@@ -37,6 +40,8 @@
 static void free_request(struct owner_req *r)
 {
 	r->g->o->n_pending--;
+	if (r->link_id)
+		r->g->o->body_bytes -= (int64_t)r->body_len;
 	free(r->body);
 	free(r);
 }
@@ -261,17 +266,20 @@
 	r->body[m->body_len] = '\0';
 	r->body_len = m->body_len;
 	o->n_pending++;
+	if (link_id)
+		o->body_bytes += (int64_t)r->body_len;
 	return r;
 }
 
-static void reject_not_owner(struct owner *o, uint64_t link_id,
-			     const struct msg *m)
+/* Answers "not run" to a request that was not queued. */
+static void reject_message(struct owner *o, uint64_t link_id,
+			   const struct msg *m, const char *reason, bool moved)
 {
 	struct msg ans = { .kind = MSG_ANSWER,
 			   .id = m->id,
 			   .outcome = MSG_NOT_RUN,
-			   .status = MSG_STATUS_MOVED,
-			   .text = "not the owner" };
+			   .status = moved ? MSG_STATUS_MOVED : 0,
+			   .text = reason };
 
 	if (link_id)
 		peers_reply(o->e->peers, link_id, &ans);
@@ -287,7 +295,13 @@
 	struct owner_req *r;
 
 	if (!g || g->state == GROUP_RELEASED) {
-		reject_not_owner(o, link_id, m);
+		reject_message(o, link_id, m, "not the owner", true);
+		return;
+	}
+	/* Bodies from callers of this process are bounded by its frontends. */
+	if (link_id &&
+	    o->body_bytes + (int64_t)m->body_len > o->body_bytes_max) {
+		reject_message(o, link_id, m, "no memory at the owner", false);
 		return;
 	}
 	r = new_request(o, g, link_id, m);
@@ -329,6 +343,7 @@
 	struct owner *o = talloc_zero(e->ev, struct owner);
 
 	o->e = e;
+	o->body_bytes_max = memory_limit_bytes(&e->settings) / BODIES_SHARE;
 	o->groups = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 					  owner_free_group);
 	tevent_add_timer(e->ev, o, tevent_timeval_current(), on_tick, o);
--- a/src/entry/owner_int.h
+++ b/src/entry/owner_int.h
@@ -72,6 +72,8 @@
 	GHashTable *groups; /* key to group */
 	uint64_t next_query_id;
 	unsigned int n_pending;
+	int64_t body_bytes; /* of requests from other members */
+	int64_t body_bytes_max;
 };
 
 /* owner.c: binds queued requests to free slots and dispatches them. */
--- a/src/protocol/settings.c
+++ b/src/protocol/settings.c
@@ -8,6 +8,8 @@
 #include "protocol/fld.h"
 
 #define MINUTE_MS 60000
+/* Bodies of 1 MiB are accepted from so much on. */
+#define MEMORY_MIN_MIB 64
 #define HOUR_MS (60 * MINUTE_MS)
 
 #define AT(f) offsetof(struct settings, f)
@@ -36,6 +38,7 @@
 		INT_FIELD(store_timeout_ms, 50, MINUTE_MS, 1500),              \
 		INT_FIELD(poll_ms, 20, MINUTE_MS, 500),                        \
 		INT_FIELD(shards, 1, 256, 1),                                  \
+		INT_FIELD(memory_mib, 0, 1000000, 0),                          \
 		INT_FIELD(links_max, 16, 10000, 256),                          \
 		INT_FIELD(links_mib, 8, 100000, 32),                           \
 		INT_FIELD(log_priority, 0, 7, 6),                              \
@@ -91,6 +94,11 @@
 		fld_add_error(errs,
 			      "platform_url is \"%s\": give http://IP:PORT",
 			      s->platform_url);
+	if (s->memory_mib && s->memory_mib < MEMORY_MIN_MIB)
+		fld_add_error(errs,
+			      "memory_mib is less than %d: raise it, or give 0 "
+			      "for half of the machine's memory",
+			      MEMORY_MIN_MIB);
 	if (kind == SETTINGS_ENTRY && s->heartbeat_ms * 3 > s->permit_ms)
 		fld_add_error(errs,
 			      "heartbeat_ms is more than a third of permit_ms: "
--- a/src/protocol/settings.h
+++ b/src/protocol/settings.h
@@ -22,6 +22,7 @@
 	int64_t store_timeout_ms; /* of each request to the table service */
 	int64_t poll_ms; /* interval of reads of the store */
 	int64_t shards; /* of the batch scheduler, in all */
+	int64_t memory_mib; /* of this process; 0: half of the machine's */
 	int64_t links_max; /* accepted from other processes */
 	int64_t links_mib; /* memory for their incomplete messages */
 	int64_t log_priority; /* syslog; less urgent events are dropped */
--- a/src/transport/hts.h
+++ b/src/transport/hts.h
@@ -41,7 +41,7 @@
 	int64_t bodies_bytes; /* memory for all bodies: 64 MiB */
 	int64_t header_ms; /* time for a header, from its first byte: 10 s */
 	int64_t body_ms; /* time for a body: 20 s */
-	uint32_t send_buffer; /* bytes, doubled by the kernel: 64 KiB */
+	uint32_t send_buffer; /* bytes, doubled by the kernel */
 	bool share_port; /* lets other servers listen on the port too */
 };
 
@@ -60,6 +60,8 @@
 /* Memory that a connection takes at most, without its body and send buffer,
  * in bytes: buffers for headers, and the kernel's receive buffer. */
 #define HTS_CONNECTION_BYTES ((48 + 64 + 4) * 1024)
+/* Default of the send buffer, which the kernel doubles. */
+#define HTS_SEND_BUFFER_BYTES (16 * 1024)
 
 /* Returns a talloc child of `ctx`, or NULL with `e` filled in. */
 struct hts *hts_start(void *ctx, struct tevent_context *ev,
--- a/src/transport/hts_conn.c
+++ b/src/transport/hts_conn.c
@@ -29,7 +29,6 @@
 /* A client has so long in ms for the next bytes of its answer, and for all. */
 #define UNREAD_MAX_MS 10000
 #define SENDING_MAX_MS 60000
-#define DEFAULT_SEND_BUFFER_BYTES (64 * 1024)
 /* Time in ms in which a refused client can read the answer: closing a socket
  * with unread bytes resets the connection, and the answer may be lost. */
 #define REFUSED_MAX_MS 1000
@@ -342,7 +341,7 @@
 				  .sin_port = htons(opt->port) };
 	int size = RECEIVE_BUFFER_BYTES;
 	int send_size = (int)(opt->send_buffer ? opt->send_buffer
-					       : DEFAULT_SEND_BUFFER_BYTES);
+					       : HTS_SEND_BUFFER_BYTES);
 	int on = 1;
 	int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
 
--- a/tests/crowd_daemons.c
+++ b/tests/crowd_daemons.c
@@ -27,6 +27,9 @@
 	"\"team\":\"t\"},\"spec\":{\"tasks\":1,\"cpu_milli\":100,"             \
 	"\"mem_mib\":100,\"run_ms\":10}}"
 
+#define STRING(x) #x
+#define TEXT_OF(x) STRING(x)
+
 struct play {
 	struct hx *x;
 	struct crowd_usage entry;
@@ -34,31 +37,38 @@
 	int jobs; /* submitted */
 };
 
-static void watch(struct crowd_usage *u, struct hx *x, enum hx_role role)
+/* Crowds come to the port given here. */
+static void watch(struct crowd_usage *u, struct hx *x, enum hx_role role,
+		  bool http)
 {
+	int port = http ? x->http_port[role][VM] : x->peer_port[role][VM];
+
 	*u = (struct crowd_usage){ .pid = x->daemons[role][VM],
-				   .first_port = x->peer_port[role][VM],
-				   .last_port = x->peer_port[role][VM] };
+				   .first_port = port,
+				   .last_port = port };
+
 	crowd_sample(u, true);
 	printf("# %s before: %.1f MiB, %d descriptors\n",
 	       role == HX_ENTRY ? "entry" : "sched",
 	       (double)u->memory_bytes / (1 << 20), u->descriptors);
 }
 
-static void start(struct play *p)
+static void start(struct play *p, bool http)
 {
 	static const struct hx_options opt = {
 		.site = &hx_siriwattana,
 		.vms = 3,
 		.targets = 1,
 		.workers = 1,
+		.entry_settings = "\"memory_mib\":" TEXT_OF(MEMORY_MIB),
+		.sched_settings = "\"memory_mib\":" TEXT_OF(MEMORY_MIB),
 	};
 
 	*p = (struct play){ .x = hx_start(&opt) };
 	g_assert_true(hx_wait_ready(p->x));
 	g_assert_true(hx_operator_call_retry(p->x, "submit", MATCH));
-	watch(&p->entry, p->x, HX_ENTRY);
-	watch(&p->sched, p->x, HX_SCHED);
+	watch(&p->entry, p->x, HX_ENTRY, http);
+	watch(&p->sched, p->x, HX_SCHED, http);
 }
 
 static void fail(const char *why)
@@ -128,7 +138,7 @@
 	enum hx_role role = (enum hx_role)GPOINTER_TO_INT(priv);
 	struct play p;
 
-	start(&p);
+	start(&p, false);
 	run(&p,
 	    &(struct crowd_group){ .kind = CROWD_FRAMES,
 				   .port = p.x->peer_port[role][VM],
@@ -138,10 +148,62 @@
 	hx_stop(p.x);
 }
 
+/* All kinds of clients that stop short of their end, at the HTTP port. */
+static void test_http(const void *priv)
+{
+	enum hx_role role = (enum hx_role)GPOINTER_TO_INT(priv);
+	struct crowd_group groups[CROWD_LINKS];
+	struct play p;
+
+	start(&p, true);
+	for (int kind = 0; kind < CROWD_LINKS; kind++)
+		groups[kind] =
+			(struct crowd_group){ .kind = (enum crowd_kind)kind,
+					      .port = p.x->http_port[role][VM],
+					      .clients = CLIENTS,
+					      .ip = p.x->vm_ip[VM] };
+	run(&p, groups, CROWD_LINKS, role == HX_ENTRY ? &p.entry : &p.sched);
+	run(&p, groups, CROWD_LINKS, role == HX_ENTRY ? &p.entry : &p.sched);
+	hx_stop(p.x);
+}
+
+struct complete {
+	enum crowd_kind kind;
+	const char *path;
+};
+
+/* Complete requests of legal size, which the entry's modules handle. */
+static void test_complete(const void *priv)
+{
+	const struct complete *c = priv;
+	struct play p;
+
+	start(&p, true);
+	run(&p,
+	    &(struct crowd_group){ .kind = c->kind,
+				   .port = p.x->http_port[HX_ENTRY][VM],
+				   .clients = CLIENTS,
+				   .ip = p.x->vm_ip[VM],
+				   .path = c->path },
+	    1, &p.entry);
+	hx_stop(p.x);
+}
+
 void crowd_daemons_add(void)
 {
+	static const struct complete operations = { CROWD_VALUES,
+						    "/v1/submit" };
+	static const struct complete calls = { CROWD_CALLS, "/v1/call/match" };
+
 	g_test_add_data_func("/crowd/entry-links", GINT_TO_POINTER(HX_ENTRY),
 			     test_links);
 	g_test_add_data_func("/crowd/sched-links", GINT_TO_POINTER(HX_SCHED),
 			     test_links);
+	g_test_add_data_func("/crowd/entry-http", GINT_TO_POINTER(HX_ENTRY),
+			     test_http);
+	g_test_add_data_func("/crowd/sched-http", GINT_TO_POINTER(HX_SCHED),
+			     test_http);
+	g_test_add_data_func("/crowd/entry-operations", &operations,
+			     test_complete);
+	g_test_add_data_func("/crowd/entry-calls", &calls, test_complete);
 }
