--- a/src/protocol/rec.c
+++ b/src/protocol/rec.c
@@ -7,7 +7,10 @@
 #include <string.h>
 
 #include "protocol/fld.h"
+#include "protocol/json_cost.h"
 
+#define TEXT_MAX_BYTES (64 * 1024)
+#define TEXT_MAX_MARKS 1024
 #define TIMEOUT_MAX_MS (8LL * 3600 * 1000)
 #define RUN_MAX_MS (7LL * 24 * 3600 * 1000)
 #define BODY_MAX_BYTES (1 << 20)
@@ -205,12 +208,26 @@
 	return fld_to_err(&errs, ERR_RECORD, e);
 }
 
+bool rec_text_is_small(const char *text)
+{
+	static const struct jcost_limits limits = { TEXT_MAX_BYTES,
+						    TEXT_MAX_MARKS };
+
+	return jcost_is_within(text, strlen(text), &limits);
+}
+
 bool rec_parse_text(const char *text, struct rec *out, struct err *e)
 {
 	json_error_t je;
-	json_t *j = json_loads(text, JSON_REJECT_DUPLICATES, &je);
+	json_t *j;
 	bool good;
 
+	if (!rec_text_is_small(text))
+		return err_set(e, ERR_RECORD,
+			       "the record has more text or values than any: "
+			       "give up to %d bytes and %d values",
+			       TEXT_MAX_BYTES, TEXT_MAX_MARKS);
+	j = json_loads(text, JSON_REJECT_DUPLICATES, &je);
 	if (!j)
 		return err_set(e, ERR_RECORD, "not JSON at line %d: %s",
 			       je.line, je.text);
--- a/src/protocol/rec.h
+++ b/src/protocol/rec.h
@@ -53,6 +53,11 @@
 bool rec_parse(const json_t *j, struct rec *out, struct err *e);
 
 /* Like rec_parse, from JSON text. Duplicate keys are an error. */
+/* Returns whether a text, of a record or of a call that contains one, is small
+ * enough to be parsed: far larger than any record, and far from what takes
+ * noticeable time or memory. */
+bool rec_text_is_small(const char *text);
+
 bool rec_parse_text(const char *text, struct rec *out, struct err *e);
 
 /* Returns the record in schema 2; the caller owns the reference. */
--- a/src/state/shard_calls.c
+++ b/src/state/shard_calls.c
@@ -287,7 +287,8 @@
 int64_t shard_call(struct shard *s, const char *verb, const char *text,
 		   struct shard_time now, json_t **reply, bool *wait)
 {
-	json_t *arg = json_loads(text, 0, NULL);
+	json_t *arg =
+		rec_text_is_small(text) ? json_loads(text, 0, NULL) : NULL;
 	struct call c = { .s = s, .arg = arg, .now = now };
 	int64_t status = STATUS_BAD;
 
--- a/tests/crowd_clients.c
+++ b/tests/crowd_clients.c
@@ -162,6 +162,39 @@
 		TASKS_ID + number, strlen(body), body);
 }
 
+static void add_frame(GString *w, const GString *payload)
+{
+	uint32_t len = htonl((uint32_t)payload->len);
+
+	g_string_append_len(w, (const char *)&len, sizeof(len));
+	g_string_append_len(w, payload->str, (gssize)payload->len);
+}
+
+/* Adds a ping and a call of the verb submit for shard 0, as msgpack. Its text
+ * is JSON that holds no record. */
+static void add_call(GString *w)
+{
+	static const char ping[] = "\x96\x00\xa1"
+				   "c\x01\x01\x01\x01";
+	static const char call[] = "\x95\x07\x01\xa6submit\xa2#0\xdb";
+	GString *payload = g_string_new_len(ping, sizeof(ping) - 1);
+	uint32_t len;
+	size_t at;
+
+	add_frame(w, payload);
+	g_string_truncate(payload, 0);
+	g_string_append_len(payload, call, sizeof(call) - 1);
+	at = payload->len;
+	g_string_append_len(payload, "\0\0\0\0[{}", 7);
+	while (payload->len < FRAME_MOST_BYTES)
+		g_string_append(payload, ",{}");
+	g_string_append(payload, "]");
+	len = htonl((uint32_t)(payload->len - at - sizeof(len)));
+	memcpy(payload->str + at, &len, sizeof(len));
+	add_frame(w, payload);
+	g_string_free(payload, TRUE);
+}
+
 static void free_wire(gpointer wire)
 {
 	g_string_free(wire, TRUE);
@@ -180,6 +213,10 @@
 						 : FRAME_MOST_BYTES);
 		return w;
 	}
+	if (kind == CROWD_PEER_CALLS) {
+		add_call(w);
+		return w;
+	}
 	while (kind == CROWD_UNREAD && w->len < BODY_BYTES)
 		g_string_append_printf(w,
 				       "GET %s HTTP/1.1\r\nHost: jobs.example"
--- a/tests/crowd_daemons.c
+++ b/tests/crowd_daemons.c
@@ -16,7 +16,6 @@
 #define MEMORY_MIB 130
 #define DESCRIPTORS 400
 #define CLIENTS 60
-#define VM 0
 /* A call that is not answered for this long is never answered. */
 #define SERVED_MAX_MS 30000
 #define MATCH                                                                  \
@@ -35,24 +34,32 @@
 	struct crowd_usage entry;
 	struct crowd_usage sched;
 	int jobs; /* submitted */
+	int vm; /* that the crowd comes to */
 };
 
-/* Crowds come to the port given here. */
-static void watch(struct crowd_usage *u, struct hx *x, enum hx_role role,
-		  bool http)
+static void watch_process(struct crowd_usage *u, const struct play *p,
+			  enum hx_role role, bool http)
 {
-	int port = http ? x->http_port[role][VM] : x->peer_port[role][VM];
+	const struct hx *x = p->x;
+	int port = http ? x->http_port[role][p->vm] : x->peer_port[role][p->vm];
 
-	*u = (struct crowd_usage){ .pid = x->daemons[role][VM],
+	*u = (struct crowd_usage){ .pid = x->daemons[role][p->vm],
 				   .first_port = port,
 				   .last_port = port };
-
 	crowd_sample(u, true);
 	printf("# %s before: %.1f MiB, %d descriptors\n",
 	       role == HX_ENTRY ? "entry" : "sched",
 	       (double)u->memory_bytes / (1 << 20), u->descriptors);
 }
 
+/* Begins to measure. The crowd comes to the ports for HTTP, or to the others.
+ */
+static void watch(struct play *p, bool http)
+{
+	watch_process(&p->entry, p, HX_ENTRY, http);
+	watch_process(&p->sched, p, HX_SCHED, http);
+}
+
 static void start(struct play *p, bool http)
 {
 	static const struct hx_options opt = {
@@ -67,8 +74,7 @@
 	*p = (struct play){ .x = hx_start(&opt) };
 	g_assert_true(hx_wait_ready(p->x));
 	g_assert_true(hx_operator_call_retry(p->x, "submit", MATCH));
-	watch(&p->entry, p->x, HX_ENTRY, http);
-	watch(&p->sched, p->x, HX_SCHED, http);
+	watch(p, http);
 }
 
 static void fail(const char *why)
@@ -89,7 +95,7 @@
 	       (double)u->memory_bytes / (1 << 20), MEMORY_MIB, u->descriptors,
 	       DESCRIPTORS);
 	fflush(stdout);
-	if (hx_has_ended(p->x->daemons[role][VM], &code))
+	if (hx_has_ended(p->x->daemons[role][p->vm], &code))
 		fail("a process has ended");
 	if (u->memory_bytes > (int64_t)MEMORY_MIB << 20)
 		fail("more memory than its part of the VM");
@@ -106,7 +112,7 @@
 	bool served = false;
 
 	while (!served && hx_now_ms() < end) {
-		resp = hx_call(p->x, VM, "match", NULL, 1, 3000,
+		resp = hx_call(p->x, p->vm, "match", NULL, 1, 3000,
 			       "{\"work_us\":1000,\"id\":\"q\"}");
 		served = resp.status == 200;
 		hx_response_free(&resp);
@@ -141,9 +147,9 @@
 	start(&p, false);
 	run(&p,
 	    &(struct crowd_group){ .kind = CROWD_FRAMES,
-				   .port = p.x->peer_port[role][VM],
+				   .port = p.x->peer_port[role][p.vm],
 				   .clients = CLIENTS,
-				   .ip = p.x->vm_ip[VM] },
+				   .ip = p.x->vm_ip[p.vm] },
 	    1, role == HX_ENTRY ? &p.entry : &p.sched);
 	hx_stop(p.x);
 }
@@ -157,16 +163,52 @@
 
 	start(&p, true);
 	for (int kind = 0; kind < CROWD_LINKS; kind++)
-		groups[kind] =
-			(struct crowd_group){ .kind = (enum crowd_kind)kind,
-					      .port = p.x->http_port[role][VM],
-					      .clients = CLIENTS,
-					      .ip = p.x->vm_ip[VM] };
+		groups[kind] = (struct crowd_group){
+			.kind = (enum crowd_kind)kind,
+			.port = p.x->http_port[role][p.vm],
+			.clients = CLIENTS,
+			.ip = p.x->vm_ip[p.vm]
+		};
 	run(&p, groups, CROWD_LINKS, role == HX_ENTRY ? &p.entry : &p.sched);
 	run(&p, groups, CROWD_LINKS, role == HX_ENTRY ? &p.entry : &p.sched);
 	hx_stop(p.x);
 }
 
+/* Returns the VM whose scheduler serves the shard. */
+static int find_scheduler(const struct hx *x)
+{
+	for (int vm = 0; vm < x->opt.vms; vm++) {
+		g_autofree char *url =
+			g_strdup_printf("http://%s:%d/metrics", x->vm_ip[vm],
+					x->http_port[HX_SCHED][vm]);
+		struct hx_response resp = hx_http("GET", url, NULL, NULL, 3000);
+		bool serves =
+			resp.body && strstr(resp.body, "gd_shards_held 1");
+
+		hx_response_free(&resp);
+		if (serves)
+			return vm;
+	}
+	g_assert_not_reached();
+}
+
+/* Complete calls of the largest size at the scheduler that handles them. */
+static void test_sched_calls(void)
+{
+	struct play p;
+
+	start(&p, false);
+	p.vm = find_scheduler(p.x);
+	watch(&p, false);
+	run(&p,
+	    &(struct crowd_group){ .kind = CROWD_PEER_CALLS,
+				   .port = p.x->peer_port[HX_SCHED][p.vm],
+				   .clients = CLIENTS,
+				   .ip = p.x->vm_ip[p.vm] },
+	    1, &p.sched);
+	hx_stop(p.x);
+}
+
 struct complete {
 	enum crowd_kind kind;
 	const char *path;
@@ -181,9 +223,9 @@
 	start(&p, true);
 	run(&p,
 	    &(struct crowd_group){ .kind = c->kind,
-				   .port = p.x->http_port[HX_ENTRY][VM],
+				   .port = p.x->http_port[HX_ENTRY][p.vm],
 				   .clients = CLIENTS,
-				   .ip = p.x->vm_ip[VM],
+				   .ip = p.x->vm_ip[p.vm],
 				   .path = c->path },
 	    1, &p.entry);
 	hx_stop(p.x);
@@ -203,6 +245,7 @@
 			     test_http);
 	g_test_add_data_func("/crowd/sched-http", GINT_TO_POINTER(HX_SCHED),
 			     test_http);
+	g_test_add_func("/crowd/sched-calls", test_sched_calls);
 	g_test_add_data_func("/crowd/entry-operations", &operations,
 			     test_complete);
 	g_test_add_data_func("/crowd/entry-calls", &calls, test_complete);
--- a/tests/unit_protocol.c
+++ b/tests/unit_protocol.c
@@ -2,6 +2,8 @@
  * input. */
 #include <glib.h>
 #include <glib/gstdio.h>
+#include <jansson.h>
+#include <stdlib.h>
 #include <string.h>
 #include <talloc.h>
 
@@ -159,8 +161,36 @@
 	g_free(h);
 }
 
+static int allocations;
+
+static void *count_malloc(size_t size)
+{
+	allocations++;
+	return malloc(size);
+}
+
+/* Guards against parsing what is no record: 1 MB took 100 ms, in which the
+ * entry answered no heartbeat. */
+static void test_record_cost(void)
+{
+	GString *text = g_string_new("[{}");
+	struct err e = { 0 };
+	struct rec r;
+
+	while (text->len < 1000000)
+		g_string_append(text, ",{}");
+	g_string_append(text, "]");
+	json_set_alloc_funcs(count_malloc, free);
+	allocations = 0;
+	g_assert_false(rec_parse_text(text->str, &r, &e));
+	g_assert_cmpint(allocations, ==, 0);
+	json_set_alloc_funcs(malloc, free);
+	g_string_free(text, TRUE);
+}
+
 void unit_add_protocol(void)
 {
+	g_test_add_func("/rec/cost", test_record_cost);
 	g_test_add_func("/msg/round-trip", test_msg_round_trip);
 	g_test_add_func("/msg/garbage", test_msg_garbage);
 	g_test_add_func("/rec/schemas-agree", test_schemas_agree);
