Test all crowds at all listeners of all VMs, also without the store

/crowd/everywhere: 1,350 clients of eleven kinds at the four listeners of three VMs, each of the callers' from an address of its own, and again while the store doesn't answer.

--- a/tests/crowd_clients.c
+++ b/tests/crowd_clients.c
@@ -263,10 +263,11 @@
 	return w;
 }
 
-static int connect_to(const char *ip, int port, bool reads)
+static int connect_to(const char *ip, int port, bool reads, int source)
 {
 	struct sockaddr_in a = { .sin_family = AF_INET,
 				 .sin_port = htons((uint16_t)port) };
+	struct sockaddr_in from = { .sin_family = AF_INET };
 	int small = SMALL_BUFFER_BYTES;
 	int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
 
@@ -274,6 +275,13 @@
 	/* Answers fill it soon. */
 	if (!reads)
 		setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &small, sizeof(small));
+	if (source) {
+		from.sin_addr.s_addr =
+			htonl(INADDR_LOOPBACK + (uint32_t)source);
+		g_assert_cmpint(
+			bind(fd, (struct sockaddr *)&from, sizeof(from)), ==,
+			0);
+	}
 	inet_pton(AF_INET, ip ? ip : "127.0.0.1", &a.sin_addr);
 	if (connect(fd, (struct sockaddr *)&a, sizeof(a)) < 0)
 		g_assert_cmpint(errno, ==, EINPROGRESS);
@@ -364,13 +372,15 @@
 			if (!k || g->kind == CROWD_TASKS)
 				g_ptr_array_add(c->wires,
 						make_wire(g, g->first + k));
-			c->clients[at++] = (struct client){
-				.fd = connect_to(g->ip, g->port, reads),
+			c->clients[at] = (struct client){
+				.fd = connect_to(g->ip, g->port, reads,
+						 g->apart ? at : 0),
 				.wire = c->wires->pdata[c->wires->len - 1],
 				.reads = reads,
 				.piece = g->kind == CROWD_PIECES ? PIECE_BYTES
 								 : WRITE_BYTES,
 			};
+			at++;
 		}
 	}
 	for (;;) {
--- a/tests/crowd_clients.h
+++ b/tests/crowd_clients.h
@@ -34,6 +34,7 @@
 	const char *ip; /* NULL: 127.0.0.1 */
 	const char *path; /* of HTTP requests; NULL: that of a job */
 	int first; /* number of the first job */
+	bool apart; /* each client has an address of its own */
 };
 
 /* Largest values seen so far. Memory is what is resident plus what the kernel
--- a/tests/crowd_tests.c
+++ b/tests/crowd_tests.c
@@ -19,6 +19,10 @@
 #define CLIENTS 120
 #define LINKS 400
 #define GROUPS_MAX 8
+#define VMS 3
+#define GROUPS_OF_VM 16
+/* Of each kind at each VM, if there are many kinds. */
+#define MIXED_CLIENTS 30
 /* After this time an accepted job is known everywhere, in ms. */
 #define VISIBLE_MS 3000
 /* A call that is not answered for this long is never answered. */
@@ -29,10 +33,11 @@
 #define STRING(x) #x
 #define TEXT_OF(x) STRING(x)
 
-static void start(struct hf *s, struct crowd_usage *u)
+/* Starts the VMs, and begins to measure each. */
+static void start_vms(struct hf *s, int vms, struct crowd_usage *usages)
 {
-	static const struct hf_options opt = {
-		.vms = 1,
+	struct hf_options opt = {
+		.vms = vms,
 		.workers = 2,
 		.relays = true,
 		.bounds = "bounds.lease_ms=500\nlimits.memory_mb=" TEXT_OF(
@@ -40,12 +45,23 @@
 	};
 
 	hf_start(s, &opt);
-	*u = (struct crowd_usage){ .pid = s->vms[0],
-				   .first_port = s->vm_ports,
-				   .last_port = s->vm_ports + HF_VM_PORTS - 1 };
-	crowd_sample(u, true);
-	printf("# before: %.1f MiB, %d descriptors\n",
-	       (double)u->memory_bytes / (1 << 20), u->descriptors);
+	for (int vm = 0; vm < vms; vm++) {
+		struct crowd_usage *u = &usages[vm];
+		int port = s->vm_ports + vm * HF_VM_PORTS;
+
+		*u = (struct crowd_usage){ .pid = s->vms[vm],
+					   .first_port = port,
+					   .last_port =
+						   port + HF_VM_PORTS - 1 };
+		crowd_sample(u, true);
+		printf("# before: %.1f MiB, %d descriptors\n",
+		       (double)u->memory_bytes / (1 << 20), u->descriptors);
+	}
+}
+
+static void start(struct hf *s, struct crowd_usage *u)
+{
+	start_vms(s, 1, u);
 }
 
 static void fail(const char *why)
@@ -56,7 +72,7 @@
 }
 
 /* Reports the figures, and fails the test if a bound is broken. */
-static void check(struct hf *s, struct crowd_usage *u)
+static void check_vm(struct hf *s, int vm, struct crowd_usage *u)
 {
 	int code;
 
@@ -65,7 +81,7 @@
 	       (double)u->memory_bytes / (1 << 20), MEMORY_MIB, u->descriptors,
 	       MAX_FDS - FDS_FOR_FILES);
 	fflush(stdout);
-	if (hx_has_ended(s->vms[0], &code))
+	if (hx_has_ended(s->vms[vm], &code))
 		fail("the process has ended");
 	if (u->memory_bytes > (int64_t)MEMORY_MIB << 20)
 		fail("more memory than the VM has");
@@ -73,6 +89,11 @@
 		fail("more descriptors than the VM has");
 }
 
+static void check(struct hf *s, struct crowd_usage *u)
+{
+	check_vm(s, 0, u);
+}
+
 /* Sends an ordinary job until it is accepted. */
 static void check_serves(struct hf *s, const char *when)
 {
@@ -267,6 +288,76 @@
 	hf_stop(&s);
 }
 
+/* Adds all kinds of clients for all listeners of a VM. */
+static int add_vm_groups(const struct hf *s, int vm, int first,
+			 struct crowd_group *out)
+{
+	static const enum crowd_kind kinds[] = {
+		CROWD_WHOLE,	    CROWD_PIECES,	  CROWD_CHUNKS,
+		CROWD_SMALL_CHUNKS, CROWD_ANNOUNCED_OVER, CROWD_CHUNKED_OVER,
+		CROWD_HEADERS,	    CROWD_VALUES,	  CROWD_UNREAD,
+		CROWD_TASKS
+	};
+	int port = s->vm_ports + vm * HF_VM_PORTS;
+	int n = 0;
+
+	for (size_t i = 0; i < G_N_ELEMENTS(kinds); i++)
+		out[n++] = (struct crowd_group){ .kind = kinds[i],
+						 .port = port,
+						 .clients = MIXED_CLIENTS,
+						 .first = first,
+						 .apart = true };
+	for (int i = 1; i < 3; i++) {
+		out[n++] = (struct crowd_group){ .kind = CROWD_CHUNKS,
+						 .port = port + i,
+						 .clients = MIXED_CLIENTS };
+		out[n++] = (struct crowd_group){ .kind = CROWD_UNREAD,
+						 .port = port + i,
+						 .clients = MIXED_CLIENTS,
+						 .path = "/v1/readyz" };
+	}
+	out[n++] = (struct crowd_group){ .kind = CROWD_LINKS,
+					 .port = port + 3,
+					 .clients = MIXED_CLIENTS };
+	return n;
+}
+
+/*
+ * All crowds at all listeners of all VMs, from many addresses: once, and again
+ * while the store doesn't answer. Guards against limits that hold alone only.
+ */
+static void test_everywhere(void)
+{
+	struct crowd_group groups[VMS * GROUPS_OF_VM];
+	struct crowd_usage usages[VMS];
+	struct crowd *c;
+	struct hf s;
+
+	start_vms(&s, VMS, usages);
+	for (int round = 0; round < 2; round++) {
+		int n = 0;
+
+		for (int vm = 0; vm < VMS; vm++)
+			n += add_vm_groups(&s, vm,
+					   (round * VMS + vm) * MIXED_CLIENTS,
+					   &groups[n]);
+		if (round)
+			hx_signal_pid(s.platform, SIGSTOP);
+		c = crowd_start(groups, n, &usages[0]);
+		printf("# clients: %d sent all, %d disconnected\n",
+		       crowd_sent(c), crowd_closed(c));
+		hx_signal_pid(s.platform, SIGCONT);
+		check_serves(&s, "no answer beside the crowd");
+		check_operators(&s);
+		crowd_stop(c);
+		hx_sleep_ms(VISIBLE_MS);
+		check_serves(&s, "no answer after the crowd");
+		for (int vm = 0; vm < VMS; vm++)
+			check_vm(&s, vm, &usages[vm]);
+	}
+	hf_stop(&s);
+}
+
 int main(int argc, char **argv)
 {
 	static const char *const names[] = { "whole",	       "pieces",
@@ -293,6 +384,7 @@
 	g_test_add_func("/crowd/operators", test_operators);
 	g_test_add_func("/crowd/tasks", test_tasks);
 	g_test_add_func("/crowd/unread", test_unread);
+	g_test_add_func("/crowd/everywhere", test_everywhere);
 	crowd_daemons_add();
 	return g_test_run();
 }
