Refuse batch records for which their scheduler has no memory

Cause: a shard keeps 88 bytes a task from the submission on, and nothing bounds their number.

Change: tasks of all shards have a quarter of the memory limit; a record beyond it is answered 503, not done. Records of up to 100 tasks may use all of it, others three quarters.

--- a/src/sched/shard_server.c
+++ b/src/sched/shard_server.c
@@ -7,12 +7,15 @@
 #include <string.h>
 
 #include "base/log.h"
+#include "daemon/memory_limit.h"
 #include "state/journal.h"
 
 #define TICK_MS 10
 #define SHARD_TICK_MS 100
 #define STATUS_NOT_OWNER 421
 #define STATUS_UNAVAILABLE 503
+/* Part of the memory limit for tasks, of all shards together. */
+#define TASKS_SHARE 4
 /* A sync times out after the worker lease divided by this. */
 #define SYNCS_PER_LEASE 3
 
@@ -397,6 +400,8 @@
 		.renew_max_ms = clean ? 0 : s->renew_max_ms,
 		.start_age_max_ms = s->start_age_max_ms,
 		.claim_retention_ms = s->claim_retention_s * 1000,
+		.memory_bytes =
+			memory_limit_bytes(s) / (TASKS_SHARE * s->shards),
 		.policy = &place_best_fit,
 	};
 
--- a/src/state/shard.h
+++ b/src/state/shard.h
@@ -29,6 +29,7 @@
 				 without access to the store */
 	int64_t start_age_max_ms;
 	int64_t claim_retention_ms;
+	int64_t memory_bytes; /* for tasks; 0: any */
 	const struct place_policy *policy;
 };
 
--- a/src/state/shard_calls.c
+++ b/src/state/shard_calls.c
@@ -9,6 +9,10 @@
 #define STATUS_BAD 400
 #define STATUS_ABSENT 404
 #define STATUS_CONFLICT 409
+#define STATUS_UNAVAILABLE 503
+/* A part of the memory for tasks is left to records of few tasks. */
+#define RESERVED_SHARE 4
+#define FEW_TASKS 100
 
 struct call {
 	struct shard *s;
@@ -76,6 +80,21 @@
 		      : NULL;
 }
 
+/* Returns whether there is memory for the tasks of another record. */
+static bool has_memory(const struct shard *s, const struct rec *rec)
+{
+	int64_t limit = s->opt.memory_bytes;
+	int64_t tasks = rec->tasks;
+
+	if (!limit)
+		return true;
+	for (int i = 0; i < SHARD_STATES; i++)
+		tasks += s->totals.tasks[i];
+	if (rec->tasks > FEW_TASKS)
+		limit -= limit / RESERVED_SHARE;
+	return tasks * (int64_t)sizeof(struct shard_task) <= limit;
+}
+
 static int64_t submit(struct call *c)
 {
 	const json_t *j = json_object_get(c->arg, "rec");
@@ -96,6 +115,11 @@
 	why = why_never_fits(c->s, &rec);
 	if (why)
 		return reply_error(c, STATUS_BAD, ERR_RECORD, why);
+	if (!has_memory(c->s, &rec))
+		return reply_error(
+			c, STATUS_UNAVAILABLE, ERR_UNAVAILABLE,
+			"not done: the scheduler has no memory for so many "
+			"tasks: try again when others are done");
 	shard_add_entry(c->s,
 			json_pack("[s,s,O]", "submit", arg_str(c, "op"), j),
 			c->now);
--- a/tests/crowd_clients.c
+++ b/tests/crowd_clients.c
@@ -162,6 +162,22 @@
 		TASKS_ID + number, strlen(body), body);
 }
 
+/* Adds a batch record that no worker has room for. */
+static void add_record(GString *w, int number)
+{
+	g_autofree char *body = g_strdup_printf(
+		"{\"schema\":2,\"kind\":\"batch\",\"meta\":{\"name\":"
+		"\"crowd-%d\",\"team\":\"t\"},\"spec\":{\"tasks\":10000,"
+		"\"cpu_milli\":4000,\"mem_mib\":100,\"run_ms\":600000}}",
+		number);
+
+	g_string_append_printf(w,
+			       "POST /v1/submit HTTP/1.1\r\nHost: a\r\n"
+			       "Operation-Id: crowd-%d\r\n"
+			       "Content-Length: %zu\r\n\r\n%s",
+			       number, strlen(body), body);
+}
+
 static void add_frame(GString *w, const GString *payload)
 {
 	uint32_t len = htonl((uint32_t)payload->len);
@@ -224,8 +240,11 @@
 				       group->path ? group->path : "/q/");
 	if (kind == CROWD_UNREAD)
 		return w;
-	if (kind == CROWD_TASKS) {
-		add_tasks(w, number);
+	if (kind == CROWD_TASKS || kind == CROWD_RECORDS) {
+		if (kind == CROWD_TASKS)
+			add_tasks(w, number);
+		else
+			add_record(w, number);
 		return w;
 	}
 	g_string_append_printf(w, "POST %s HTTP/1.1\r\nHost: jobs.example\r\n",
@@ -368,8 +387,9 @@
 		bool reads = g->kind != CROWD_UNREAD;
 
 		for (int k = 0; k < g->clients; k++) {
-			/* Only jobs differ. */
-			if (!k || g->kind == CROWD_TASKS)
+			/* Only jobs and records differ. */
+			if (!k || g->kind == CROWD_TASKS ||
+			    g->kind == CROWD_RECORDS)
 				g_ptr_array_add(c->wires,
 						make_wire(g, g->first + k));
 			c->clients[at] = (struct client){
--- a/tests/crowd_clients.h
+++ b/tests/crowd_clients.h
@@ -23,6 +23,7 @@
 	CROWD_TASKS, /* complete: a job of its own, with the most tasks */
 	CROWD_CALLS, /* complete: a request of legal size that runs for long */
 	CROWD_PEER_CALLS, /* links to a scheduler: a complete call of values */
+	CROWD_RECORDS, /* complete: a batch record of its own, most tasks */
 	CROWD_KINDS
 };
 
--- a/tests/crowd_daemons.c
+++ b/tests/crowd_daemons.c
@@ -16,6 +16,7 @@
 #define MEMORY_MIB 130
 #define DESCRIPTORS 400
 #define CLIENTS 60
+#define RECORD_CROWDS 3
 /* A call that is not answered for this long is never answered. */
 #define SERVED_MAX_MS 30000
 #define MATCH                                                                  \
@@ -209,6 +210,27 @@
 	hx_stop(p.x);
 }
 
+/* Small records of many tasks, at an entry, which take memory at the scheduler
+ * of their shard. */
+static void test_records(void)
+{
+	struct play p;
+
+	start(&p, true);
+	p.vm = find_scheduler(p.x);
+	watch(&p, true);
+	for (int i = 0; i < RECORD_CROWDS; i++)
+		run(&p,
+		    &(struct crowd_group){
+			    .kind = CROWD_RECORDS,
+			    .port = p.x->http_port[HX_ENTRY][p.vm],
+			    .clients = CLIENTS,
+			    .ip = p.x->vm_ip[p.vm],
+			    .first = i * CLIENTS },
+		    1, &p.entry);
+	hx_stop(p.x);
+}
+
 struct complete {
 	enum crowd_kind kind;
 	const char *path;
@@ -246,6 +268,7 @@
 	g_test_add_data_func("/crowd/sched-http", GINT_TO_POINTER(HX_SCHED),
 			     test_http);
 	g_test_add_func("/crowd/sched-calls", test_sched_calls);
+	g_test_add_func("/crowd/sched-records", test_records);
 	g_test_add_data_func("/crowd/entry-operations", &operations,
 			     test_complete);
 	g_test_add_data_func("/crowd/entry-calls", &calls, test_complete);
