Ask all VMs in the test of all crowds, and while the store is away

/crowd/everywhere sent ordinary jobs and readiness checks to one of its three VMs only, and nothing while the store was stopped: a VM that stood still then would have passed. Now each VM has to answer a request while the store doesn't, and to accept a job, be ready and answer operators beside the crowd once it does. The crowd and the bounds are the same.

--- a/tests/crowd_tests.c
+++ b/tests/crowd_tests.c
@@ -95,7 +95,7 @@
 }
 
 /* Sends an ordinary job until it is accepted. */
-static void check_serves(struct hf *s, const char *when)
+static void check_vm_serves(struct hf *s, int vm, const char *when)
 {
 	g_autofree char *path = g_strdup_printf("/q/%016x", ++s->jobs);
 	int64_t end = hx_now_ms() + SERVED_MAX_MS;
@@ -103,7 +103,7 @@
 	long status;
 
 	do {
-		resp = hf_call(s, NULL, 0, "POST", path,
+		resp = hf_call(s, NULL, vm, "POST", path,
 			       "{\"spec\":\"ms=10\",\"steps\":" ONE_STEP "}");
 		status = resp.status;
 		hx_response_free(&resp);
@@ -114,18 +114,41 @@
 		fail(when);
 }
 
+static void check_serves(struct hf *s, const char *when)
+{
+	check_vm_serves(s, 0, when);
+}
+
+/* Checks that an ordinary request is answered, with whatever status: while the
+ * store is away no job can be accepted. */
+static void check_vm_answers(struct hf *s, int vm)
+{
+	int64_t end = hx_now_ms() + SERVED_MAX_MS;
+	struct hx_response resp;
+	long status;
+
+	do {
+		resp = hf_call(s, NULL, vm, "GET", "/q/", NULL);
+		status = resp.status;
+		hx_response_free(&resp);
+	} while (!status && hx_now_ms() < end);
+	if (!status)
+		fail("no answer while the store is away");
+}
+
 /* Checks that the load balancer and operators are answered. */
-static void check_operators(const struct hf *s)
+static void check_operators(const struct hf *s, int vm)
 {
 	int64_t end = hx_now_ms() + SERVED_MAX_MS;
 	g_autofree char *url =
-		g_strdup_printf("http://127.0.0.1:%d/metrics", s->vm_ports + 2);
+		g_strdup_printf("http://127.0.0.1:%d/metrics",
+				s->vm_ports + vm * HF_VM_PORTS + 2);
 	struct hx_response resp;
 	bool served;
 
 	do {
 		resp = hx_http("GET", url, NULL, NULL, HF_CALL_MS);
-		served = resp.status == 200 && hf_is_ready(s, 0);
+		served = resp.status == 200 && hf_is_ready(s, vm);
 		hx_response_free(&resp);
 		if (!served)
 			hx_sleep_ms(100);
@@ -144,7 +167,7 @@
 	printf("# clients: %d sent all, %d disconnected\n", crowd_sent(c),
 	       crowd_closed(c));
 	check_serves(s, "no answer beside the crowd");
-	check_operators(s);
+	check_operators(s, 0);
 	crowd_sample(u, true);
 	crowd_stop(c);
 	check_serves(s, "no answer after the crowd");
@@ -346,12 +369,18 @@
 		c = crowd_start(groups, n, &usages[0]);
 		printf("# clients: %d sent all, %d disconnected\n",
 		       crowd_sent(c), crowd_closed(c));
+		for (int vm = 0; vm < VMS; vm++)
+			check_vm_answers(&s, vm);
 		hx_signal_pid(s.platform, SIGCONT);
-		check_serves(&s, "no answer beside the crowd");
-		check_operators(&s);
+		for (int vm = 0; vm < VMS; vm++) {
+			check_vm_serves(&s, vm, "no answer beside the crowd");
+			check_operators(&s, vm);
+			crowd_sample(&usages[vm], true);
+		}
 		crowd_stop(c);
 		hx_sleep_ms(VISIBLE_MS);
-		check_serves(&s, "no answer after the crowd");
+		for (int vm = 0; vm < VMS; vm++)
+			check_vm_serves(&s, vm, "no answer after the crowd");
 		for (int vm = 0; vm < VMS; vm++)
 			check_vm(&s, vm, &usages[vm]);
 	}
