--- a/src/coordination/sched_int.h
+++ b/src/coordination/sched_int.h
@@ -70,6 +70,12 @@
 struct sched_run *sched_run_new(struct sched *s, struct sched_task *t,
 				struct sched_worker *w, int32_t number,
 				int64_t now_ms);
+/* Returns the task's run of that number at the worker, or NULL. `t` may be
+ * NULL. */
+struct sched_run *sched_find_run(const struct sched_task *t,
+				 const struct sched_worker *w, int32_t number);
+/* A run of the job has started: it is queued no more. */
+void sched_mark_running(struct sched *s, struct sched_job *job);
 /* Sets the pace and updates the worker's best_effort_milli. */
 void sched_set_pace(struct sched_run *run, int32_t pace);
 /* Removes the run from its task and worker, and frees it. */
