--- a/src/coordination/sched_report.c
+++ b/src/coordination/sched_report.c
@@ -74,6 +74,20 @@
 	return t->step->def->gang ? &t->step->tasks[0] : t;
 }
 
+/* Returns why there is no such task. */
+static const char *find_no_task_reason(const struct sched *s,
+				       const struct sched_ref *ref)
+{
+	const struct sched_job *job = g_hash_table_lookup(s->jobs, ref->job);
+
+	if (!job)
+		return "unknown job";
+	if (sched_job_has_ended(job))
+		return "job has ended";
+	return ref->round < job->next_round ? "round is done"
+					    : "round is not open";
+}
+
 static void process_end(struct sched *s, struct sched_worker *w,
 			const struct sched_end *e, int64_t now_ms,
 			int64_t wall_ms)
@@ -88,8 +102,11 @@
 	if (e->reason == SCHED_END_DONE || e->reason == SCHED_END_FAILED)
 		sched_record_result(s, w, &e->ref, run,
 				    e->reason == SCHED_END_FAILED, now_ms);
-	if (!t)
+	if (!t) {
+		s->ops->log_decision(s->priv, "end ignored", &e->ref, w,
+				     find_no_task_reason(s, &e->ref));
 		return;
+	}
 	if (run && e->reason == SCHED_END_DONE)
 		sched_record_run_time(s, run, now_ms);
 	if (run && t->step->def->best_effort)
