Open only rounds that a successor can store the ends of

Of 400 occurrences of a job, all due, 10 to 16 tasks ran again after they had ended done, when the store turned the owner away and another VM took over.

Cause: an owner opened rounds as long as fewer than 64 were open in its memory, also while it could store nothing. Its successor began with the stored row, which had 64 open rounds, and had no room for those that came after. Ends of their tasks were dropped, but counted as seen, and so were acknowledged with the next commit; their active runs were stopped as unknown. The rounds were opened later, as if they had never begun.

Change: rounds are opened only within a window, which begins with the rounds that are done by the stored progress row and has as many as a row holds, at most 64. A commit moves it. Ends and runs beyond it are left at the worker: neither acknowledged nor stopped, and the worker isn't reconciled. A run of a handover beyond it makes its worker's runs unknown. Rounds done but not stored count in the account of memory.

Why it works: a successor's window begins with the same row or a later one, so each round that a predecessor may have begun is in it, and fits into memory and the row. What doesn't can no longer be acknowledged.

Ruled out: opening all reported rounds (no bound on memory or row), storing ends without their rounds (likewise), only leaving them at the workers (they fill the list of 500 ends, which hides those of other jobs).

Tests: /rounds/*, without a network but for commits-move-window, which uses the store in memory.

--- a/src/coordination/sched.c
+++ b/src/coordination/sched.c
@@ -52,6 +52,7 @@
 	s->worker_list = g_ptr_array_new();
 	g_queue_init(&s->ready_steps);
 	g_queue_init(&s->dirty_jobs);
+	g_queue_init(&s->committing_jobs);
 	g_queue_init(&s->lost_workers);
 	g_queue_init(&s->given_up);
 }
@@ -170,6 +171,7 @@
 	w->inherited_runs_known |= w->reconciled;
 	w->reconciled = false;
 	w->foreign_runs = 0;
+	w->unopened_runs = 0;
 	sched_org_worker_restarted(s, w, now_ms);
 	w->seen_seq = 0;
 	w->durable_seq = 0;
@@ -244,6 +246,11 @@
 	return w->runs.length || w->foreign_runs;
 }
 
+bool sched_worker_needs_lease(const struct sched_worker *w)
+{
+	return w->runs.length || w->unopened_runs;
+}
+
 bool sched_worker_busy(const struct sched_worker *w)
 {
 	return !w->reconciled || sched_worker_has_runs(w) ||
@@ -307,6 +314,7 @@
 		drop_lost_run(s, w->runs.head->data);
 	sched_org_worker_ended(s, w);
 	w->foreign_runs = 0;
+	w->unopened_runs = 0;
 	w->lease_end_clock_ms = 0;
 }
 
--- a/src/coordination/sched.h
+++ b/src/coordination/sched.h
@@ -78,6 +78,10 @@
  * reference. */
 json_t *sched_job_progress(const struct sched_job *job,
 			   enum sched_detail detail);
+/* The job's present progress is in the commit that is about to be sent. */
+void sched_progress_collected(struct sched *s, struct sched_job *job);
+/* That commit is stored. */
+void sched_progress_stored(struct sched *s);
 
 /* Called when a worker appears in the list of workers, changes there, or leaves
  * it. */
@@ -233,6 +237,9 @@
  * runs that are being stopped because they are not needed. */
 bool sched_worker_has_runs(const struct sched_worker *w);
 
+/* Returns whether tasks run at the worker whose lease is to be renewed. */
+bool sched_worker_needs_lease(const struct sched_worker *w);
+
 /* Returns whether the worker has to be polled: it has runs or unstored ends, is
  * unreachable, or is not reconciled. */
 bool sched_worker_busy(const struct sched_worker *w);
--- a/src/coordination/sched_handover.c
+++ b/src/coordination/sched_handover.c
@@ -100,8 +100,9 @@
 }
 
 /* Adds a run that may be active at the worker. The first report under this
- * owner's fence token that lacks the run removes it. */
-static void restore_run(struct sched *s, struct sched_worker *w,
+ * owner's fence token that lacks the run removes it. Returns false if the run
+ * can't be tracked yet. */
+static bool restore_run(struct sched *s, struct sched_worker *w,
 			const struct sched_ref *ref, int64_t now_ms,
 			int64_t wall_ms)
 {
@@ -109,8 +110,10 @@
 		sched_find_reported_task(s, ref, now_ms, wall_ms);
 	struct sched_run *run;
 
-	if (!t || t->done || sched_job_has_ended(t->step->round->job))
-		return;
+	if (!t)
+		return !sched_is_beyond_window(s, ref);
+	if (t->done || sched_job_has_ended(t->step->round->job))
+		return true;
 	run = sched_run_new(s, t, w, ref->run, now_ms);
 	sched_org_run_found(s, run);
 	run->state = SCHED_RUN_UNCERTAIN;
@@ -118,6 +121,7 @@
 	run->pace_uncertain = true;
 	if (t->step->gang_run < ref->run)
 		t->step->gang_run = ref->run;
+	return true;
 }
 
 static void restore_worker(struct sched *s, const json_t *entry, int64_t now_ms,
@@ -153,9 +157,8 @@
 	{
 		struct sched_ref ref;
 
-		if (sched_unpack_ref(j, &ref))
-			restore_run(s, w, &ref, now_ms, wall_ms);
-		else
+		if (!sched_unpack_ref(j, &ref) ||
+		    !restore_run(s, w, &ref, now_ms, wall_ms))
 			w->inherited_runs_known = false;
 	}
 }
--- a/src/coordination/sched_int.h
+++ b/src/coordination/sched_int.h
@@ -25,7 +25,10 @@
 /* Returns NULL if the job, its round or the task is unknown. */
 struct sched_task *sched_find_task(struct sched *s,
 				   const struct sched_ref *ref);
-/* Like sched_find_task(), but creates missing rounds that are not due yet. */
+/* Returns whether the round of the reported task can't be opened until earlier
+ * ones are done and stored. */
+bool sched_is_beyond_window(const struct sched *s, const struct sched_ref *ref);
+/* Like sched_find_task(), but creates the missing rounds of the window. */
 struct sched_task *sched_find_reported_task(struct sched *s,
 					    const struct sched_ref *ref,
 					    int64_t now_ms, int64_t wall_ms);
@@ -46,7 +49,8 @@
  * always opened. */
 bool sched_may_open_round(const struct sched *s, const struct sched_job *job);
 
-/* Returns how many rounds of the job may exist that are not done. */
+/* Returns how many rounds of the job may exist that are not done, or not stored
+ * as done. */
 int64_t sched_rounds_open_max(const struct sched *s,
 			      const struct jobspec *spec);
 struct sched_round *sched_create_round(struct sched *s, struct sched_job *job,
--- a/src/coordination/sched_job.c
+++ b/src/coordination/sched_job.c
@@ -90,56 +90,6 @@
 	return round;
 }
 
-/* Creates the rounds that are due. A job without a schedule has one round. */
-void sched_create_due_rounds(struct sched *s, struct sched_job *job,
-			     int64_t now_ms, int64_t wall_ms)
-{
-	const struct jobspec *spec = job->spec;
-	int64_t open = job->next_round - job->rounds_done;
-
-	if (!spec->rounds && !job->next_round) {
-		job->next_round = 1;
-		sched_create_round(s, job, 0, job->accepted_ms);
-		return;
-	}
-	while (job->next_round < spec->rounds &&
-	       open++ < sched_rounds_open_max(s, job->spec)) {
-		int64_t due = spec->first_due_ms +
-			      job->next_round * spec->interval_ms;
-
-		if (wall_ms < due || !sched_may_open_round(s, job))
-			return;
-		sched_create_round(s, job, job->next_round++,
-				   now_ms - (wall_ms - due));
-		sched_mark_dirty(s, job);
-	}
-}
-
-/*
- * Returns the task that a worker reported. Creates the rounds up to it: a
- * previous owner whose clock was ahead may have started a round early.
- */
-struct sched_task *sched_find_reported_task(struct sched *s,
-					    const struct sched_ref *ref,
-					    int64_t now_ms, int64_t wall_ms)
-{
-	struct sched_job *job = g_hash_table_lookup(s->jobs, ref->job);
-
-	while (job && !sched_job_has_ended(job) &&
-	       job->next_round <= ref->round &&
-	       ref->round < job->spec->rounds &&
-	       job->next_round - job->rounds_done <
-		       sched_rounds_open_max(s, job->spec)) {
-		int64_t due = job->spec->first_due_ms +
-			      job->next_round * job->spec->interval_ms;
-
-		sched_create_round(s, job, job->next_round++,
-				   now_ms - (wall_ms - due));
-		sched_mark_dirty(s, job);
-	}
-	return sched_find_task(s, ref);
-}
-
 /* Removes the round's steps from the ready list and frees their tickets. */
 static void remove_round_steps(struct sched *s, struct sched_round *round)
 {
@@ -294,6 +244,7 @@
 	job->version = version;
 	job->inherited = inherited;
 	job->dirty_link.data = job;
+	job->committing_link.data = job;
 	job->queue = g_hash_table_lookup(s->queues, job->spec->queue);
 	job->org = org_accounts_get(&s->orgs, job->spec->org);
 	job->work = sched_estimate_work(job->spec);
@@ -342,6 +293,8 @@
 		free_round(s, job->rounds);
 	if (job->dirty)
 		g_queue_unlink(&s->dirty_jobs, &job->dirty_link);
+	if (job->committing)
+		g_queue_unlink(&s->committing_jobs, &job->committing_link);
 	sched_org_job_removed(s, job);
 	sched_count_removed(s, job);
 	sched_uncharge(s, job);
--- a/src/coordination/sched_memory.c
+++ b/src/coordination/sched_memory.c
@@ -29,10 +29,12 @@
 
 void sched_charge(struct sched *s, struct sched_job *job)
 {
-	/* A job with a schedule will have a round again. */
-	int32_t rounds = job->spec->rounds && !sched_job_has_ended(job)
-				 ? MAX(job->rounds_open, 1)
-				 : job->rounds_open;
+	/* A job with a schedule will have a round again. Its rounds count until
+	 * they are stored as done: a successor would open them again. */
+	int64_t rounds =
+		job->spec->rounds && !sched_job_has_ended(job)
+			? MAX(job->next_round - job->stored_rounds_done, 1)
+			: job->rounds_open;
 	int64_t bytes = sched_job_bytes(job->spec) +
 			rounds * sched_round_bytes(job->spec);
 
@@ -48,7 +50,8 @@
 
 bool sched_may_open_round(const struct sched *s, const struct sched_job *job)
 {
-	return !s->lim.memory_bytes || !job->rounds_open ||
+	return !s->lim.memory_bytes ||
+	       job->next_round == job->stored_rounds_done ||
 	       s->job_bytes + sched_round_bytes(job->spec) <=
 		       s->lim.memory_bytes;
 }
--- a/src/coordination/sched_progress.c
+++ b/src/coordination/sched_progress.c
@@ -361,4 +361,6 @@
 				    n_rounds, next);
 	job->rounds_done = num_clamp(json_object_get(row, "rounds_done"), 0,
 				     job->next_round, 0);
+	job->stored_rounds_done = job->rounds_done;
+	sched_charge(s, job);
 }
--- a/src/coordination/sched_report.c
+++ b/src/coordination/sched_report.c
@@ -157,6 +157,11 @@
 {
 	struct sched_run *run;
 
+	if (sched_is_beyond_window(s, &a->ref)) {
+		w->unopened_runs++;
+		sched_org_run_untracked(s, w, &a->ref);
+		return NULL;
+	}
 	if (!t || t->done || sched_job_has_ended(t->step->round->job) ||
 	    (t->runs && !t->step->def->speculative)) {
 		stop_unknown_run(s, w, &a->ref, "not wanted here");
@@ -272,10 +277,49 @@
 	sched_end_long_lease(s, w, now_ms);
 }
 
+/*
+ * Processes the ends of a report that are new. Returns false at the first one
+ * whose effect can't be stored yet: the worker must report it, and those behind
+ * it, again.
+ */
+static bool process_ends(struct sched *s, struct sched_worker *w,
+			 const struct sched_report *report, int64_t now_ms,
+			 int64_t wall_ms)
+{
+	for (int32_t i = 0; i < report->n_ends; i++) {
+		const struct sched_end *e = &report->ends[i];
+
+		if (e->seq <= w->seen_seq)
+			continue;
+		if (sched_is_beyond_window(s, &e->ref)) {
+			s->ops->log_decision(s->priv, "end deferred", &e->ref,
+					     w, "round is beyond the window");
+			return false;
+		}
+		w->seen_seq = e->seq;
+		process_end(s, w, e, now_ms, wall_ms);
+	}
+	return true;
+}
+
+static void process_active_runs(struct sched *s, struct sched_worker *w,
+				const struct sched_report *report,
+				int64_t now_ms, int64_t wall_ms)
+{
+	w->foreign_runs = 0;
+	w->unopened_runs = 0;
+	sched_org_report_begins(s, w, report);
+	for (int32_t i = 0; i < report->n_active; i++)
+		w->foreign_runs += !process_active_run(s, w, &report->active[i],
+						       now_ms, wall_ms);
+}
+
 void sched_poll_answered(struct sched *s, struct sched_worker *w,
 			 const struct sched_report *report, int64_t now_ms,
 			 int64_t wall_ms)
 {
+	bool ends_read;
+
 	w->last_answer_ms = now_ms;
 	w->unreachable = false;
 	w->heard = true;
@@ -305,20 +349,11 @@
 	/* Not if it was sent to an earlier incarnation, which had more ends. */
 	if (report->acked_seq <= w->durable_seq)
 		w->acked_seq = MAX(w->acked_seq, report->acked_seq);
-	for (int32_t i = 0; i < report->n_ends; i++) {
-		if (report->ends[i].seq <= w->seen_seq)
-			continue;
-		w->seen_seq = report->ends[i].seq;
-		process_end(s, w, &report->ends[i], now_ms, wall_ms);
-	}
-	w->foreign_runs = 0;
-	sched_org_report_begins(s, w, report);
-	for (int32_t i = 0; i < report->n_active; i++)
-		w->foreign_runs += !process_active_run(s, w, &report->active[i],
-						       now_ms, wall_ms);
+	ends_read = process_ends(s, w, report, now_ms, wall_ms);
+	process_active_runs(s, w, report, now_ms, wall_ms);
 	/* A report with the maximum number of ends may omit further ones, so a
 	 * run that it doesn't list may just have ended. */
-	if (report->n_ends < SCHED_ENDS_MAX) {
+	if (ends_read && !w->unopened_runs && report->n_ends < SCHED_ENDS_MAX) {
 		drop_unreported_runs(s, w, report);
 		mark_reconciled(s, w, report, now_ms);
 	}
--- a/src/coordination/sched_types.h
+++ b/src/coordination/sched_types.h
@@ -236,6 +236,10 @@
 	int64_t ended_wall_ms;
 	int64_t next_round; /* first round that is not created yet */
 	int64_t rounds_done;
+	/* Those of the stored progress row, and of the one in the commit under
+	 * way. */
+	int64_t stored_rounds_done;
+	int64_t committing_rounds_done;
 	struct sched_round *rounds;
 	int32_t rounds_open; /* length of `rounds` */
 	int64_t charged_bytes; /* part of sched.job_bytes */
@@ -243,6 +247,8 @@
 	bool inherited; /* a previous owner may have started tasks */
 	int32_t n_runs; /* of all its tasks */
 	GList dirty_link; /* in sched.dirty_jobs */
+	bool committing; /* the commit under way has its progress */
+	GList committing_link; /* in sched.committing_jobs */
 };
 
 struct sched_worker {
@@ -297,6 +303,7 @@
 	const struct sched_step *reserved_for; /* latest reservation */
 	int32_t n_reserved; /* tasks of that step */
 	int32_t foreign_runs; /* reported runs that this owner doesn't track */
+	int32_t unopened_runs; /* those of rounds beyond the window */
 	/* Those of organisations, see sched_org.c; NULL: none yet. */
 	GArray *untracked;
 	int32_t n_unattributed; /* foreign runs of which no job is known */
@@ -489,6 +496,7 @@
 			      */
 	GQueue ready_steps; /* steps with tasks to start */
 	GQueue dirty_jobs; /* jobs whose progress is to be stored */
+	GQueue committing_jobs; /* those in the commit under way */
 	int64_t epoch;
 	int64_t taken_over_ms;
 	struct sched_prev_owner prev_owner;
--- a/src/fleet/shard_ctl_commit.c
+++ b/src/fleet/shard_ctl_commit.c
@@ -135,6 +135,7 @@
 		job->dirty = false;
 		if (!text)
 			continue;
+		sched_progress_collected(&sc->sched, job);
 		bytes += strlen(text);
 		out[n++] = (struct rows_change){
 			.table = SHARD_CTL_PROGRESS_TABLE,
@@ -182,6 +183,7 @@
 	gpointer value;
 
 	sched_roster_stored(&sc->sched);
+	sched_progress_stored(&sc->sched);
 	if (org_caps_committed(&sc->sched.caps))
 		shard_ctl_place_soon(sc);
 	if (sc->upkeep)
--- a/src/fleet/wkr_links.c
+++ b/src/fleet/wkr_links.c
@@ -301,8 +301,9 @@
 	c->acked_seq = w->durable_seq;
 	links->counts.polls++;
 	to.lease_end_clock_ms =
-		w->runs.length ? sched_lease_end(links->sched, w, c->sent_ms)
-			       : 0;
+		sched_worker_needs_lease(w)
+			? sched_lease_end(links->sched, w, c->sent_ms)
+			: 0;
 	to.timeout_ms += wait_ms;
 	c->late_timer =
 		tmr_after(links->timers, to.timeout_ms, on_poll_late, c);
--- a/tests/recut_owner.c
+++ b/tests/recut_owner.c
@@ -150,6 +150,7 @@
 {
 	g_hash_table_replace(x->store.progress, g_strdup(job->spec->id),
 			     sched_job_progress(job, SCHED_DETAIL_ALL));
+	sched_progress_collected(&x->p.s, job);
 	job->dirty = false;
 }
 
@@ -185,6 +186,7 @@
 
 	x->committing = false;
 	sched_roster_stored(s);
+	sched_progress_stored(s);
 	for (guint i = 0; i < s->worker_list->len; i++) {
 		struct sched_worker *w = g_ptr_array_index(s->worker_list, i);
 
--- a/tests/unit.h
+++ b/tests/unit.h
@@ -14,6 +14,7 @@
 void unit_add_progress(void);
 void unit_add_protocol(void);
 void unit_add_restart(void);
+void unit_add_rounds(void);
 void unit_add_shard(void);
 void unit_add_stale(void);
 void unit_add_job_api(void);
--- a/tests/unit_tests.c
+++ b/tests/unit_tests.c
@@ -23,6 +23,7 @@
 	unit_add_count();
 	unit_add_log();
 	unit_add_progress();
+	unit_add_rounds();
 	unit_add_protocol();
 	unit_add_shard();
 	unit_add_job_api();
