Play the rounds of drawn owners on the shared model of workers

/rounds/drawn-owners had workers of its own. worker_world does the same, and knows leases and fence tokens. It lists ends by their numbers now, as the platform does, and more of them.

--- a/src/coordination/sched_rounds.c
+++ b/src/coordination/sched_rounds.c
@@ -98,6 +98,7 @@
 
 		job->committing = false;
 		job->stored_rounds_done = job->committing_rounds_done;
-		sched_charge(s, job);
+		if (job->spec->rounds)
+			sched_charge(s, job);
 	}
 }
--- a/tests/unit_rounds.c
+++ b/tests/unit_rounds.c
@@ -9,6 +9,7 @@
 #include "fleet/shard_ctl_int.h"
 #include "tests/ctl_fixture.h"
 #include "tests/unit.h"
+#include "tests/worker_world.h"
 
 #define ROUNDS 1000
 #define OPEN_MAX 64 /* rounds of a small job */
@@ -16,6 +17,7 @@
 #define SEEDS 200
 #define STEP_MS 100
 #define PLAY_END_MS 60000
+#define WALL_MS 1000000 /* when the monotonic clock shows 0 */
 
 static struct jobspec *make_spec(int32_t tasks)
 {
@@ -32,20 +34,23 @@
 /* Opens an owner with the workers w0 and w1, and the job with its stored
  * progress `row`. */
 static struct sched_job *open_owner(struct sched_fixture *p, int64_t epoch,
-				    const json_t *row)
+				    const json_t *row, int64_t now_ms)
 {
 	fixture_open(p, epoch, NULL);
+	p->s.taken_over_ms = now_ms;
+	p->s.prev_owner.renews_until_ms = now_ms;
 	fixture_add_worker(p, "w0", "r");
 	fixture_add_worker(p, "w1", "r");
-	return sched_job_add(&p->s, make_spec(1), row, 5, epoch > 1, 0,
-			     1000000);
+	return sched_job_add(&p->s, make_spec(1), row, 5, epoch > 1, now_ms,
+			     WALL_MS + now_ms);
 }
 
-/* Returns the progress row, which is stored. */
+/* Stores the roster, the ends seen and the progress row, which it returns. */
 static json_t *store(struct sched_fixture *p, struct sched_job *job)
 {
 	json_t *row = sched_job_progress(job, SCHED_DETAIL_ALL);
 
+	fixture_store_roster(p);
 	sched_progress_collected(&p->s, job);
 	sched_progress_stored(&p->s);
 	for (guint i = 0; i < p->s.worker_list->len; i++) {
@@ -84,7 +89,7 @@
 {
 	struct sched_fixture p;
 	struct sched_fixture next;
-	struct sched_job *job = open_owner(&p, 1, NULL);
+	struct sched_job *job = open_owner(&p, 1, NULL, 0);
 	struct sched_end ends[10];
 	int n = 0;
 	json_t *row;
@@ -108,7 +113,7 @@
 	g_assert_cmpint(job->rounds_done, ==, 10);
 	g_assert_cmpint(job->next_round, ==, OPEN_MAX);
 	g_assert_cmpint(count_starts(&p, OPEN_MAX), ==, 0);
-	job = open_owner(&next, 2, row);
+	job = open_owner(&next, 2, row, 0);
 	json_decref(row);
 	fixture_poll(&next, "w0", NULL, 0, ends, n, 10);
 	g_assert_cmpint(job->rounds_done, ==, 10);
@@ -133,7 +138,7 @@
 {
 	struct sched_fixture p;
 	struct sched_fixture next;
-	struct sched_job *job = open_owner(&p, 1, NULL);
+	struct sched_job *job = open_owner(&p, 1, NULL, 0);
 	struct sched_active active = { .ref = done(72, 0).ref };
 	struct sched_end beyond[3] = { done(70, 1), done(0, 2), done(71, 3) };
 	struct sched_end others[10];
@@ -143,7 +148,7 @@
 	fixture_pass_time(&p, 100, 200);
 	row = store(&p, job);
 	fixture_close(&p);
-	job = open_owner(&next, 2, row);
+	job = open_owner(&next, 2, row, 0);
 	json_decref(row);
 	w = fixture_worker(&next, "w0");
 	fixture_poll(&next, "w0", &active, 1, beyond, 3, 10);
@@ -244,138 +249,57 @@
 	ctl_fixture_close();
 }
 
-/* A run at a worker of the play. */
-struct play_run {
-	struct sched_ref ref;
-	bool active;
-	bool started_again; /* after it was done */
-	int64_t seq; /* of its end */
-	enum sched_end_reason reason;
-};
-
-struct play_worker {
-	char id[4];
-	GArray *runs; /* struct play_run */
-	int64_t seq;
-	int64_t acked_seq;
-};
-
-/* Owners of the job follow each other. A store turns some of them away for a
+/* Owners of the job follow each other. The store turns some of them away for a
  * while before they are lost. */
 struct play {
 	GRand *rand;
+	struct world world;
 	struct sched_fixture p;
 	struct sched_job *job;
 	json_t *row; /* the stored one, or NULL */
 	int64_t epoch;
-	int64_t now_ms; /* since the present owner began */
+	int64_t now_ms;
 	int64_t stored_from_ms; /* the store serves the owner again */
 	int64_t loss_ms; /* INT64_MAX: not planned */
 	guint seen_starts;
 	guint seen_stops;
-	struct play_worker workers[2];
-	bool broken;
 };
 
 static void begin_owner(struct play *x)
 {
-	x->epoch++;
-	x->job = open_owner(&x->p, x->epoch, x->row);
-	x->now_ms = 0;
-	x->stored_from_ms = 0;
+	x->job = open_owner(&x->p, ++x->epoch, x->row, x->now_ms);
+	fixture_add_worker(&x->p, "w2", "r");
 	x->loss_ms = INT64_MAX;
 	x->seen_starts = 0;
 	x->seen_stops = 0;
 }
 
-static struct play_run *run_at(const struct play_worker *w, guint i)
-{
-	return &g_array_index(w->runs, struct play_run, i);
-}
-
-static struct play_worker *worker_of(struct play *x, const char *id)
-{
-	return &x->workers[id[1] - '0'];
-}
-
-static void carry_out_start(struct play *x, const struct recorded_command *c)
-{
-	struct play_run run = { .ref = c->ref, .active = true };
-
-	for (int i = 0; i < 2; i++) {
-		const struct play_worker *w = &x->workers[i];
-
-		for (guint k = 0; k < w->runs->len; k++) {
-			struct play_run *r = run_at(w, k);
-
-			if (r->ref.round != c->ref.round)
-				continue;
-			r->started_again = true;
-			x->broken |=
-				r->active || (r->reason == SCHED_END_DONE &&
-					      r->seq <= w->acked_seq);
-		}
-	}
-	g_array_append_val(worker_of(x, c->worker)->runs, run);
-	fixture_started(&x->p, c, x->now_ms);
-}
-
-static void end_run(struct play_worker *w, struct play_run *r,
-		    enum sched_end_reason reason)
-{
-	r->active = false;
-	r->seq = ++w->seq;
-	r->reason = reason;
-}
-
-static void carry_out_stop(struct play *x, const struct recorded_command *c)
-{
-	struct play_worker *w = worker_of(x, c->worker);
-
-	for (guint k = 0; k < w->runs->len; k++) {
-		struct play_run *r = run_at(w, k);
-
-		if (r->active && r->ref.round == c->ref.round &&
-		    r->ref.run == c->ref.run)
-			end_run(w, r, SCHED_END_STOPPED);
-	}
-}
-
-static int by_seq(const void *a, const void *b)
-{
-	const struct sched_end *x = a;
-	const struct sched_end *y = b;
-
-	return (x->seq > y->seq) - (x->seq < y->seq);
-}
-
-/* The poll acknowledges what the owner takes for stored. */
-static void poll_worker(struct play *x, struct play_worker *w)
+/* `ref` is NULL for a poll, which acknowledges what is stored. */
+static void call(struct play *x, enum world_call_kind kind, const char *id,
+		 const struct sched_ref *ref)
 {
-	struct sched_active active[ROUNDS];
-	struct sched_end ends[ROUNDS];
-	int32_t n_active = 0;
-	int32_t n_ends = 0;
-
-	w->acked_seq =
-		MAX(w->acked_seq, fixture_worker(&x->p, w->id)->durable_seq);
-	for (guint k = 0; k < w->runs->len; k++) {
-		const struct play_run *r = run_at(w, k);
-
-		if (r->active)
-			active[n_active++] =
-				(struct sched_active){ .ref = r->ref };
-		else if (r->seq > w->acked_seq)
-			ends[n_ends++] =
-				(struct sched_end){ .seq = r->seq,
-						    .ref = r->ref,
-						    .reason = r->reason };
-		else if (r->reason == SCHED_END_DONE)
-			x->broken |= r->started_again;
-	}
-	qsort(ends, (size_t)n_ends, sizeof(ends[0]), by_seq);
-	fixture_poll(&x->p, w->id, active, n_active, ends,
-		     MIN(n_ends, SCHED_ENDS_MAX), x->now_ms);
+	struct sched *s = &x->p.s;
+	struct sched_worker *w = fixture_worker(&x->p, id);
+	struct world_call c = {
+		.kind = kind,
+		.worker = id[1] - '0',
+		.fence = w->fence,
+		.lease_end_clock_ms = sched_lease_end(s, w, x->now_ms),
+		.acked_seq = w->durable_seq,
+		.sent_ms = x->now_ms,
+	};
+	struct world_answer a;
+
+	if (ref)
+		c.ref = *ref;
+	world_carry_out(&x->world, &c, &a, x->now_ms);
+	if (kind == WORLD_START)
+		sched_start_answered(s, ref, id, a.start, x->now_ms);
+	else if (kind == WORLD_STOP)
+		sched_stop_answered(s, ref, id, true, x->now_ms);
+	else
+		sched_poll_answered(s, w, &a.report, x->now_ms,
+				    WALL_MS + x->now_ms);
 }
 
 static bool has_chance(struct play *x, int one_in)
@@ -397,55 +321,98 @@
 	begin_owner(x);
 }
 
+static void draw_ends(struct play *x, struct world_worker *w)
+{
+	for (guint k = 0; k < w->runs->len; k++) {
+		struct world_run *r =
+			&g_array_index(w->runs, struct world_run, k);
+
+		if (!r->active || !has_chance(x, 2))
+			continue;
+		r->active = false;
+		r->seq = ++w->seq;
+		r->reason = SCHED_END_DONE;
+	}
+}
+
 static void play_step(struct play *x)
 {
 	draw_faults(x);
 	x->now_ms += STEP_MS;
-	for (int i = 0; i < 2; i++) {
-		struct play_worker *w = &x->workers[i];
-
-		for (guint k = 0; k < w->runs->len; k++) {
-			if (run_at(w, k)->active && has_chance(x, 2))
-				end_run(w, run_at(w, k), SCHED_END_DONE);
-		}
+	for (int i = 0; i < WORLD_WORKERS; i++) {
+		draw_ends(x, &x->world.workers[i]);
 		if (has_chance(x, 2))
-			poll_worker(x, w);
+			call(x, WORLD_POLL, x->world.workers[i].id, NULL);
 	}
 	fixture_pass_time(&x->p, x->now_ms, x->now_ms);
-	while (x->seen_starts < x->p.starts->len)
-		carry_out_start(x, fixture_start(&x->p, x->seen_starts++));
-	while (x->seen_stops < x->p.stops->len)
-		carry_out_stop(x, &g_array_index(x->p.stops,
-						 struct recorded_command,
-						 x->seen_stops++));
+	while (x->seen_starts < x->p.starts->len) {
+		struct recorded_command c =
+			*fixture_start(&x->p, x->seen_starts++);
+
+		call(x, WORLD_START, c.worker, &c.ref);
+	}
+	while (x->seen_stops < x->p.stops->len) {
+		struct recorded_command c = g_array_index(
+			x->p.stops, struct recorded_command, x->seen_stops++);
+
+		call(x, WORLD_STOP, c.worker, &c.ref);
+	}
 	if (x->now_ms < x->stored_from_ms || x->now_ms >= x->loss_ms)
 		return;
 	json_decref(x->row);
 	x->row = store(&x->p, x->job);
 }
 
+/* Returns whether a task runs at two workers, or was started again after an end
+ * that is acknowledged. Its later runs have higher numbers. */
+static bool is_broken(const struct play *x)
+{
+	int32_t active[ROUNDS] = { 0 };
+	int32_t last_run[ROUNDS] = { 0 };
+	bool broken = false;
+
+	/* The second time, `last_run` is known. */
+	for (int i = 0; i < 2 * WORLD_WORKERS; i++) {
+		const struct world_worker *w =
+			&x->world.workers[i % WORLD_WORKERS];
+
+		for (guint k = 0; k < w->runs->len; k++) {
+			const struct world_run *r =
+				&g_array_index(w->runs, struct world_run, k);
+			int64_t n = r->ref.round;
+
+			if (i < WORLD_WORKERS)
+				broken |= r->active && active[n]++;
+			else if (!r->active && r->reason == SCHED_END_DONE &&
+				 r->seq <= w->acked_seq)
+				broken |= r->ref.run < last_run[n];
+			last_run[n] = MAX(last_run[n], r->ref.run);
+		}
+	}
+	return broken;
+}
+
 /* Returns whether no task ran twice, and the job is done in the end. */
 static bool play_holds(guint32 seed, int64_t *owners)
 {
-	struct play x = { .rand = g_rand_new_with_seed(seed),
-			  .workers = { { .id = "w0" }, { .id = "w1" } } };
-	int64_t left = PLAY_END_MS / STEP_MS;
-	bool holds;
-
-	for (int i = 0; i < 2; i++)
-		x.workers[i].runs =
-			g_array_new(FALSE, FALSE, sizeof(struct play_run));
+	struct play x = { .rand = g_rand_new_with_seed(seed) };
+	bool broken = false;
+	bool is_done;
+
+	world_init(&x.world, 1);
 	begin_owner(&x);
-	while (!x.broken && !sched_progress_has_ended(x.row) && left-- > 0)
+	while (!broken && !sched_progress_has_ended(x.row) &&
+	       x.now_ms < PLAY_END_MS) {
 		play_step(&x);
-	holds = !x.broken && sched_progress_has_ended(x.row);
+		broken = is_broken(&x);
+	}
+	is_done = sched_progress_has_ended(x.row);
 	*owners += x.epoch;
 	fixture_close(&x.p);
-	for (int i = 0; i < 2; i++)
-		g_array_free(x.workers[i].runs, TRUE);
+	world_finish(&x.world);
 	json_decref(x.row);
 	g_rand_free(x.rand);
-	return holds;
+	return !broken && is_done;
 }
 
 /* Guards against tasks that run again after an acknowledged end, or at two
--- a/tests/worker_world.c
+++ b/tests/worker_world.c
@@ -1,9 +1,10 @@
 /* Test fixture: workers that restart, are cut off, and act late. */
 #include "tests/worker_world.h"
 
+#include <stdlib.h>
 #include <string.h>
 
-#define WORLD_REPORT_MAX 256
+#define WORLD_REPORT_MAX 1024
 
 static int64_t clock_of(const struct world_worker *w, int64_t now_ms)
 {
@@ -115,6 +116,14 @@
 	}
 }
 
+static int compare_ends(const void *a, const void *b)
+{
+	const struct sched_end *x = a;
+	const struct sched_end *y = b;
+
+	return (x->seq > y->seq) - (x->seq < y->seq);
+}
+
 static void report(struct world_worker *w, const struct world_call *c,
 		   struct sched_report *out, int64_t now_ms)
 {
@@ -145,6 +154,7 @@
 						    .ref = r->ref,
 						    .reason = r->reason };
 	}
+	qsort(ends, (size_t)out->n_ends, sizeof(ends[0]), compare_ends);
 }
 
 void world_carry_out(struct world *x, const struct world_call *c,
