Acknowledge ends once, and not to a worker that may have restarted

What callers would see: TWICE, a task that was done runs again.

Cause: each poll acknowledged the last stored end, also when the worker had forgotten it long ago. A worker that restarts under its id numbers its ends from 1 again. A task that a start command in transit began in the new incarnation, and that was done by the next poll, was forgotten by that poll before any report listed it, and started again.

Change: a poll acknowledges only what no answered poll has, and nothing while the worker is silent.

Why it works: an idle worker has nothing left to acknowledge, and calls to a worker that is down fail. The first answer shows which incarnation it is.

Evidence: /sched/end-in-a-new-life plays it on the model of workers, and /links/ends-are-acknowledged-once looks at the polls. With the line of before both fail: the job isn't done, and polls carry the old number.

--- a/src/coordination/sched.c
+++ b/src/coordination/sched.c
@@ -257,6 +257,18 @@
 	       w->seen_seq > w->durable_seq || w->unreachable;
 }
 
+/*
+ * A worker that restarted under its id numbers its ends from 1 again, and must
+ * not forget any that this owner hasn't read. So ends are acknowledged once,
+ * and not while the worker is silent: it may be in its next incarnation.
+ */
+int64_t sched_seq_to_ack(const struct sched_worker *w)
+{
+	return w->unreachable || w->acked_seq >= w->durable_seq
+		       ? 0
+		       : w->durable_seq;
+}
+
 void sched_raise_fence(struct sched *s, struct sched_worker *w)
 {
 	w->fence++;
--- a/src/coordination/sched.h
+++ b/src/coordination/sched.h
@@ -248,6 +248,9 @@
  * for the owner's row. */
 int64_t sched_long_leases_until_ms(const struct sched *s);
 
+/* Returns the last end that a poll sent now acknowledges; 0: none. */
+int64_t sched_seq_to_ack(const struct sched_worker *w);
+
 /* Returns the lease end to send to the worker now, on the worker's clock; 0:
  * don't renew the lease. */
 int64_t sched_lease_end(struct sched *s, struct sched_worker *w,
--- a/src/fleet/wkr_links.c
+++ b/src/fleet/wkr_links.c
@@ -298,7 +298,7 @@
 	wl->polls_in_flight++;
 	wl->poll_fence = w->fence;
 	c->fence = w->fence;
-	c->acked_seq = w->durable_seq;
+	c->acked_seq = sched_seq_to_ack(w);
 	links->counts.polls++;
 	to.lease_end_clock_ms =
 		sched_worker_needs_lease(w)
@@ -308,7 +308,7 @@
 	c->late_timer =
 		tmr_after(links->timers, to.timeout_ms, on_poll_late, c);
 	to.timeout_ms += LATE_ANSWER_MS;
-	links->wkr.ops->poll(links->wkr.self, &to, w->durable_seq, wait_ms,
+	links->wkr.ops->poll(links->wkr.self, &to, c->acked_seq, wait_ms,
 			     on_poll_answer, c);
 }
 
--- a/tests/unit_links.c
+++ b/tests/unit_links.c
@@ -38,6 +38,7 @@
 	guint stops_needed;
 	/* Reports list one end until it is acknowledged. */
 	bool has_end;
+	int64_t acked_seq; /* by the last poll */
 	bool lease_renewed;
 };
 
@@ -86,6 +87,7 @@
 
 	if (seq)
 		fx->has_end = false;
+	fx->acked_seq = seq;
 	c->fx = fx;
 	c->polled = done;
 	c->priv = priv;
@@ -474,6 +476,43 @@
 	links_fixture_close(&fx);
 }
 
+/*
+ * Guards against polls that make a restarted worker forget ends which this
+ * owner hasn't read: its numbers begin at 1 again, and an end that was
+ * acknowledged in the incarnation before was acknowledged with each later poll,
+ * too.
+ */
+static void test_ends_are_acknowledged_once(void)
+{
+	struct links_fixture fx;
+	struct sched_worker *w;
+
+	links_fixture_open(&fx, 10);
+	fx.has_end = true;
+	fixture_add_worker(&fx.p, "w", "r");
+	w = fixture_worker(&fx.p, "w");
+	wkr_links_poll(fx.links, w);
+	run_for(&fx, 100);
+	w->durable_seq = 1;
+	wkr_links_committed(fx.links);
+	run_for(&fx, 3000);
+	g_assert_false(fx.has_end);
+	g_assert_cmpint(w->acked_seq, ==, 1);
+	wkr_links_poll(fx.links, w);
+	run_for(&fx, 100);
+	g_assert_cmpint(fx.acked_seq, ==, 0);
+	/* The worker fell silent: the first answer shows its incarnation. */
+	w->seen_seq = w->durable_seq = 2;
+	sched_worker_unanswered(&fx.p.s, w, clk_mono_ms(&fx.clk));
+	g_assert_cmpint(sched_seq_to_ack(w), ==, 0);
+	wkr_links_poll(fx.links, w);
+	run_for(&fx, 5);
+	g_assert_cmpint(fx.acked_seq, ==, 0);
+	run_for(&fx, 100);
+	g_assert_cmpint(sched_seq_to_ack(w), ==, 2);
+	links_fixture_close(&fx);
+}
+
 /* A worker with such a run isn't forgotten when its entry expires from the
  * list, or taken off the roster as idle: the run goes on until it is stopped.
  */
@@ -506,6 +545,8 @@
 			test_unneeded_run_is_polled);
 	g_test_add_func("/links/idle-worker-is-acknowledged",
 			test_idle_worker_is_acknowledged);
+	g_test_add_func("/links/ends-are-acknowledged-once",
+			test_ends_are_acknowledged_once);
 	g_test_add_func("/links/unneeded-run-keeps-its-worker",
 			test_unneeded_run_keeps_its_worker);
 	g_test_add_func("/links/late-answer-is-used", test_late_answer_is_used);
--- a/tests/unit_lives.c
+++ b/tests/unit_lives.c
@@ -6,6 +6,7 @@
 
 #include "tests/sched_fixture.h"
 #include "tests/unit.h"
+#include "tests/worker_world.h"
 
 /* Opens a scheduler with worker w and job a, whose one task was sent there at
  * 20 ms. */
@@ -243,8 +244,87 @@
 	fixture_close(&p);
 }
 
+/* The owner calls w0, a worker of the model; `start` is NULL for a poll. */
+static void call_w0(struct sched_fixture *p, struct world *x,
+		    const struct recorded_command *start, int64_t at_ms)
+{
+	struct sched_worker *w = fixture_worker(p, "w0");
+	struct world_call c = {
+		.kind = start ? WORLD_START : WORLD_POLL,
+		.fence = w->fence,
+		.lease_end_clock_ms = sched_lease_end(&p->s, w, at_ms),
+		.acked_seq = sched_seq_to_ack(w),
+		.sent_ms = at_ms,
+	};
+	struct world_answer a;
+
+	if (start)
+		c.ref = start->ref;
+	world_carry_out(x, &c, &a, at_ms);
+	if (start)
+		sched_start_answered(&p->s, &c.ref, "w0", a.start, at_ms);
+	else
+		sched_poll_answered(&p->s, w, &a.report, at_ms,
+				    1000000 + at_ms);
+}
+
+/* Starts the job's only task at w0, where it is done at once. */
+static void run_at_w0(struct sched_fixture *p, struct world *x, const char *id,
+		      int64_t at_ms)
+{
+	struct world_worker *w = &x->workers[0];
+	struct world_run *run;
+
+	fixture_add_job(p, fixture_spec(id, "short", 1, 1));
+	sched_place(&p->s, at_ms);
+	call_w0(p, x, fixture_start(p, p->starts->len - 1), at_ms);
+	run = &g_array_index(w->runs, struct world_run, w->runs->len - 1);
+	run->active = false;
+	run->seq = ++w->seq;
+	run->reason = SCHED_END_DONE;
+}
+
+/*
+ * Guards against a second run of a task that was done in the worker's new
+ * incarnation before the owner knew of it: the next poll acknowledged an end of
+ * the incarnation before, which had the same number, and the worker forgot it.
+ */
+static void test_end_in_new_incarnation(void)
+{
+	struct sched_fixture p;
+	struct world x;
+	struct sched_job *job;
+	struct sched_worker *w;
+
+	world_init(&x, 1);
+	fixture_open(&p, 1, NULL);
+	fixture_add_worker(&p, "w0", "r");
+	call_w0(&p, &x, NULL, 10);
+	fixture_store_roster(&p);
+	run_at_w0(&p, &x, "a", 20);
+	call_w0(&p, &x, NULL, 30);
+	w = fixture_worker(&p, "w0");
+	w->durable_seq = w->seen_seq;
+	call_w0(&p, &x, NULL, 40);
+	g_assert_cmpint(x.workers[0].acked_seq, ==, 1);
+	world_restart(&x.workers[0], 0, 50);
+	run_at_w0(&p, &x, "b", 60);
+	for (int64_t now = 70; now < 200; now += 10) {
+		call_w0(&p, &x, NULL, now);
+		sched_tick(&p.s, now, 1000000 + now);
+		sched_place(&p.s, now);
+	}
+	job = g_hash_table_lookup(p.s.jobs, "b");
+	g_assert_cmpint(job->state, ==, SCHED_JOB_DONE);
+	g_assert_cmpuint(p.starts->len, ==, 2);
+	fixture_close(&p);
+	world_finish(&x);
+}
+
 void unit_add_lives(void)
 {
+	g_test_add_func("/sched/end-in-a-new-life",
+			test_end_in_new_incarnation);
 	g_test_add_func("/sched/started-in-a-new-life",
 			test_start_reaches_new_incarnation);
 	g_test_add_func("/sched/listed-by-the-old-life",
--- a/tests/unit_recut.c
+++ b/tests/unit_recut.c
@@ -159,7 +159,7 @@
 			continue;
 		x->poll_open[i] = true;
 		c.fence = w->fence;
-		c.acked_seq = w->durable_seq;
+		c.acked_seq = sched_seq_to_ack(w);
 		if (w->runs.length)
 			c.lease_end_clock_ms = sched_lease_end(&x->p.s, w, now);
 		send_call(x, &c, now);
--- a/tests/unit_rounds.c
+++ b/tests/unit_rounds.c
@@ -285,7 +285,7 @@
 		.worker = id[1] - '0',
 		.fence = w->fence,
 		.lease_end_clock_ms = sched_lease_end(s, w, x->now_ms),
-		.acked_seq = w->durable_seq,
+		.acked_seq = sched_seq_to_ack(w),
 		.sent_ms = x->now_ms,
 	};
 	struct world_answer a;
