--- a/src/coordination/sched.h
+++ b/src/coordination/sched.h
@@ -135,7 +135,10 @@
 bool sched_vm_may_terminate(const struct sched *s, const char *vm, bool late,
 			    int64_t now_ms);
 
-/* A complete status report arrived. */
+/*
+ * A complete status report arrived. An end whose round can't be opened yet, and
+ * those behind it, are left to a later report: seen_seq stays before it.
+ */
 void sched_poll_answered(struct sched *s, struct sched_worker *w,
 			 const struct sched_report *report, int64_t now_ms,
 			 int64_t wall_ms);
--- a/src/coordination/sched_rounds.c
+++ b/src/coordination/sched_rounds.c
@@ -10,7 +10,8 @@
  * comes to the end of its window and waits there.
  *
  * Reports of rounds beyond the window, as of the tasks of an owner that had
- * other limits, are left at the worker: see sched_poll_answered().
+ * other limits, are left at the worker: see process_ends() in
+ * sched_report.c.
  */
 #include "coordination/sched_int.h"
 
