Open rounds with the commit that makes room for them

What callers saw: since rounds are opened only within the window of what is stored, a job that catches up on short rounds took longer.

Cause: rounds were opened by the tick, every 100 ms, and until then their slots stayed empty after the commit.

Change: the answer to a commit opens them, and asks for a placement pass if there are any.

--- a/src/coordination/sched.h
+++ b/src/coordination/sched.h
@@ -80,8 +80,9 @@
 			   enum sched_detail detail);
 /* The job's present progress is in the commit that is about to be sent. */
 void sched_progress_collected(struct sched *s, struct sched_job *job);
-/* That commit is stored. */
-void sched_progress_stored(struct sched *s);
+/* That commit is stored. Opens the rounds that waited for it; returns whether
+ * there were any. */
+bool sched_progress_stored(struct sched *s, int64_t now_ms, int64_t wall_ms);
 
 /* Called when a worker appears in the list of workers, changes there, or leaves
  * it. */
--- a/src/coordination/sched_rounds.c
+++ b/src/coordination/sched_rounds.c
@@ -90,16 +90,23 @@
 	g_queue_push_tail_link(&s->committing_jobs, &job->committing_link);
 }
 
-void sched_progress_stored(struct sched *s)
+bool sched_progress_stored(struct sched *s, int64_t now_ms, int64_t wall_ms)
 {
+	bool opened = false;
 	GList *link;
 
 	while ((link = g_queue_pop_head_link(&s->committing_jobs))) {
 		struct sched_job *job = link->data;
+		int64_t next_round = job->next_round;
 
 		job->committing = false;
 		job->stored_rounds_done = job->committing_rounds_done;
-		if (job->spec->rounds)
-			sched_charge(s, job);
+		if (!job->spec->rounds)
+			continue;
+		sched_charge(s, job);
+		if (!sched_job_has_ended(job))
+			sched_create_due_rounds(s, job, now_ms, wall_ms);
+		opened |= job->next_round > next_round;
 	}
+	return opened;
 }
--- a/src/fleet/shard_ctl_commit.c
+++ b/src/fleet/shard_ctl_commit.c
@@ -183,7 +183,9 @@
 	gpointer value;
 
 	sched_roster_stored(&sc->sched);
-	sched_progress_stored(&sc->sched);
+	if (sched_progress_stored(&sc->sched, clk_mono_ms(sc->f->clk),
+				  clk_wall_ms(sc->f->clk)))
+		shard_ctl_place_soon(sc);
 	if (org_caps_committed(&sc->sched.caps))
 		shard_ctl_place_soon(sc);
 	if (sc->upkeep)
--- a/tests/recut.h
+++ b/tests/recut.h
@@ -83,6 +83,6 @@
 void recut_lose_owner(struct play *x, enum owner_loss loss, int64_t now);
 /* Writes what has changed. The owner learns of it in the next step. */
 void recut_commit(struct play *x, int64_t now);
-void recut_commit_answered(struct play *x);
+void recut_commit_answered(struct play *x, int64_t now);
 
 #endif
--- a/tests/recut_owner.c
+++ b/tests/recut_owner.c
@@ -180,13 +180,13 @@
 	x->committing = true;
 }
 
-void recut_commit_answered(struct play *x)
+void recut_commit_answered(struct play *x, int64_t now)
 {
 	struct sched *s = &x->p.s;
 
 	x->committing = false;
 	sched_roster_stored(s);
-	sched_progress_stored(s);
+	sched_progress_stored(s, now, recut_wall_ms(now));
 	for (guint i = 0; i < s->worker_list->len; i++) {
 		struct sched_worker *w = g_ptr_array_index(s->worker_list, i);
 
--- a/tests/unit_recut.c
+++ b/tests/unit_recut.c
@@ -317,7 +317,7 @@
 	if (!x->has_owner && now >= x->next_owner_ms)
 		recut_begin_owner(x, now);
 	if (x->has_owner && x->committing)
-		recut_commit_answered(x);
+		recut_commit_answered(x, now);
 	update_list(x, now);
 	deliver(x, now);
 	if (x->has_owner) {
--- a/tests/unit_rounds.c
+++ b/tests/unit_rounds.c
@@ -46,13 +46,14 @@
 }
 
 /* Stores the roster, the ends seen and the progress row, which it returns. */
-static json_t *store(struct sched_fixture *p, struct sched_job *job)
+static json_t *store(struct sched_fixture *p, struct sched_job *job,
+		     int64_t now_ms)
 {
 	json_t *row = sched_job_progress(job, SCHED_DETAIL_ALL);
 
 	fixture_store_roster(p);
 	sched_progress_collected(&p->s, job);
-	sched_progress_stored(&p->s);
+	sched_progress_stored(&p->s, now_ms, WALL_MS + now_ms);
 	for (guint i = 0; i < p->s.worker_list->len; i++) {
 		struct sched_worker *w = g_ptr_array_index(p->s.worker_list, i);
 
@@ -98,7 +99,7 @@
 	fixture_poll(&p, "w1", NULL, 0, NULL, 0, 10);
 	fixture_pass_time(&p, 100, 200);
 	g_assert_cmpint(count_starts(&p, 0), ==, OPEN_MAX);
-	row = store(&p, job);
+	row = store(&p, job, 200);
 	for (guint i = 0; i < OPEN_MAX; i++) {
 		const struct recorded_command *c = fixture_start(&p, i);
 
@@ -119,7 +120,7 @@
 	g_assert_cmpint(job->rounds_done, ==, 10);
 	g_assert_cmpint(fixture_worker(&next, "w0")->seen_seq, ==, 10);
 	/* It goes on as soon as that is stored. */
-	json_decref(store(&next, job));
+	json_decref(store(&next, job, 200));
 	fixture_poll(&next, "w1", NULL, 0, NULL, 0, 20);
 	fixture_pass_time(&next, 100, 200);
 	g_assert_cmpint(job->next_round, ==, OPEN_MAX + 10);
@@ -146,7 +147,7 @@
 	json_t *row;
 
 	fixture_pass_time(&p, 100, 200);
-	row = store(&p, job);
+	row = store(&p, job, 200);
 	fixture_close(&p);
 	job = open_owner(&next, 2, row, 0);
 	json_decref(row);
@@ -159,7 +160,7 @@
 		others[i] = done(i + 1, i + 1);
 	fixture_poll(&next, "w1", NULL, 0, others, 10, 20);
 	fixture_pass_time(&next, 100, 200);
-	json_decref(store(&next, job));
+	json_decref(store(&next, job, 200));
 	fixture_pass_time(&next, 300, 400);
 	g_assert_cmpint(w->durable_seq, ==, 0);
 	fixture_poll(&next, "w0", &active, 1, beyond, 3, 410);
@@ -202,9 +203,10 @@
 	fixture_pass_time(&p, 100, 200);
 	g_assert_cmpint(job->next_round, ==, open);
 	g_assert_cmpint(p.s.job_bytes, ==, bytes);
-	p.s.lim.memory_bytes = bytes;
-	json_decref(store(&p, job));
+	p.s.lim.memory_bytes = bytes - 1;
+	json_decref(store(&p, job, 200));
 	g_assert_cmpint(p.s.job_bytes, ==, bytes - round_bytes);
+	p.s.lim.memory_bytes = bytes;
 	fixture_pass_time(&p, 300, 400);
 	g_assert_cmpint(job->next_round, ==, open + 1);
 	g_assert_cmpint(p.s.job_bytes, ==, bytes);
@@ -360,7 +362,7 @@
 	if (x->now_ms < x->stored_from_ms || x->now_ms >= x->loss_ms)
 		return;
 	json_decref(x->row);
-	x->row = store(&x->p, x->job);
+	x->row = store(&x->p, x->job, x->now_ms);
 }
 
 /* Returns whether a task runs at two workers, or was started again after an end
