--- a/tests/unit_rounds.c
+++ b/tests/unit_rounds.c
@@ -178,6 +178,24 @@
 	fixture_close(&next);
 }
 
+/* Guards against a handed-over run that can't be tracked yet, at a worker whose
+ * runs were taken for fully known: the task would be started elsewhere. */
+static void test_handed_over(void)
+{
+	struct sched_fixture p;
+	json_t *handover =
+		json_pack("[[s,i,[[s,i,i,i,i]]],[s,i,[[s,i,i,i,i]]]]", "w0",
+			  1000, "a", 70, 0, 0, 1, "w1", 1000, "a", 63, 0, 0, 1);
+
+	open_owner(&p, 2, NULL, 0);
+	sched_handover_apply(&p.s, handover, 10, WALL_MS + 10);
+	g_assert_false(fixture_worker(&p, "w0")->inherited_runs_known);
+	g_assert_true(fixture_worker(&p, "w1")->inherited_runs_known);
+	g_assert_cmpint(fixture_worker(&p, "w1")->runs.length, ==, 1);
+	json_decref(handover);
+	fixture_close(&p);
+}
+
 /* Guards against rounds that a successor has no memory or no row for: those of
  * the largest job that are done but not stored count like open ones. */
 static void test_largest_job(void)
@@ -436,6 +454,7 @@
 {
 	g_test_add_func("/rounds/store-turned-away", test_store_turned_away);
 	g_test_add_func("/rounds/deferred", test_deferred);
+	g_test_add_func("/rounds/handed-over", test_handed_over);
 	g_test_add_func("/rounds/largest-job", test_largest_job);
 	g_test_add_func("/rounds/commits-move-window",
 			test_commits_move_window);
